--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,99 @@
+/**
+ * Lint rules: the Google TypeScript rules of gts, the import order of the
+ * layers, the verbs that function names begin with, and no skipped tests.
+ */
+import {readFileSync} from 'node:fs';
+import gts from 'gts';
+
+const glossary = readFileSync(
+  new URL('./docs/GLOSSARY.md', import.meta.url),
+  'utf8',
+);
+const verbLine = /^Verbs: (.+)$/m.exec(glossary)[1];
+const verbs = verbLine.split(/[ ,]+/).filter(Boolean);
+const verbPattern = `^(${verbs.join('|')})([A-Z0-9].*)?$`;
+
+/** Forbids the layer in `files` to import from any of `layers`. */
+const forbidImports = (files, layers) => ({
+  files,
+  ignores: ['src/test/**'],
+  rules: {
+    'no-restricted-imports': [
+      'error',
+      {
+        patterns: layers.map(layer => ({
+          group: [`**/${layer}/*`],
+          message: `This layer may not import from ${layer}.`,
+        })),
+      },
+    ],
+  },
+});
+
+export default [
+  {ignores: ['node_modules/**', 'dist/**', 'src/protocol/*_pb.ts']},
+  ...gts,
+  {
+    files: ['**/*.js'],
+    languageOptions: {sourceType: 'module'},
+  },
+  {
+    files: ['src/**/*.ts'],
+    rules: {
+      '@typescript-eslint/consistent-type-imports': [
+        'error',
+        {prefer: 'type-imports', fixStyle: 'separate-type-imports'},
+      ],
+      '@typescript-eslint/naming-convention': [
+        'error',
+        {
+          selector: ['function', 'classMethod'],
+          format: ['camelCase'],
+          custom: {regex: verbPattern, match: true},
+        },
+        {selector: 'typeLike', format: ['PascalCase']},
+        {
+          selector: ['variable', 'parameter', 'classProperty'],
+          format: ['camelCase', 'UPPER_CASE', 'PascalCase'],
+          leadingUnderscore: 'forbid',
+        },
+      ],
+      'max-lines': ['error', {max: 400, skipBlankLines: true}],
+      'n/no-unpublished-import': 'off',
+      'n/no-process-exit': 'off',
+      'n/no-unsupported-features/node-builtins': 'off',
+      'no-restricted-syntax': [
+        'error',
+        {
+          selector: 'ExportDefaultDeclaration',
+          message: 'Use named exports.',
+        },
+        {
+          selector:
+            'MemberExpression[object.name=/^(it|test|describe)$/][property.name=/^(skip|only|todo|fails)$/]',
+          message: 'No skipped, focused or expected-to-fail tests.',
+        },
+      ],
+    },
+  },
+  {
+    files: ['vitest.config.ts'],
+    rules: {'n/no-unpublished-import': 'off'},
+  },
+  forbidImports(
+    ['src/protocol/**'],
+    ['bin', 'transport', 'coordination', 'state', 'measure', 'test'],
+  ),
+  forbidImports(
+    ['src/state/**'],
+    ['bin', 'transport', 'coordination', 'measure', 'test'],
+  ),
+  forbidImports(
+    ['src/coordination/**'],
+    ['bin', 'transport', 'measure', 'test'],
+  ),
+  forbidImports(
+    ['src/transport/**'],
+    ['bin', 'coordination', 'state', 'measure', 'test'],
+  ),
+];
--- /dev/null
+++ b/scripts/build.js
@@ -0,0 +1,52 @@
+/**
+ * Bundles each binary into one file under dist/. Dependencies are bundled too,
+ * so that a host needs node and the file only. Stand-ins and the local
+ * deployment go to dist/dev/ and are not shipped.
+ */
+import {readdirSync, rmSync} from 'node:fs';
+import {build} from 'esbuild';
+
+const binaries = readdirSync('src/bin').filter(name => name.endsWith('.ts'));
+const devPrograms = readdirSync('src/dev').filter(name => name.endsWith('.ts'));
+
+const banner =
+  "import {createRequire as createRequireForBundle} from 'node:module';" +
+  'const require = createRequireForBundle(import.meta.url);';
+
+const shared = {
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'esm',
+  minifyWhitespace: true,
+  minifySyntax: true,
+  keepNames: true,
+  sourcemap: false,
+  logLevel: 'warning',
+  // An optional native socket of the metrics client; UDP is used instead.
+  external: ['unix-dgram'],
+  banner: {js: banner},
+};
+
+rmSync('dist', {recursive: true, force: true});
+await Promise.all([
+  ...binaries.map(name =>
+    build({
+      ...shared,
+      entryPoints: [`src/bin/${name}`],
+      outfile: `dist/bin/${name.replace('.ts', '.js')}`,
+    }),
+  ),
+  ...devPrograms.map(name =>
+    build({
+      ...shared,
+      entryPoints: [`src/dev/${name}`],
+      outfile: `dist/dev/${name.replace('.ts', '.js')}`,
+    }),
+  ),
+  build({
+    ...shared,
+    entryPoints: ['src/index.ts'],
+    outfile: 'dist/index.js',
+  }),
+]);
--- /dev/null
+++ b/src/dev/platform-log.ts
@@ -0,0 +1,9 @@
+/**
+ * Runs the platform log stand-in as a process: `platform-log.js PORT`.
+ */
+import {PlatformLogStandIn} from '../test/stand-ins/platform-log.js';
+
+const log = new PlatformLogStandIn();
+const address = await log.start(Number(process.argv[2] ?? 0));
+process.stdout.write(`${address}\n`);
+process.on('SIGTERM', () => process.exit(0));
--- /dev/null
+++ b/src/measure/child-program.ts
@@ -0,0 +1,57 @@
+/**
+ * Child processes of the experiment tool: nodes and stand-ins. Only the tool
+ * starts processes; a node never does.
+ */
+import type {ChildProcess} from 'node:child_process';
+import {spawn} from 'node:child_process';
+
+const KEPT_OUTPUT_CHARS = 200_000;
+
+/** One child process with its captured output. */
+export class ChildProgram {
+  /** Standard output and error, the newest part. */
+  output = '';
+  readonly exited: Promise<number | null>;
+  private readonly child: ChildProcess;
+
+  constructor(file: string, args: readonly string[]) {
+    this.child = spawn(process.execPath, [file, ...args], {
+      stdio: ['ignore', 'pipe', 'pipe'],
+      env: {...process.env, ROARR_LOG: 'true'},
+    });
+    const keep = (part: Buffer): void => {
+      this.output = (this.output + part.toString()).slice(-KEPT_OUTPUT_CHARS);
+    };
+    this.child.stdout?.on('data', keep);
+    this.child.stderr?.on('data', keep);
+    this.exited = new Promise(resolve => {
+      this.child.once('exit', code => resolve(code));
+    });
+  }
+
+  get pid(): number {
+    return this.child.pid ?? 0;
+  }
+
+  get isRunning(): boolean {
+    return this.child.exitCode === null && this.child.signalCode === null;
+  }
+
+  /** Sends a signal, such as SIGSTOP to freeze the process. */
+  send(signal: NodeJS.Signals): void {
+    if (this.isRunning) this.child.kill(signal);
+  }
+
+  /** Stops in order and waits for the end. */
+  async stop(): Promise<number | null> {
+    this.send('SIGCONT');
+    this.send('SIGTERM');
+    return this.exited;
+  }
+
+  /** Kills at once and waits for the end. */
+  async kill(): Promise<void> {
+    this.send('SIGKILL');
+    await this.exited;
+  }
+}
--- /dev/null
+++ b/src/protocol/node-identity.ts
@@ -0,0 +1,35 @@
+/**
+ * Identity of one process of the system. Two processes at one address have
+ * different incarnations, and the later one the larger.
+ */
+
+/** Identity of a node process. */
+export interface NodeIdentity {
+  readonly nodeId: string;
+  readonly incarnation: number;
+  readonly dataCentre: string;
+  readonly callerAddress: string;
+  readonly peerAddress: string;
+}
+
+const RANDOM_PARTS = 1000;
+
+/** Creates an incarnation from the clock and a random part. */
+export function createIncarnation(nowMs: number, random: () => number): number {
+  return nowMs * RANDOM_PARTS + Math.floor(random() * RANDOM_PARTS);
+}
+
+/** An address split for listening or connecting. */
+export interface SplitAddress {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** Splits an address such as `127.0.0.1:7001`. */
+export function parseAddress(address: string): SplitAddress {
+  const colon = address.lastIndexOf(':');
+  return {
+    host: address.slice(0, colon),
+    port: Number(address.slice(colon + 1)),
+  };
+}
--- /dev/null
+++ b/src/protocol/quantities.ts
@@ -0,0 +1,68 @@
+/**
+ * Durations and sizes as written in settings: a number with its unit, because
+ * a bare number hides whether seconds or milliseconds were meant.
+ */
+import {z} from 'zod';
+
+const DURATION_UNITS_MS: Readonly<Record<string, number>> = {
+  ms: 1,
+  s: 1000,
+  m: 60_000,
+  h: 3_600_000,
+};
+
+const SIZE_UNITS_BYTES: Readonly<Record<string, number>> = {
+  B: 1,
+  KiB: 1024,
+  MiB: 1024 ** 2,
+  GiB: 1024 ** 3,
+};
+
+const DURATION_PATTERN = /^(\d+(?:\.\d+)?)(ms|s|m|h)$/;
+const SIZE_PATTERN = /^(\d+)(B|KiB|MiB|GiB)$/;
+
+/** A duration such as `250ms`, `2s`, `10m` or `1h`; parsed to milliseconds. */
+export function buildDurationSchema(minMs: number, maxMs: number) {
+  return z.string().transform((text, context) => {
+    const match = DURATION_PATTERN.exec(text);
+    if (!match) {
+      context.addIssue({
+        code: 'custom',
+        message: `"${text}" is no duration; allowed: a number with ms, s, m or h, such as "250ms"`,
+      });
+      return z.NEVER;
+    }
+    const ms = Number(match[1]) * DURATION_UNITS_MS[match[2] as string]!;
+    if (ms < minMs || ms > maxMs) {
+      context.addIssue({
+        code: 'custom',
+        message: `"${text}" is out of range; allowed: ${minMs}ms to ${maxMs}ms`,
+      });
+      return z.NEVER;
+    }
+    return ms;
+  });
+}
+
+/** A size such as `64KiB` or `8MiB`; parsed to bytes. */
+export function buildSizeSchema(minBytes: number, maxBytes: number) {
+  return z.string().transform((text, context) => {
+    const match = SIZE_PATTERN.exec(text);
+    if (!match) {
+      context.addIssue({
+        code: 'custom',
+        message: `"${text}" is no size; allowed: a whole number with B, KiB, MiB or GiB, such as "8MiB"`,
+      });
+      return z.NEVER;
+    }
+    const bytes = Number(match[1]) * SIZE_UNITS_BYTES[match[2] as string]!;
+    if (bytes < minBytes || bytes > maxBytes) {
+      context.addIssue({
+        code: 'custom',
+        message: `"${text}" is out of range; allowed: ${minBytes}B to ${maxBytes}B`,
+      });
+      return z.NEVER;
+    }
+    return bytes;
+  });
+}
--- /dev/null
+++ b/src/protocol/settings.ts
@@ -0,0 +1,177 @@
+/**
+ * Settings of one node, read from a TOML file before anything listens. TOML
+ * keys are in snake case and become camel case; names never hold underscores,
+ * so the conversion cannot change one.
+ */
+import {readFileSync} from 'node:fs';
+import {parse as parseToml, TomlError} from 'smol-toml';
+import {z} from 'zod';
+import {configurationSchema, nameSchema} from './configuration.js';
+import {buildDurationSchema} from './quantities.js';
+
+const MINUTE_MS = 60_000;
+
+/** An address by IP number, such as `127.0.0.1:7001`. */
+export const addressSchema = z
+  .string()
+  .regex(
+    /^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/,
+    'allowed: an IP number and a port, such as "127.0.0.1:7001"',
+  )
+  .refine(
+    text =>
+      text.split(/[.:]/).every((part, i) => +part <= (i < 4 ? 255 : 65535)),
+    'out of range; allowed: 0 to 255 in the IP number, 0 to 65535 for the port',
+  );
+
+/** Settings of one node. */
+export const nodeSettingsSchema = z.strictObject({
+  node: z.strictObject({
+    id: nameSchema,
+    dataCentre: nameSchema,
+    /** Where callers, the upstream and operators reach the node. */
+    callerAddress: addressSchema,
+    /** Where other nodes reach it. */
+    peerAddress: addressSchema,
+  }),
+  platformLog: z.strictObject({
+    address: addressSchema,
+    name: nameSchema,
+    /** Longest wait for one answer of the log. */
+    timeLimit: buildDurationSchema(10, MINUTE_MS).prefault('2s'),
+  }),
+  membership: z
+    .strictObject({
+      /** Peer addresses of some nodes, to find the others. */
+      seeds: z.array(addressSchema).default([]),
+      probeInterval: buildDurationSchema(20, MINUTE_MS).prefault('500ms'),
+      probeTimeout: buildDurationSchema(10, MINUTE_MS).prefault('200ms'),
+      /** Time from suspicion to being held for dead. */
+      suspicionTime: buildDurationSchema(50, 10 * MINUTE_MS).prefault('2s'),
+    })
+    .prefault({}),
+  connections: z
+    .strictObject({
+      /** Connections to one other node at most. */
+      maxPerNode: z.int().min(1).max(10_000).default(64),
+      connectTimeout: buildDurationSchema(10, MINUTE_MS).prefault('250ms'),
+      /** Silence after which an unacknowledged attempt is sealed. */
+      acknowledgeTimeout: buildDurationSchema(5, MINUTE_MS).prefault('100ms'),
+      /** Idle time after which a kept connection is closed. */
+      idleTimeout: buildDurationSchema(100, 10 * MINUTE_MS).prefault('30s'),
+    })
+    .prefault({}),
+  stop: z
+    .strictObject({
+      /** Longest wait for running work at a planned stop. */
+      drainTimeout: buildDurationSchema(0, 10 * MINUTE_MS).prefault('30s'),
+      /** How long idle connections stay open for requests already sent. */
+      lingerTime: buildDurationSchema(0, MINUTE_MS).prefault('500ms'),
+    })
+    .prefault({}),
+  metrics: z
+    .strictObject({
+      /** StatsD address over UDP; no metrics are sent without it. */
+      statsdAddress: addressSchema.optional(),
+      prefix: z.string().default('sequoiaspool.'),
+    })
+    .prefault({}),
+  logging: z
+    .strictObject({
+      level: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
+    })
+    .prefault({}),
+  /** Configuration in force until the log's first record is read. */
+  configuration: configurationSchema.optional(),
+});
+
+export type NodeSettings = z.output<typeof nodeSettingsSchema>;
+
+/** Settings or a configuration that cannot be used, one line per fault. */
+export class SettingsError extends Error {
+  constructor(
+    readonly file: string,
+    readonly faults: readonly string[],
+  ) {
+    super(faults.map(fault => `${file}: ${fault}`).join('\n'));
+    this.name = 'SettingsError';
+  }
+}
+
+/** Converts the keys of parsed TOML from snake case to camel case. */
+export function toCamelKeys(value: unknown): unknown {
+  if (Array.isArray(value)) return value.map(toCamelKeys);
+  if (value === null || typeof value !== 'object') return value;
+  if (value instanceof Date) return value;
+  return Object.fromEntries(
+    Object.entries(value).map(([key, item]) => [
+      key.replace(/_([a-z])/g, (match: string) =>
+        match.charAt(1).toUpperCase(),
+      ),
+      toCamelKeys(item),
+    ]),
+  );
+}
+
+/** Converts a path of keys back to the form used in the file. */
+export function formatKeyPath(path: readonly PropertyKey[]): string {
+  return path
+    .map(part =>
+      String(part).replace(/[A-Z]/g, letter => `_${letter.toLowerCase()}`),
+    )
+    .join('.');
+}
+
+/** Formats the faults that a schema found, each with its key. */
+export function formatFaults(error: z.ZodError): string[] {
+  return error.issues.map(issue => {
+    const path = formatKeyPath(issue.path);
+    if (issue.code === 'unrecognized_keys') {
+      const keys = issue.keys.map(key => formatKeyPath([key])).join(', ');
+      return `${path ? `${path}: ` : ''}unknown key ${keys}`;
+    }
+    return `${path}: ${issue.message}`;
+  });
+}
+
+/**
+ * Parses TOML text by a schema.
+ *
+ * @throws SettingsError naming file, key and what is allowed.
+ */
+export function parseTomlBySchema<S extends z.ZodType>(
+  file: string,
+  text: string,
+  schema: S,
+): z.output<S> {
+  let raw: unknown;
+  try {
+    raw = toCamelKeys(parseToml(text));
+  } catch (error) {
+    if (!(error instanceof TomlError)) throw error;
+    const reason = error.message.split('\n')[0] ?? 'not TOML';
+    throw new SettingsError(file, [`line ${error.line}: ${reason}`]);
+  }
+  const result = schema.safeParse(raw);
+  if (!result.success)
+    throw new SettingsError(file, formatFaults(result.error));
+  return result.data;
+}
+
+/**
+ * Reads a TOML file by a schema.
+ *
+ * @throws SettingsError when it cannot be read or does not fit.
+ */
+export function readTomlFile<S extends z.ZodType>(
+  file: string,
+  schema: S,
+): z.output<S> {
+  let text: string;
+  try {
+    text = readFileSync(file, 'utf8');
+  } catch (error) {
+    throw new SettingsError(file, [`cannot be read: ${String(error)}`]);
+  }
+  return parseTomlBySchema(file, text, schema);
+}
--- /dev/null
+++ b/src/state/worker-table.ts
@@ -0,0 +1,135 @@
+/**
+ * The workers that this node knows of, by service, with the load figures that
+ * came back on answers. Membership fills it; routing reads it. It steers
+ * routing only: a stale row costs a refusal, never a wrong run.
+ */
+import Emittery from 'emittery';
+import type {AttemptTarget} from '../protocol/attempt.js';
+import type {WorkerLoad} from '../protocol/worker-load.js';
+import type {WorkerState} from '../protocol/worker-load.js';
+
+/** One worker as its node described it. */
+export interface WorkerDescription {
+  readonly service: string;
+  readonly version: string;
+  readonly slots: number;
+  readonly state: WorkerState;
+}
+
+/** A node with its workers. */
+export interface NodeDescription extends AttemptTarget {
+  readonly dataCentre: string;
+  readonly workers: readonly WorkerDescription[];
+}
+
+/** Load figures with the time at which they came. */
+export interface ObservedLoad {
+  readonly figures: WorkerLoad;
+  /** Time on the clock of `performance.now()`. */
+  readonly at: number;
+}
+
+/** One worker as seen from this node. */
+export interface WorkerRow {
+  readonly target: AttemptTarget;
+  readonly dataCentre: string;
+  readonly service: string;
+  version: string;
+  slots: number;
+  state: WorkerState;
+  /** Attempts that this node has sent and that have not ended. */
+  inFlightHere: number;
+  observed: ObservedLoad | undefined;
+  /** Moving average of the time of whole attempts from here, in ms. */
+  attemptTimeMs: number;
+}
+
+interface WorkerTableEvents {
+  changed: undefined;
+}
+
+/** Workers known to this node. */
+export class WorkerTable {
+  readonly events = new Emittery<WorkerTableEvents>();
+  private readonly rowsByService = new Map<string, WorkerRow[]>();
+  private readonly nodes = new Map<string, NodeDescription>();
+
+  /** Workers of a service, in no particular order. */
+  listWorkers(service: string): readonly WorkerRow[] {
+    return this.rowsByService.get(service) ?? [];
+  }
+
+  /** All nodes known, with their workers. */
+  listNodes(): NodeDescription[] {
+    return [...this.nodes.values()];
+  }
+
+  /** Finds a node by id. */
+  findNode(nodeId: string): NodeDescription | undefined {
+    return this.nodes.get(nodeId);
+  }
+
+  /** Adds a node or replaces what was known of it. */
+  update(node: NodeDescription): void {
+    const known = this.nodes.get(node.nodeId);
+    const isSameProcess = known?.incarnation === node.incarnation;
+    const oldRows = this.takeRows(node.nodeId);
+    this.nodes.set(node.nodeId, node);
+    for (const worker of node.workers) {
+      const old = isSameProcess
+        ? oldRows.find(row => row.service === worker.service)
+        : undefined;
+      this.addRow(node, worker, old);
+    }
+    void this.events.emit('changed');
+  }
+
+  /** Forgets a node and its workers. */
+  remove(nodeId: string): void {
+    if (!this.nodes.delete(nodeId)) return;
+    this.takeRows(nodeId);
+    void this.events.emit('changed');
+  }
+
+  private addRow(
+    node: NodeDescription,
+    worker: WorkerDescription,
+    old: WorkerRow | undefined,
+  ): void {
+    const isSameVersion = old?.version === worker.version;
+    const row: WorkerRow = old ?? {
+      target: {
+        nodeId: node.nodeId,
+        incarnation: node.incarnation,
+        peerAddress: node.peerAddress,
+      },
+      dataCentre: node.dataCentre,
+      service: worker.service,
+      version: worker.version,
+      slots: worker.slots,
+      state: worker.state,
+      inFlightHere: 0,
+      observed: undefined,
+      attemptTimeMs: 0,
+    };
+    row.version = worker.version;
+    row.slots = worker.slots;
+    row.state = worker.state;
+    if (!isSameVersion) row.observed = undefined;
+    const rows = this.rowsByService.get(worker.service);
+    if (rows) rows.push(row);
+    else this.rowsByService.set(worker.service, [row]);
+  }
+
+  private takeRows(nodeId: string): WorkerRow[] {
+    const taken: WorkerRow[] = [];
+    for (const [service, rows] of this.rowsByService) {
+      const kept = rows.filter(row => row.target.nodeId !== nodeId);
+      if (kept.length === rows.length) continue;
+      taken.push(...rows.filter(row => row.target.nodeId === nodeId));
+      if (kept.length > 0) this.rowsByService.set(service, kept);
+      else this.rowsByService.delete(service);
+    }
+    return taken;
+  }
+}
--- /dev/null
+++ b/src/test/stand-ins/upstream.ts
@@ -0,0 +1,313 @@
+/**
+ * Stand-in for an upstream worker. It bears only so much work, counts what it
+ * ran, announces itself to the node beside it, and does harm when told to.
+ *
+ * - `GET /tickets/ID`, `/stock/ID`, `/bays/ID`: lookups; the answer echoes the
+ *   path and the request id.
+ * - `POST /bookings`, `/payments`, `/releases`: not idempotent; the answer
+ *   carries the number of the run.
+ * - `PUT` or `POST /photos/ID`: uploads; the answer carries length and digest.
+ * - `GET /health`: the health path; counted as a probe.
+ * - `GET /-/figures`, `POST /-/control`: for tests only.
+ */
+import {createHash} from 'node:crypto';
+import {createServer} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import seedrandom from 'seedrandom';
+import type {Announcement} from '../../protocol/announcement.js';
+import {
+  IDEMPOTENCY_KEY,
+  PROBE,
+  REQUEST_ID,
+  VERDICT,
+} from '../../protocol/headers.js';
+import {readWholeBody, sendJson, startOnLoopback} from './json-http.js';
+
+/** Behaviour that tests switch while the worker runs. */
+export interface UpstreamControl {
+  /** Multiplies the service time. */
+  slowFactor: number;
+  /** Answers 500 at once instead of working. */
+  isFailingFast: boolean;
+  /** Answers 503 in the agreed form, so that nothing ran. */
+  isShedding: boolean;
+  /** Fails requests of paths with this prefix; empty for none. */
+  failingPathPrefix: string;
+  /** Slows requests of paths with this prefix; empty for none. */
+  slowPathPrefix: string;
+  /** Exits when a request path has this prefix; empty for none. */
+  crashPathPrefix: string;
+  /** Fails above this number of concurrent requests; 0 for never. */
+  failAboveInFlight: number;
+  /** Concurrent requests that it bears while cold; 0 when warm. */
+  coldConcurrency: number;
+  /** Leaves every request without an answer. */
+  isSilent: boolean;
+  /** Cuts the connection in the middle of the answer. */
+  isCutting: boolean;
+  /** Answers the health path with this status. */
+  healthStatus: number;
+  /** Mean service time in milliseconds. */
+  serviceTimeMs: number;
+  /** State that the worker announces. */
+  state: Announcement['state'];
+  /** Bytes of padding in the answer of a lookup. */
+  answerBytes: number;
+}
+
+/** What one worker counted. */
+export interface UpstreamFigures {
+  requests: number;
+  probes: number;
+  maxInFlight: number;
+  maxInFlightCold: number;
+  /** Requests that came while a cold worker was already full. */
+  coldOverloads: number;
+  cancelled: number;
+  lastRequestAtMs: number;
+  /** Runs by idempotency key. */
+  runs: Record<string, number>;
+}
+
+/** How to start a stand-in. */
+export interface UpstreamOptions {
+  readonly service: string;
+  readonly version?: string;
+  readonly slots?: number;
+  readonly port?: number;
+  /** Caller address of the node beside it. */
+  readonly nodeAddress?: string;
+  readonly announceEveryMs?: number;
+  readonly seed?: string;
+  readonly control?: Partial<UpstreamControl>;
+  /** Called when a request crashes the worker. */
+  readonly handleCrash?: () => void;
+}
+
+const DEFAULT_SLOTS = 6;
+const DEFAULT_ANNOUNCE_MS = 500;
+const TTL_FACTOR = 4;
+const CUT_PART_BYTES = 20;
+/** Connections that can't be answered wait this long before they are closed. */
+const MIN_TTL_MS = 1000;
+
+/** The stand-in. */
+export class UpstreamStandIn {
+  readonly control: UpstreamControl;
+  readonly figures: UpstreamFigures = {
+    requests: 0,
+    probes: 0,
+    maxInFlight: 0,
+    maxInFlightCold: 0,
+    coldOverloads: 0,
+    cancelled: 0,
+    lastRequestAtMs: 0,
+    runs: {},
+  };
+  address = '';
+  private inFlight = 0;
+  private readonly random: () => number;
+  private announceTimer: NodeJS.Timeout | undefined;
+  private readonly server = createServer(
+    {keepAliveTimeout: 60_000},
+    (message, response) => {
+      void this.serve(message, response).catch(() => response.destroy());
+    },
+  );
+
+  constructor(private readonly options: UpstreamOptions) {
+    this.random = seedrandom(options.seed ?? options.service);
+    this.control = {
+      slowFactor: 1,
+      isFailingFast: false,
+      isShedding: false,
+      failingPathPrefix: '',
+      slowPathPrefix: '',
+      crashPathPrefix: '',
+      failAboveInFlight: 0,
+      coldConcurrency: 0,
+      isSilent: false,
+      isCutting: false,
+      healthStatus: 200,
+      serviceTimeMs: 4,
+      state: 'ready',
+      answerBytes: 0,
+      ...options.control,
+    };
+  }
+
+  async start(): Promise<string> {
+    this.address = await startOnLoopback(this.server, this.options.port);
+    if (this.options.nodeAddress) void this.announceRegularly();
+    return this.address;
+  }
+
+  /** Stops at once, as a killed process does. */
+  async stop(): Promise<void> {
+    clearTimeout(this.announceTimer);
+    this.server.closeAllConnections();
+    await new Promise(resolve => this.server.close(resolve));
+  }
+
+  /** Tells the node beside it of itself once. */
+  async announce(): Promise<void> {
+    const {service, version = 'v1', slots = DEFAULT_SLOTS} = this.options;
+    const every = this.options.announceEveryMs ?? DEFAULT_ANNOUNCE_MS;
+    const announcement: Announcement = {
+      service,
+      version,
+      slots,
+      address: this.address,
+      state: this.control.state,
+      ttlMs: Math.max(MIN_TTL_MS, every * TTL_FACTOR),
+    };
+    await fetch(`http://${this.options.nodeAddress}/-/announce`, {
+      method: 'POST',
+      body: JSON.stringify(announcement),
+    });
+  }
+
+  private async announceRegularly(): Promise<void> {
+    await this.announce().catch(() => {});
+    this.announceTimer = setTimeout(
+      () => void this.announceRegularly(),
+      this.options.announceEveryMs ?? DEFAULT_ANNOUNCE_MS,
+    );
+  }
+
+  private async serve(
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const path = message.url ?? '/';
+    if (path.startsWith('/-/')) {
+      await this.serveOwn(path, message, response);
+      return;
+    }
+    if (message.headers[PROBE] !== undefined || path === '/health') {
+      this.figures.probes += 1;
+      sendJson(response, this.control.healthStatus, {
+        state: this.control.state,
+      });
+      return;
+    }
+    this.inFlight += 1;
+    response.once('close', () => {
+      this.inFlight -= 1;
+      if (!response.writableFinished) this.figures.cancelled += 1;
+    });
+    await this.run(path, message, response);
+  }
+
+  private async serveOwn(
+    path: string,
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    if (path === '/-/control') {
+      const body = (await readWholeBody(message)).toString() || '{}';
+      Object.assign(this.control, JSON.parse(body));
+      if (this.options.nodeAddress) await this.announce().catch(() => {});
+    }
+    sendJson(response, 200, {...this.figures, control: this.control});
+  }
+
+  private async run(
+    path: string,
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const {control, figures} = this;
+    figures.requests += 1;
+    figures.lastRequestAtMs = Date.now();
+    figures.maxInFlight = Math.max(figures.maxInFlight, this.inFlight);
+    if (control.isShedding) {
+      response.setHeader(VERDICT, 'not-run');
+      sendJson(response, 503, {error: 'shed'});
+      return;
+    }
+    if (control.isFailingFast || hasPrefix(path, control.failingPathPrefix)) {
+      sendJson(response, 500, {error: 'failed'});
+      return;
+    }
+    if (hasPrefix(path, control.crashPathPrefix)) {
+      this.options.handleCrash?.();
+      return;
+    }
+    if (this.isOverloaded()) {
+      sendJson(response, 500, {error: 'overloaded'});
+      return;
+    }
+    const key = message.headers[IDEMPOTENCY_KEY];
+    if (typeof key === 'string' && message.method === 'POST') {
+      figures.runs[key] = (figures.runs[key] ?? 0) + 1;
+    }
+    const body = await readWholeBody(message);
+    await wait(this.computeServiceTimeMs(path));
+    if (control.isSilent) return;
+    this.answer(path, message, response, body);
+  }
+
+  private isOverloaded(): boolean {
+    const {control, figures} = this;
+    if (control.coldConcurrency > 0) {
+      figures.maxInFlightCold = Math.max(
+        figures.maxInFlightCold,
+        this.inFlight,
+      );
+      if (this.inFlight > control.coldConcurrency) {
+        figures.coldOverloads += 1;
+        return true;
+      }
+    }
+    const above = control.failAboveInFlight;
+    return above > 0 && this.inFlight > above;
+  }
+
+  private computeServiceTimeMs(path: string): number {
+    const {control} = this;
+    const isSlowPath = hasPrefix(path, control.slowPathPrefix);
+    const slots = this.options.slots ?? DEFAULT_SLOTS;
+    // Beyond its slots a worker shares its time among its requests.
+    const crowding = Math.max(1, this.inFlight / slots);
+    const spread = 0.5 + this.random();
+    const slowness = control.slowFactor * (isSlowPath ? 10 : 1);
+    return control.serviceTimeMs * spread * crowding * slowness;
+  }
+
+  private answer(
+    path: string,
+    message: IncomingMessage,
+    response: ServerResponse,
+    body: Buffer,
+  ): void {
+    const key = message.headers[IDEMPOTENCY_KEY];
+    const answer = JSON.stringify({
+      path,
+      requestId: message.headers[REQUEST_ID],
+      version: this.options.version ?? 'v1',
+      worker: this.address,
+      length: body.length,
+      digest: createHash('sha256').update(body).digest('hex'),
+      ...(typeof key === 'string' ? {key, run: this.figures.runs[key]} : {}),
+      padding: 'x'.repeat(this.control.answerBytes),
+    });
+    response.writeHead(200, {
+      'content-type': 'application/json',
+      'content-length': Buffer.byteLength(answer),
+    });
+    if (!this.control.isCutting) {
+      response.end(answer);
+      return;
+    }
+    response.write(answer.slice(0, CUT_PART_BYTES), () => response.destroy());
+  }
+}
+
+function hasPrefix(path: string, prefix: string): boolean {
+  return prefix !== '' && path.startsWith(prefix);
+}
+
+function wait(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
--- /dev/null
+++ b/src/transport/caller-listener.ts
@@ -0,0 +1,168 @@
+/**
+ * Listener for callers, the upstream on this host and operators. Paths below
+ * `/-/` are the node's own; any other path names a service.
+ */
+import {createServer} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import restana from 'restana';
+import type {Profile} from '../protocol/configuration.js';
+import {REQUEST_ID, VERDICT} from '../protocol/headers.js';
+import {Reason, RefusalError} from '../protocol/reasons.js';
+import type {
+  ServiceAnswer,
+  ServiceRequest,
+} from '../protocol/service-request.js';
+import {Verdict} from '../protocol/verdict.js';
+import {writeAnswer, writeRefusal} from './answer-writer.js';
+import {
+  parseTarget,
+  readRequestId,
+  readServiceRequest,
+} from './request-reader.js';
+
+const MAX_HEADER_BYTES = 16 * 1024;
+/** Longest time for a caller to send its request's headers. */
+const HEADERS_TIMEOUT_MS = 10_000;
+const KEEP_ALIVE_TIMEOUT_MS = 75_000;
+const CHECK_INTERVAL_MS = 2000;
+const MAX_OWN_BODY_BYTES = 64 * 1024;
+
+/** A request to one of the node's own paths. */
+export interface OwnRequest {
+  /** Path parameters, decoded. */
+  readonly params: Readonly<Record<string, string>>;
+  /** Parsed JSON body; undefined without one. */
+  readonly body: unknown;
+  readonly remoteAddress: string;
+}
+
+/** Answer of one of the node's own paths, sent as JSON. */
+export interface OwnAnswer {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+/** One of the node's own paths. */
+export interface OwnRoute {
+  readonly method: 'get' | 'post';
+  /** Such as `/-/health`. */
+  readonly path: string;
+  readonly handle: (request: OwnRequest) => OwnAnswer | Promise<OwnAnswer>;
+}
+
+/** What the listener hands requests to. */
+export interface CallerHandlers {
+  readonly ownRoutes: readonly OwnRoute[];
+  findProfile(service: string): Profile | undefined;
+  handleRequest(
+    request: ServiceRequest,
+    signal: AbortSignal,
+  ): Promise<ServiceAnswer>;
+  /** Told of each refusal, for counters and logs. */
+  handleRefusal(refusal: RefusalError, requestId: string): void;
+  /** Whether connections are to be closed after their current answer. */
+  isStopping(): boolean;
+}
+
+/** Creates the server; the caller makes it listen. */
+export function createCallerServer(handlers: CallerHandlers): Server {
+  const server = createServer({
+    maxHeaderSize: MAX_HEADER_BYTES,
+    headersTimeout: HEADERS_TIMEOUT_MS,
+    requestTimeout: 0,
+    keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+    connectionsCheckingInterval: CHECK_INTERVAL_MS,
+    noDelay: true,
+  });
+  const service = restana({
+    server,
+    prioRequestsProcessing: false,
+    defaultRoute: (message, response) => {
+      void serveRequest(handlers, message, response);
+    },
+  });
+  for (const route of handlers.ownRoutes) {
+    service[route.method](route.path, (message, response) => {
+      const {params} = message as {params?: Record<string, string>};
+      void serveOwnRoute(route, message, response, params ?? {});
+    });
+  }
+  return server;
+}
+
+async function serveRequest(
+  handlers: CallerHandlers,
+  message: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  const id = readRequestId(message);
+  const extra: Record<string, string> = {};
+  if (handlers.isStopping()) extra['connection'] = 'close';
+  const abort = new AbortController();
+  response.once('close', () => {
+    if (!response.writableFinished) {
+      abort.abort(new RefusalError(Reason.CALLER_GONE));
+    }
+  });
+  response.on('error', () => {});
+  try {
+    const target = parseTarget(message.url ?? '/');
+    const profile = handlers.findProfile(target.service);
+    if (!profile) {
+      throw new RefusalError(Reason.UNKNOWN_SERVICE, 'not-run', target.service);
+    }
+    const request = await readServiceRequest(message, id, target, profile);
+    const answer = await handlers.handleRequest(request, abort.signal);
+    extra[REQUEST_ID] = id;
+    extra[VERDICT] = Verdict.RAN;
+    await writeAnswer(response, answer, extra);
+  } catch (error) {
+    const refusal = toRefusal(error);
+    handlers.handleRefusal(refusal, id);
+    // The rest of an unread body would be taken for the next request.
+    if (!message.complete) extra['connection'] = 'close';
+    writeRefusal(response, refusal, id, extra);
+  }
+}
+
+/** The refusal that an error amounts to. */
+export function toRefusal(error: unknown): RefusalError {
+  if (error instanceof RefusalError) return error;
+  return new RefusalError(Reason.INTERNAL, Verdict.MAY_HAVE_RUN, String(error));
+}
+
+async function serveOwnRoute(
+  route: OwnRoute,
+  message: IncomingMessage,
+  response: ServerResponse,
+  params: Readonly<Record<string, string>>,
+): Promise<void> {
+  try {
+    const body = await readJson(message);
+    const remoteAddress = message.socket.remoteAddress ?? '';
+    const answer = await route.handle({params, body, remoteAddress});
+    const text = JSON.stringify(answer.body);
+    response.writeHead(answer.status, {'content-type': 'application/json'});
+    response.end(text);
+  } catch (error) {
+    writeRefusal(response, toRefusal(error), undefined, {connection: 'close'});
+  }
+}
+
+async function readJson(message: IncomingMessage): Promise<unknown> {
+  const parts: Buffer[] = [];
+  let size = 0;
+  for await (const part of message as AsyncIterable<Buffer>) {
+    size += part.length;
+    if (size > MAX_OWN_BODY_BYTES) {
+      throw new RefusalError(Reason.BODY_TOO_LARGE);
+    }
+    parts.push(part);
+  }
+  if (size === 0) return undefined;
+  try {
+    return JSON.parse(Buffer.concat(parts).toString()) as unknown;
+  } catch {
+    throw new RefusalError(Reason.MALFORMED_REQUEST, 'not-run', 'not JSON');
+  }
+}
--- /dev/null
+++ b/src/transport/gate-client.ts
@@ -0,0 +1,225 @@
+/**
+ * Sends attempts to the gates of other nodes. Each connection carries one
+ * attempt at a time and is closed after a cancelled one, so that a late
+ * answer can't reach another request. A gate acknowledges an attempt at once;
+ * silence makes the connection suspect, whatever the service time is.
+ */
+import {Pool} from 'undici';
+import type {Attempt, AttemptAnswer} from '../protocol/attempt.js';
+import {AttemptError} from '../protocol/attempt.js';
+import * as headerNames from '../protocol/headers.js';
+import {readReason, Reason} from '../protocol/reasons.js';
+import type {
+  Body,
+  Headers,
+  ServiceRequest,
+} from '../protocol/service-request.js';
+import {readHeldBody} from '../protocol/service-request.js';
+import type {NodeSettings} from '../protocol/settings.js';
+import {readVerdict, Verdict} from '../protocol/verdict.js';
+import {parseWorkerLoad} from '../protocol/worker-load.js';
+import type {ExchangeResponse} from './http-exchange.js';
+import {ExchangeError, runExchange} from './http-exchange.js';
+import {copyEndToEndHeaders, findHeader} from './message-headers.js';
+
+/** Path prefix of attempts on the peer address. */
+export const ATTEMPT_PATH = '/attempts/';
+
+/** Called when a sent attempt was not acknowledged in time. */
+export type HandleSilence = (attempt: Attempt) => void;
+
+/** Connections to the gates of other nodes. */
+export class GateClient {
+  private readonly pools = new Map<string, Pool>();
+
+  constructor(
+    private readonly nodeId: string,
+    private readonly settings: NodeSettings['connections'],
+  ) {}
+
+  /**
+   * Sends one attempt.
+   *
+   * @param handleSilence called at most once, when no byte came back within
+   *     the acknowledge timeout; the exchange itself goes on.
+   * @throws AttemptError
+   */
+  async sendAttempt(
+    attempt: Attempt,
+    signal: AbortSignal,
+    handleSilence: HandleSilence,
+  ): Promise<AttemptAnswer> {
+    let silenceTimer: NodeJS.Timeout | undefined;
+    let resolveAdmitted: () => void = () => {};
+    let informationCount = 0;
+    const admitted = new Promise<void>(resolve => (resolveAdmitted = resolve));
+    const clearSilence = (): void => clearTimeout(silenceTimer);
+    try {
+      const response = await runExchange(
+        this.findPool(attempt.target.peerAddress),
+        {
+          method: attempt.request.method,
+          path: `${ATTEMPT_PATH}${attempt.request.service}${attempt.request.path}`,
+          headers: this.buildHeaders(attempt),
+          body: buildBody(attempt.request, admitted),
+          onSent: () => {
+            silenceTimer = setTimeout(
+              () => handleSilence(attempt),
+              this.settings.acknowledgeTimeout,
+            );
+          },
+          onInformation: () => {
+            clearSilence();
+            informationCount += 1;
+            if (informationCount > 1) resolveAdmitted();
+          },
+        },
+        signal,
+      );
+      clearSilence();
+      return await readAttemptAnswer(attempt, response);
+    } catch (error) {
+      if (error instanceof AttemptError) throw error;
+      throw buildAttemptError(attempt, error);
+    } finally {
+      clearSilence();
+    }
+  }
+
+  /** Closes idle connections and forgets a node. */
+  async removeNode(peerAddress: string): Promise<void> {
+    const pool = this.pools.get(peerAddress);
+    this.pools.delete(peerAddress);
+    await pool?.close();
+  }
+
+  /** Closes all connections once their attempts have ended. */
+  async close(): Promise<void> {
+    await Promise.all([...this.pools.values()].map(pool => pool.close()));
+    this.pools.clear();
+  }
+
+  private findPool(peerAddress: string): Pool {
+    let pool = this.pools.get(peerAddress);
+    if (!pool) {
+      pool = new Pool(`http://${peerAddress}`, {
+        connections: this.settings.maxPerNode,
+        pipelining: 1,
+        keepAliveTimeout: this.settings.idleTimeout,
+        connect: {timeout: this.settings.connectTimeout},
+      });
+      this.pools.set(peerAddress, pool);
+    }
+    return pool;
+  }
+
+  private buildHeaders(attempt: Attempt): Headers {
+    const {request} = attempt;
+    const remainingMs = Math.max(1, request.deadline - performance.now());
+    const headers: Headers = {
+      ...request.headers,
+      [headerNames.TIME_LIMIT]: String(Math.round(remainingMs)),
+      [headerNames.CALLER_ID]: request.caller,
+      [headerNames.ATTEMPT_ID]: attempt.id,
+      [headerNames.ENTRY_NODE]: this.nodeId,
+      [headerNames.GATE_INCARNATION]: String(attempt.target.incarnation),
+      [headerNames.FINGERPRINT]: request.fingerprint,
+      [headerNames.ROUTE]: request.route,
+    };
+    if (request.idempotent) headers[headerNames.IDEMPOTENT] = '1';
+    if (request.body.rest) headers[headerNames.STREAMED] = '1';
+    if (attempt.version) headers[headerNames.SERVICE_VERSION] = attempt.version;
+    if (attempt.keyHomeEpoch !== undefined) {
+      headers[headerNames.KEY_HOME_EPOCH] = String(attempt.keyHomeEpoch);
+    }
+    return headers;
+  }
+}
+
+/** The held beginning at once; the rest only after the gate admitted it. */
+function buildBody(
+  request: ServiceRequest,
+  admitted: Promise<void>,
+): Buffer | AsyncIterable<Buffer> | null {
+  const {held, rest} = request.body;
+  if (!rest) return held.length > 0 ? held : null;
+  return (async function* sendBody() {
+    yield held;
+    await admitted;
+    yield* rest as AsyncIterable<Buffer>;
+  })();
+}
+
+/** Reads a gate's response, and refuses one that belongs to another attempt. */
+async function readAttemptAnswer(
+  attempt: Attempt,
+  response: ExchangeResponse,
+): Promise<AttemptAnswer> {
+  const {headers, status} = response;
+  if (findHeader(headers, headerNames.ATTEMPT_ID) !== attempt.id) {
+    response.body.on('error', () => {}).destroy();
+    throw new AttemptError(
+      Reason.WRONG_ANSWER,
+      Verdict.MAY_HAVE_RUN,
+      `answer of another attempt from ${attempt.target.nodeId}`,
+    );
+  }
+  const load = parseWorkerLoad(findHeader(headers, headerNames.WORKER_LOAD));
+  const reason = findHeader(headers, headerNames.REASON);
+  const body = await readBody(response, attempt, load);
+  if (reason !== undefined) {
+    const verdict =
+      readVerdict(findHeader(headers, headerNames.VERDICT)) ??
+      Verdict.MAY_HAVE_RUN;
+    const detail = readDetail(body);
+    throw new AttemptError(readReason(reason), verdict, detail, load);
+  }
+  const version = findHeader(headers, headerNames.SERVICE_VERSION);
+  return {
+    status,
+    headers: copyEndToEndHeaders(headers),
+    body,
+    ...(load ? {load} : {}),
+    ...(version ? {version} : {}),
+  };
+}
+
+async function readBody(
+  response: ExchangeResponse,
+  attempt: Attempt,
+  load: AttemptError['load'],
+): Promise<Body> {
+  try {
+    return await readHeldBody(response.body);
+  } catch (error) {
+    throw new AttemptError(
+      Reason.TRUNCATED_ANSWER,
+      Verdict.MAY_HAVE_RUN,
+      `answer of ${attempt.target.nodeId} was cut: ${String(error)}`,
+      load,
+    );
+  }
+}
+
+function readDetail(body: Body): string {
+  try {
+    const problem = JSON.parse(body.held.toString()) as {detail?: unknown};
+    return typeof problem.detail === 'string' ? problem.detail : '';
+  } catch {
+    return '';
+  }
+}
+
+function buildAttemptError(attempt: Attempt, error: unknown): AttemptError {
+  if (!(error instanceof ExchangeError)) {
+    return new AttemptError(
+      Reason.INTERNAL,
+      Verdict.MAY_HAVE_RUN,
+      String(error),
+    );
+  }
+  const detail = `${attempt.target.nodeId}: ${error.message}`;
+  return error.sent
+    ? new AttemptError(Reason.CONNECTION_LOST, Verdict.MAY_HAVE_RUN, detail)
+    : new AttemptError(Reason.UNREACHABLE, Verdict.NOT_RUN, detail);
+}
--- /dev/null
+++ b/src/transport/http-exchange.ts
@@ -0,0 +1,129 @@
+/**
+ * One HTTP exchange over undici. It works on the dispatch interface, because
+ * only there can be told whether a byte of the request may have been written,
+ * and that decides whether a failed exchange is safe to repeat.
+ */
+import {Readable} from 'node:stream';
+import type {Dispatcher} from 'undici';
+import type {Headers} from '../protocol/service-request.js';
+
+/** A request as written to the wire. */
+export interface ExchangeRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: Headers;
+  readonly body: Buffer | AsyncIterable<Buffer> | null;
+  /** Called once when the first byte may be written. */
+  readonly onSent?: () => void;
+  /** Called at each informational (1xx) response. */
+  readonly onInformation?: () => void;
+}
+
+/** Head of a response and its body, which fails when the response is cut. */
+export interface ExchangeResponse {
+  readonly status: number;
+  readonly headers: Headers;
+  readonly body: Readable;
+}
+
+/** A failed exchange. */
+export class ExchangeError extends Error {
+  constructor(
+    /** Whether a byte of the request may have been written. */
+    readonly sent: boolean,
+    override readonly cause: unknown,
+  ) {
+    super(cause instanceof Error ? cause.message : String(cause));
+    this.name = 'ExchangeError';
+  }
+}
+
+/** Body of a response; destroying it closes the connection. */
+class ResponseBody extends Readable {
+  constructor(private readonly controller: Dispatcher.DispatchController) {
+    super();
+  }
+
+  // eslint-disable-next-line @typescript-eslint/naming-convention -- stream API
+  override _read(): void {
+    this.controller.resume();
+  }
+
+  // eslint-disable-next-line @typescript-eslint/naming-convention -- stream API
+  override _destroy(
+    error: Error | null,
+    callback: (error?: Error | null) => void,
+  ): void {
+    if (!this.readableEnded && !this.controller.aborted) {
+      this.controller.abort(error ?? new Error('body no longer wanted'));
+    }
+    callback(error);
+  }
+}
+
+/**
+ * Runs one exchange and resolves with the response's head.
+ *
+ * @throws ExchangeError; its `sent` tells whether the request was written.
+ */
+export function runExchange(
+  dispatcher: Dispatcher,
+  request: ExchangeRequest,
+  signal: AbortSignal,
+): Promise<ExchangeResponse> {
+  return new Promise((resolve, reject) => {
+    let sent = false;
+    let body: ResponseBody | undefined;
+    let controller: Dispatcher.DispatchController | undefined;
+    const handleAbort = (): void => {
+      const reason = signal.reason as Error;
+      if (controller) controller.abort(reason);
+      reject(new ExchangeError(sent, reason));
+    };
+    if (signal.aborted) {
+      handleAbort();
+      return;
+    }
+    signal.addEventListener('abort', handleAbort, {once: true});
+    const clear = (): void => signal.removeEventListener('abort', handleAbort);
+    const options: Dispatcher.DispatchOptions = {
+      method: request.method as Dispatcher.HttpMethod,
+      path: request.path,
+      headers: request.headers,
+      body: request.body as Dispatcher.DispatchOptions['body'],
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    };
+    dispatcher.dispatch(options, {
+      onRequestStart: started => {
+        controller = started;
+        if (signal.aborted) {
+          started.abort(signal.reason as Error);
+          return;
+        }
+        sent = true;
+        request.onSent?.();
+      },
+      onResponseStart: (started, status, headers) => {
+        if (status < 200) {
+          request.onInformation?.();
+          return;
+        }
+        body = new ResponseBody(started);
+        resolve({status, headers: headers as Headers, body});
+      },
+      onResponseData: (started, part) => {
+        if (body && !body.push(part)) started.pause();
+      },
+      onResponseEnd: () => {
+        clear();
+        body?.push(null);
+      },
+      onResponseError: (started, error) => {
+        clear();
+        if (body) body.destroy(error);
+        else reject(new ExchangeError(sent, error));
+      },
+    });
+  });
+}
--- /dev/null
+++ b/src/transport/peer-listener.ts
@@ -0,0 +1,156 @@
+/**
+ * Listener for other nodes: attempts over plain HTTP, all else over Connect.
+ * An attempt is acknowledged at once, so that its sender can tell a silent
+ * connection from a slow worker.
+ */
+import {createServer} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {ConnectRouter} from '@connectrpc/connect';
+import {connectNodeAdapter} from '@connectrpc/connect-node';
+import type {AttemptAnswer} from '../protocol/attempt.js';
+import {AttemptError} from '../protocol/attempt.js';
+import * as headerNames from '../protocol/headers.js';
+import {Reason, RefusalError} from '../protocol/reasons.js';
+import type {Headers, ServiceRequest} from '../protocol/service-request.js';
+import {EMPTY_BODY, readHeldBody} from '../protocol/service-request.js';
+import {Verdict} from '../protocol/verdict.js';
+import type {WorkerLoad} from '../protocol/worker-load.js';
+import {formatWorkerLoad} from '../protocol/worker-load.js';
+import {writeAnswer, writeRefusal} from './answer-writer.js';
+import {toRefusal} from './caller-listener.js';
+import {ATTEMPT_PATH} from './gate-client.js';
+import {copyEndToEndHeaders, findHeader} from './message-headers.js';
+import {parseTarget} from './request-reader.js';
+
+const MAX_HEADER_BYTES = 32 * 1024;
+const KEEP_ALIVE_TIMEOUT_MS = 120_000;
+/** Answers faster than this need no acknowledgement of their own. */
+const ACKNOWLEDGE_DELAY_MS = 5;
+
+/** An attempt as a gate receives it. */
+export interface ReceivedAttempt {
+  readonly id: string;
+  readonly entryNodeId: string;
+  /** Incarnation that the entry means. */
+  readonly incarnation: number;
+  readonly version?: string;
+  readonly keyHomeEpoch?: number;
+  readonly request: ServiceRequest;
+}
+
+/** What the listener hands attempts and calls to. */
+export interface PeerHandlers {
+  /** Runs an attempt; tells when it has its slot. */
+  handleAttempt(
+    attempt: ReceivedAttempt,
+    signal: AbortSignal,
+    handleAdmitted: () => void,
+  ): Promise<AttemptAnswer>;
+  /** Registers the Connect services of other modules. */
+  readonly registerServices: (router: ConnectRouter) => void;
+}
+
+/** Creates the server; the caller makes it listen. */
+export function createPeerServer(handlers: PeerHandlers): Server {
+  const handleCall = connectNodeAdapter({routes: handlers.registerServices});
+  return createServer(
+    {
+      maxHeaderSize: MAX_HEADER_BYTES,
+      keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+      requestTimeout: 0,
+      noDelay: true,
+    },
+    (message, response) => {
+      if (message.url?.startsWith(ATTEMPT_PATH)) {
+        void serveAttempt(handlers, message, response);
+      } else {
+        handleCall(message, response);
+      }
+    },
+  );
+}
+
+async function serveAttempt(
+  handlers: PeerHandlers,
+  message: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  const id = findHeader(message.headers as Headers, headerNames.ATTEMPT_ID);
+  const extra: Headers = {[headerNames.ATTEMPT_ID]: id ?? ''};
+  const abort = new AbortController();
+  const timer = setTimeout(
+    () => sendAcknowledgement(response),
+    ACKNOWLEDGE_DELAY_MS,
+  );
+  response.once('close', () => {
+    clearTimeout(timer);
+    if (!response.writableFinished) {
+      abort.abort(new RefusalError(Reason.CALLER_GONE));
+    }
+  });
+  response.on('error', () => {});
+  try {
+    const isStreamed = message.headers[headerNames.STREAMED] !== undefined;
+    if (isStreamed) sendAcknowledgement(response);
+    const attempt = await readAttempt(message);
+    const answer = await handlers.handleAttempt(attempt, abort.signal, () => {
+      if (isStreamed) sendAcknowledgement(response);
+    });
+    clearTimeout(timer);
+    addLoadHeader(extra, answer.load);
+    if (answer.version) extra[headerNames.SERVICE_VERSION] = answer.version;
+    extra[headerNames.VERDICT] = Verdict.RAN;
+    await writeAnswer(response, answer, extra);
+  } catch (error) {
+    clearTimeout(timer);
+    const refusal = toRefusal(error);
+    if (refusal instanceof AttemptError) addLoadHeader(extra, refusal.load);
+    writeRefusal(response, refusal, undefined, extra);
+  }
+}
+
+function sendAcknowledgement(response: ServerResponse): void {
+  if (!response.headersSent && !response.destroyed) response.writeProcessing();
+}
+
+function addLoadHeader(headers: Headers, load: WorkerLoad | undefined): void {
+  if (load) headers[headerNames.WORKER_LOAD] = formatWorkerLoad(load);
+}
+
+async function readAttempt(message: IncomingMessage): Promise<ReceivedAttempt> {
+  const target = parseTarget(
+    (message.url ?? '').slice(ATTEMPT_PATH.length - 1),
+  );
+  const received = message.headers as Headers;
+  const find = (name: string): string => findHeader(received, name) ?? '';
+  const remainingMs = Number(find(headerNames.TIME_LIMIT)) || 0;
+  const deadline = performance.now() + remainingMs;
+  const hasBody =
+    received['transfer-encoding'] !== undefined ||
+    (received['content-length'] ?? '0') !== '0';
+  const version = find(headerNames.SERVICE_VERSION);
+  const epoch = find(headerNames.KEY_HOME_EPOCH);
+  const key = find(headerNames.IDEMPOTENCY_KEY);
+  const idempotent = find(headerNames.IDEMPOTENT) === '1';
+  return {
+    id: find(headerNames.ATTEMPT_ID),
+    entryNodeId: find(headerNames.ENTRY_NODE),
+    incarnation: Number(find(headerNames.GATE_INCARNATION)),
+    ...(version ? {version} : {}),
+    ...(epoch ? {keyHomeEpoch: Number(epoch)} : {}),
+    request: {
+      id: find(headerNames.REQUEST_ID),
+      service: target.service,
+      method: message.method ?? 'GET',
+      path: target.path,
+      headers: copyEndToEndHeaders(received),
+      caller: find(headerNames.CALLER_ID),
+      deadline,
+      route: find(headerNames.ROUTE),
+      idempotent,
+      ...(key && !idempotent ? {key} : {}),
+      fingerprint: find(headerNames.FINGERPRINT),
+      body: hasBody ? await readHeldBody(message) : EMPTY_BODY,
+    },
+  };
+}
--- /dev/null
+++ b/src/transport/request-reader.ts
@@ -0,0 +1,191 @@
+/**
+ * Turns an HTTP message into a ServiceRequest. Small bodies are held whole so
+ * that they can be sent again; of a large one only the beginning is held.
+ */
+import {createHash, randomUUID} from 'node:crypto';
+import type {IncomingMessage} from 'node:http';
+import {Transform} from 'node:stream';
+import type {Profile} from '../protocol/configuration.js';
+import {
+  CALLER_ID,
+  IDEMPOTENCY_KEY,
+  REQUEST_ID,
+  TIME_LIMIT,
+} from '../protocol/headers.js';
+import {Reason, RefusalError} from '../protocol/reasons.js';
+import {findRoute} from '../protocol/routes.js';
+import type {
+  Body,
+  Headers,
+  ServiceRequest,
+} from '../protocol/service-request.js';
+import {EMPTY_BODY, readHeldBody} from '../protocol/service-request.js';
+import {copyEndToEndHeaders, findHeader} from './message-headers.js';
+
+const KEY_PATTERN = /^[\x21-\x7e]{1,255}$/;
+const REQUEST_ID_PATTERN = /^[\x21-\x7e]{1,128}$/;
+const CALLER_PATTERN = /^[\x20-\x7e]{1,128}$/;
+
+/** Service and path of a request's target. */
+export interface ServiceTarget {
+  readonly service: string;
+  readonly path: string;
+}
+
+/** Splits a request's target into service and path. */
+export function parseTarget(url: string): ServiceTarget {
+  const end = url.search(/[/?]/) === 0 ? findSegmentEnd(url) : 0;
+  const service = url.slice(1, end);
+  const rest = url.slice(end);
+  return {service, path: rest.startsWith('/') ? rest : `/${rest}`};
+}
+
+function findSegmentEnd(url: string): number {
+  const next = url.slice(1).search(/[/?]/);
+  return next < 0 ? url.length : next + 1;
+}
+
+/** Reads the request id that a caller sent, or creates one. */
+export function readRequestId(message: IncomingMessage): string {
+  const sent = message.headers[REQUEST_ID];
+  return typeof sent === 'string' && REQUEST_ID_PATTERN.test(sent)
+    ? sent
+    : randomUUID();
+}
+
+/**
+ * Reads a caller's request to a service.
+ *
+ * @throws RefusalError with verdict `not-run` when it is malformed.
+ */
+export async function readServiceRequest(
+  message: IncomingMessage,
+  id: string,
+  target: ServiceTarget,
+  profile: Profile,
+): Promise<ServiceRequest> {
+  const method = message.method ?? 'GET';
+  const route = findRoute(profile, method, target.path);
+  const headers = copyEndToEndHeaders(message.headers);
+  headers[REQUEST_ID] = id;
+  const timeLimitMs = readTimeLimit(headers, route.timeLimitMs, profile);
+  const key = readKey(headers);
+  const deadline = performance.now() + timeLimitMs;
+  const body = await readBody(message, profile);
+  return {
+    id,
+    service: target.service,
+    method,
+    path: target.path,
+    headers,
+    caller: readCaller(message, headers),
+    deadline,
+    route: route.name,
+    idempotent: route.idempotent,
+    ...(key !== undefined && !route.idempotent ? {key} : {}),
+    fingerprint: computeFingerprint(target, method, headers, body),
+    body,
+  };
+}
+
+function readTimeLimit(
+  headers: Headers,
+  defaultMs: number,
+  profile: Profile,
+): number {
+  const text = findHeader(headers, TIME_LIMIT);
+  if (text === undefined) return defaultMs;
+  const limitMs = Number(text);
+  if (!/^\d{1,10}$/.test(text) || limitMs === 0) {
+    throw new RefusalError(
+      Reason.MALFORMED_REQUEST,
+      'not-run',
+      `${TIME_LIMIT} must be a whole number of milliseconds above 0`,
+    );
+  }
+  return Math.min(limitMs, profile.maxTimeLimit);
+}
+
+function readKey(headers: Headers): string | undefined {
+  const key = findHeader(headers, IDEMPOTENCY_KEY);
+  if (key === undefined || KEY_PATTERN.test(key)) return key;
+  throw new RefusalError(
+    Reason.MALFORMED_KEY,
+    'not-run',
+    `${IDEMPOTENCY_KEY} must be 1 to 255 visible ASCII characters`,
+  );
+}
+
+function readCaller(message: IncomingMessage, headers: Headers): string {
+  const named = findHeader(headers, CALLER_ID);
+  if (named !== undefined && CALLER_PATTERN.test(named)) return named;
+  return message.socket.remoteAddress ?? 'unknown';
+}
+
+async function readBody(
+  message: IncomingMessage,
+  profile: Profile,
+): Promise<Body> {
+  const {maxBody, bodyPause} = profile.limits;
+  const length = message.headers['content-length'];
+  const isChunked = message.headers['transfer-encoding'] !== undefined;
+  if (!isChunked && (length === undefined || length === '0')) return EMPTY_BODY;
+  if (length !== undefined && Number(length) > maxBody) throw buildTooLarge();
+  message.socket.setTimeout(bodyPause, () => {
+    message.destroy(new RefusalError(Reason.BODY_TOO_SLOW));
+  });
+  const clearPause = (): void => {
+    message.socket.setTimeout(0);
+  };
+  message.once('end', clearPause);
+  let body: Body;
+  try {
+    body = await readHeldBody(message);
+  } catch (error) {
+    if (error instanceof RefusalError) throw error;
+    throw new RefusalError(Reason.CALLER_GONE);
+  }
+  if (!body.rest) {
+    if (body.held.length > maxBody) throw buildTooLarge();
+    return body;
+  }
+  return {held: body.held, rest: checkBodySize(body, maxBody)};
+}
+
+function buildTooLarge(): RefusalError {
+  return new RefusalError(Reason.BODY_TOO_LARGE);
+}
+
+/** Passes the rest of a body on, and breaks it when it grows too large. */
+function checkBodySize(body: Body, maxBytes: number): Transform {
+  let size = body.held.length;
+  const limited = new Transform({
+    transform(part: Buffer, encoding, callback) {
+      size += part.length;
+      if (size > maxBytes) callback(buildTooLarge());
+      else callback(null, part);
+    },
+  });
+  const rest = body.rest!;
+  rest.on('error', error => limited.destroy(error));
+  rest.on('close', () => {
+    if (!rest.readableEnded) limited.destroy(new Error('caller gone'));
+  });
+  // A cut body must not crash the process when nobody reads it any more.
+  limited.on('error', () => rest.unpipe(limited));
+  return rest.pipe(limited);
+}
+
+/** Digest that tells equal requests across resends. */
+function computeFingerprint(
+  target: ServiceTarget,
+  method: string,
+  headers: Headers,
+  body: Body,
+): string {
+  const hash = createHash('sha1');
+  const length = findHeader(headers, 'content-length') ?? '';
+  hash.update(`${target.service}\n${method}\n${target.path}\n${length}\n`);
+  hash.update(body.held);
+  return hash.digest('base64url');
+}
