Choose workers by carried figures, retry on a budget, seal doubtful attempts

Cause: the thin path chose by own in-flight only, retried without a budget and left lost connections as doubt. Change: expected time from figures carried on answers, corrected by own in-flight and age; retry and hedge budgets; attempts that must not run twice are registered at the gate, acknowledged, sealed or waited for on a new connection; explanations of recent requests. Conclusion: mechanism in place, fault tests and figures to come.

--- /dev/null
+++ b/src/coordination/call.ts
@@ -0,0 +1,289 @@
+/**
+ * One call at its entry: choice of workers, retries and hedging, from taking
+ * the request to its answer or refusal.
+ */
+import type {
+  Attempt,
+  AttemptAnswer,
+  AttemptTarget,
+} from '../protocol/attempt.js';
+import {AttemptError} from '../protocol/attempt.js';
+import type {Profile} from '../protocol/configuration.js';
+import {Reason, RefusalError} from '../protocol/reasons.js';
+import type {ServiceRequest} from '../protocol/service-request.js';
+import {isResendable} from '../protocol/service-request.js';
+import {Verdict} from '../protocol/verdict.js';
+import {WorkerState} from '../protocol/worker-load.js';
+import type {RequestExplainer} from '../state/explanations.js';
+import type {WorkerRow} from '../state/worker-table.js';
+import type {EntryOptions, ServiceFigures} from './entry.js';
+import {findRetryCost, findStatusRetryCost} from './retry-rules.js';
+import {chooseWorker} from './worker-choice.js';
+
+/** Retries that cost no budget, such as after a worker that left. */
+const MAX_FREE_RETRIES = 10;
+const HEDGE_COST = 1;
+
+/** One call. */
+export class Call {
+  private readonly tried = new Set<AttemptTarget>();
+  private readonly explainer: RequestExplainer;
+  private paidAttempts = 1;
+  private freeRetries = 0;
+  /** Whether an attempt of this call may have run. */
+  private mayHaveRun = false;
+
+  constructor(
+    private readonly options: EntryOptions,
+    private readonly request: ServiceRequest,
+    private readonly profile: Profile,
+    private readonly figures: ServiceFigures,
+    private readonly abort: AbortController,
+  ) {
+    this.explainer = options.explanations.start(request);
+  }
+
+  /**
+   * Runs the call to its end.
+   *
+   * @throws RefusalError with the verdict of all attempts together.
+   */
+  async run(): Promise<AttemptAnswer> {
+    let last: RefusalError | undefined;
+    for (;;) {
+      const row = this.choose();
+      if (!row) {
+        throw this.buildRefusal(last ?? new RefusalError(Reason.NO_WORKER));
+      }
+      try {
+        const answer = await this.runAttempts(row);
+        if (!this.takeStatusRetry(answer)) return this.recordAnswer(answer);
+        closeAnswer(answer);
+      } catch (error) {
+        last = this.recordFailure(error);
+        if (!this.takeRetry(last)) throw this.buildRefusal(last);
+      }
+    }
+  }
+
+  private choose(): WorkerRow | undefined {
+    const {state, workers, dataCentre, random} = this.options;
+    const version = this.options.selectVersion(this.request.service);
+    const able = workers
+      .listWorkers(this.request.service)
+      .filter(
+        row =>
+          row.state !== WorkerState.DRAINING &&
+          !this.tried.has(row.target) &&
+          !state.isDataCentreOut(row.dataCentre),
+      );
+    const matching =
+      version === undefined
+        ? able
+        : able.filter(row => row.version === version);
+    this.figures.turn += 1;
+    return chooseWorker(
+      this.profile.balancing,
+      matching.length > 0 ? matching : able,
+      {
+        dataCentre,
+        farCostMs: this.profile.farCost,
+        random,
+        turn: this.figures.turn,
+        now: performance.now(),
+      },
+    );
+  }
+
+  /** One attempt, and a hedge beside it when it is slow. */
+  private async runAttempts(row: WorkerRow): Promise<AttemptAnswer> {
+    const {hedging} = this.profile;
+    const canHedge =
+      hedging.enabled && this.request.idempotent && isResendable(this.request);
+    const delayMs = canHedge
+      ? this.figures.attemptTimes.compute(hedging.quantile)
+      : undefined;
+    if (delayMs === undefined) {
+      return this.runAttempt(row, this.abort.signal, 'attempt');
+    }
+    return this.runHedged(row, delayMs);
+  }
+
+  private async runHedged(
+    row: WorkerRow,
+    delayMs: number,
+  ): Promise<AttemptAnswer> {
+    const first = new AbortController();
+    const second = new AbortController();
+    const handleAbort = (): void => {
+      first.abort(this.abort.signal.reason);
+      second.abort(this.abort.signal.reason);
+    };
+    this.abort.signal.addEventListener('abort', handleAbort, {once: true});
+    const loserGone = new Error('another attempt answered first');
+    try {
+      const main = this.runAttempt(row, first.signal, 'attempt');
+      if (await isSettledWithin(main, delayMs)) return await main;
+      const other = this.takeHedge();
+      if (!other) return await main;
+      const hedge = this.runAttempt(other, second.signal, 'hedge');
+      const winner = await takeFirst(main, hedge);
+      (winner === 'main' ? second : first).abort(loserGone);
+      return await (winner === 'main' ? main : hedge);
+    } finally {
+      this.abort.signal.removeEventListener('abort', handleAbort);
+    }
+  }
+
+  private takeHedge(): WorkerRow | undefined {
+    if (!this.figures.hedges.has(HEDGE_COST)) return undefined;
+    const row = this.choose();
+    if (!row) return undefined;
+    this.figures.hedges.take(HEDGE_COST);
+    this.options.count('hedges.sent');
+    return row;
+  }
+
+  private async runAttempt(
+    row: WorkerRow,
+    signal: AbortSignal,
+    kind: string,
+  ): Promise<AttemptAnswer> {
+    this.tried.add(row.target);
+    const attempt: Attempt = {
+      id: this.options.createAttemptId(),
+      request: this.request,
+      target: row.target,
+      version: row.version,
+    };
+    const startedAt = performance.now();
+    row.inFlightHere += 1;
+    let isEnded = false;
+    const end = (): void => {
+      if (isEnded) return;
+      isEnded = true;
+      row.inFlightHere -= 1;
+    };
+    this.explainer.add(kind, {node: row.target.nodeId, version: row.version});
+    try {
+      const answer = await this.options.sendAttempt(attempt, signal);
+      this.figures.attemptTimes.record(performance.now() - startedAt);
+      recordLoad(row, answer.load);
+      // A streamed answer keeps its slot until it has gone through.
+      answer.body.rest?.once('close', end);
+      if (!answer.body.rest) end();
+      return answer;
+    } catch (error) {
+      end();
+      if (error instanceof AttemptError) recordLoad(row, error.load);
+      throw error;
+    }
+  }
+
+  private recordFailure(error: unknown): RefusalError {
+    const refusal =
+      error instanceof RefusalError
+        ? error
+        : new RefusalError(
+            Reason.INTERNAL,
+            Verdict.MAY_HAVE_RUN,
+            String(error),
+          );
+    if (refusal.verdict !== Verdict.NOT_RUN) this.mayHaveRun = true;
+    const {reason, verdict, detail} = refusal;
+    this.explainer.add('failure', {reason, verdict, detail});
+    return refusal;
+  }
+
+  private takeRetry(refusal: RefusalError): boolean {
+    if (this.isOver() || !(refusal instanceof AttemptError)) return false;
+    const cost = findRetryCost(this.request, refusal);
+    return this.takeCost(cost, refusal.reason);
+  }
+
+  private takeStatusRetry(answer: AttemptAnswer): boolean {
+    const cost = findStatusRetryCost(this.request, answer.status);
+    if (cost === undefined || this.isOver() || !this.choose()) return false;
+    return this.takeCost(cost, `status-${answer.status}`);
+  }
+
+  private takeCost(cost: number | undefined, cause: string): boolean {
+    if (cost === undefined) return false;
+    if (cost === 0) {
+      this.freeRetries += 1;
+      if (this.freeRetries > MAX_FREE_RETRIES) return false;
+    } else {
+      if (this.paidAttempts >= this.profile.retries.maxAttempts) return false;
+      if (!this.figures.retries.take(this.request.caller, cost)) {
+        this.options.count('retries.refused-by-budget');
+        return false;
+      }
+      this.paidAttempts += 1;
+    }
+    this.options.count(`retries.${cause}`);
+    this.explainer.add('retry', {cause});
+    return true;
+  }
+
+  private isOver(): boolean {
+    return (
+      this.abort.signal.aborted || performance.now() >= this.request.deadline
+    );
+  }
+
+  private recordAnswer(answer: AttemptAnswer): AttemptAnswer {
+    this.explainer.add('answer', {status: answer.status});
+    return answer;
+  }
+
+  /** The refusal for the caller: `not-run` only when no attempt may have run. */
+  private buildRefusal(last: RefusalError): RefusalError {
+    const {reason, verdict} = last;
+    this.explainer.add('refusal', {reason, verdict});
+    if (!this.mayHaveRun || verdict !== Verdict.NOT_RUN) return last;
+    return new RefusalError(reason, Verdict.MAY_HAVE_RUN, last.detail);
+  }
+}
+
+function recordLoad(row: WorkerRow, load: AttemptAnswer['load']): void {
+  if (!load) return;
+  row.observed = {
+    figures: load,
+    at: performance.now(),
+    inFlightHere: row.inFlightHere,
+  };
+  row.state = load.state;
+}
+
+function closeAnswer(answer: AttemptAnswer): void {
+  answer.body.rest?.on('error', () => {}).destroy();
+}
+
+function isSettledWithin(
+  attempt: Promise<unknown>,
+  limitMs: number,
+): Promise<boolean> {
+  return new Promise(resolve => {
+    const timer = setTimeout(() => resolve(false), limitMs);
+    const settle = (): void => {
+      clearTimeout(timer);
+      resolve(true);
+    };
+    attempt.then(settle, settle);
+  });
+}
+
+/** Which attempt answered first; the other one when the first failed. */
+async function takeFirst(
+  main: Promise<AttemptAnswer>,
+  hedge: Promise<AttemptAnswer>,
+): Promise<'main' | 'hedge'> {
+  try {
+    return await Promise.any([
+      main.then(() => 'main' as const),
+      hedge.then(() => 'hedge' as const),
+    ]);
+  } catch {
+    return 'main';
+  }
+}
--- a/src/coordination/entry.ts
+++ b/src/coordination/entry.ts
@@ -1,42 +1,52 @@
 /**
- * The entry: takes a caller's request, chooses a worker, and answers for the
- * outcome. It retries only what has certainly not run or may run twice.
+ * The entry: takes a caller's request, has it run on some worker, and answers
+ * for the outcome. What it promises is the verdict: a refusal says `not-run`
+ * only when no attempt of the request may have run.
  */
-import type {
-  Attempt,
-  AttemptAnswer,
-  AttemptTarget,
-  SendAttempt,
-} from '../protocol/attempt.js';
-import {AttemptError} from '../protocol/attempt.js';
-import type {Profile} from '../protocol/configuration.js';
 import {Reason, RefusalError} from '../protocol/reasons.js';
+import type {SendAttempt} from '../protocol/attempt.js';
+import type {Profile} from '../protocol/configuration.js';
 import type {
   ServiceAnswer,
   ServiceRequest,
 } from '../protocol/service-request.js';
-import {isResendable} from '../protocol/service-request.js';
-import {Verdict} from '../protocol/verdict.js';
-import {WorkerState} from '../protocol/worker-load.js';
+import type {Explanations} from '../state/explanations.js';
 import type {StateStore} from '../state/state-store.js';
-import type {WorkerRow, WorkerTable} from '../state/worker-table.js';
-import {chooseWorker} from './worker-choice.js';
+import type {WorkerTable} from '../state/worker-table.js';
+import {Call} from './call.js';
+import {QuantileWindow} from './quantile-window.js';
+import {RetryBudget, TokenBudget} from './retry-budget.js';
 
 /** What an entry works with. */
 export interface EntryOptions {
-  readonly nodeId: string;
   readonly dataCentre: string;
   readonly state: StateStore;
   readonly workers: WorkerTable;
+  readonly explanations: Explanations;
   readonly sendAttempt: SendAttempt;
   readonly random: () => number;
   /** Id for the next attempt, unique among all nodes. */
   readonly createAttemptId: () => string;
+  /** Counts retries, hedges and other events by name. */
+  readonly count: (name: string) => void;
+  /** Whether requests of this fingerprint crash workers. */
+  readonly isQuarantined: (fingerprint: string) => boolean;
+  /** Whether a worker of this version may be chosen now, by moves. */
+  readonly selectVersion: (service: string) => string | undefined;
+}
+
+/** What an entry keeps of one service. */
+export interface ServiceFigures {
+  readonly retries: RetryBudget;
+  readonly hedges: TokenBudget;
+  readonly attemptTimes: QuantileWindow;
+  readonly inFlightByCaller: Map<string, number>;
+  turn: number;
 }
 
 /** The entry of one node. */
 export class Entry {
-  private turn = 0;
+  private readonly figuresByService = new Map<string, ServiceFigures>();
 
   constructor(private readonly options: EntryOptions) {}
 
@@ -51,79 +61,63 @@
   ): Promise<ServiceAnswer> {
     const profile = this.options.state.findProfile(request.service);
     if (!profile) throw new RefusalError(Reason.UNKNOWN_SERVICE);
-    const tried = new Set<AttemptTarget>();
-    for (;;) {
-      const row = this.choose(request.service, profile, tried);
-      if (!row) throw new RefusalError(Reason.NO_WORKER);
-      tried.add(row.target);
-      try {
-        return await this.runAttempt(row, request, signal);
-      } catch (error) {
-        const canRetry =
-          error instanceof AttemptError &&
-          tried.size < profile.retries.maxAttempts &&
-          isSafeToRetry(request, error, signal);
-        if (!canRetry) throw error;
-      }
+    if (this.options.isQuarantined(request.fingerprint)) {
+      throw new RefusalError(Reason.QUARANTINED);
     }
-  }
-
-  private choose(
-    service: string,
-    profile: Profile,
-    tried: ReadonlySet<AttemptTarget>,
-  ): WorkerRow | undefined {
-    const {state, workers, dataCentre, random} = this.options;
-    const able = workers
-      .listWorkers(service)
-      .filter(
-        row =>
-          row.state !== WorkerState.DRAINING &&
-          !tried.has(row.target) &&
-          !state.isDataCentreOut(row.dataCentre),
-      );
-    this.turn += 1;
-    const context = {dataCentre, random, turn: this.turn};
-    return chooseWorker(profile.balancing, able, context);
-  }
-
-  private async runAttempt(
-    row: WorkerRow,
-    request: ServiceRequest,
-    signal: AbortSignal,
-  ): Promise<AttemptAnswer> {
-    const attempt: Attempt = {
-      id: this.options.createAttemptId(),
-      request,
-      target: row.target,
-      version: row.version,
-    };
-    row.inFlightHere += 1;
+    const figures = this.findFigures(request.service);
+    startCall(figures, request, profile);
+    const abort = new AbortController();
+    const handleGone = (): void => abort.abort(signal.reason);
+    signal.addEventListener('abort', handleGone, {once: true});
+    const timer = setTimeout(
+      () => abort.abort(new RefusalError(Reason.DEADLINE_EXCEEDED)),
+      Math.max(0, request.deadline - performance.now()),
+    );
+    const call = new Call(this.options, request, profile, figures, abort);
     try {
-      const answer = await this.options.sendAttempt(attempt, signal);
-      recordLoad(row, answer.load);
-      return answer;
-    } catch (error) {
-      if (error instanceof AttemptError) recordLoad(row, error.load);
-      throw error;
+      return await call.run();
     } finally {
-      row.inFlightHere -= 1;
+      clearTimeout(timer);
+      signal.removeEventListener('abort', handleGone);
+      endCall(figures, request);
     }
   }
-}
 
-function recordLoad(row: WorkerRow, load: AttemptAnswer['load']): void {
-  if (!load) return;
-  row.observed = {figures: load, at: performance.now()};
-  row.state = load.state;
+  private findFigures(service: string): ServiceFigures {
+    let figures = this.figuresByService.get(service);
+    if (!figures) {
+      figures = {
+        retries: new RetryBudget(),
+        hedges: new TokenBudget(),
+        attemptTimes: new QuantileWindow(),
+        inFlightByCaller: new Map(),
+        turn: 0,
+      };
+      this.figuresByService.set(service, figures);
+    }
+    return figures;
+  }
 }
 
-function isSafeToRetry(
+/** Counts the call and refuses a caller that has too many. */
+function startCall(
+  figures: ServiceFigures,
   request: ServiceRequest,
-  error: AttemptError,
-  signal: AbortSignal,
-): boolean {
-  if (signal.aborted || performance.now() >= request.deadline) return false;
-  if (!isResendable(request)) return false;
-  return error.verdict === Verdict.NOT_RUN || request.idempotent;
+  profile: Profile,
+): void {
+  const inFlight = figures.inFlightByCaller.get(request.caller) ?? 0;
+  if (inFlight >= profile.limits.callerConcurrency) {
+    throw new RefusalError(Reason.CALLER_LIMIT);
+  }
+  figures.inFlightByCaller.set(request.caller, inFlight + 1);
+  figures.retries.recordCall(request.caller, profile.retries.budgetPercent);
+  if (request.idempotent) {
+    figures.hedges.add(profile.hedging.budgetPercent / 100);
+  }
+}
+
+function endCall(figures: ServiceFigures, request: ServiceRequest): void {
+  const inFlight = figures.inFlightByCaller.get(request.caller) ?? 1;
+  if (inFlight > 1) figures.inFlightByCaller.set(request.caller, inFlight - 1);
+  else figures.inFlightByCaller.delete(request.caller);
 }
--- /dev/null
+++ b/src/coordination/retry-rules.ts
@@ -0,0 +1,56 @@
+/**
+ * What a failed attempt means for a retry. A refusal because the worker is
+ * leaving or gone costs nothing, since no worker did anything; a refusal for
+ * load or a failure draws on the budget.
+ */
+import type {AttemptError} from '../protocol/attempt.js';
+import type {Reason} from '../protocol/reasons.js';
+import type {ServiceRequest} from '../protocol/service-request.js';
+import {isResendable} from '../protocol/service-request.js';
+import {Verdict} from '../protocol/verdict.js';
+
+const FREE = 0;
+const FULL = 1;
+
+/** Budget tokens that a retry after each reason costs; absent: no retry. */
+const RETRY_COSTS: Readonly<Partial<Record<Reason, number>>> = {
+  'worker-draining': FREE,
+  'worker-gone': FREE,
+  'wrong-version': FREE,
+  'wrong-incarnation': FREE,
+  'data-centre-out': FREE,
+  'node-stopping': FREE,
+  sealed: FREE,
+  unreachable: FREE,
+  'connection-silent': FREE,
+  'worker-cold': FULL,
+  'queue-full': FULL,
+  'queue-timeout': FULL,
+  'caller-limit': FULL,
+  'worker-shed': FULL,
+  'connection-lost': FULL,
+  'wrong-answer': FULL,
+  'truncated-answer': FULL,
+};
+
+/** Answers of an upstream after which an idempotent request is tried again. */
+const RETRIED_STATUSES: ReadonlySet<number> = new Set([500, 502, 503, 504]);
+
+/** Cost of a retry after an answer of this status; undefined: no retry. */
+export function findStatusRetryCost(
+  request: ServiceRequest,
+  status: number,
+): number | undefined {
+  const isRetried = request.idempotent && RETRIED_STATUSES.has(status);
+  return isRetried && isResendable(request) ? FULL : undefined;
+}
+
+/** Cost of a retry after this error; undefined when it would not be safe. */
+export function findRetryCost(
+  request: ServiceRequest,
+  error: AttemptError,
+): number | undefined {
+  const isSafe = error.verdict === Verdict.NOT_RUN || request.idempotent;
+  if (!isSafe || !isResendable(request)) return undefined;
+  return RETRY_COSTS[error.reason];
+}
--- a/src/coordination/worker-choice.ts
+++ b/src/coordination/worker-choice.ts
@@ -3,16 +3,21 @@
  * handlers; all but `adaptive` are baselines for measurements.
  */
 import type {BalancingPolicy} from '../protocol/configuration.js';
+import {WorkerState} from '../protocol/worker-load.js';
 import type {WorkerRow} from '../state/worker-table.js';
 
 /** What a choice depends on beside the workers. */
 export interface ChoiceContext {
   /** Data centre of the choosing node. */
   readonly dataCentre: string;
+  /** Cost of leaving the data centre, in milliseconds. */
+  readonly farCostMs: number;
   /** Random number in [0, 1). */
   readonly random: () => number;
   /** Counts the choices of this service at this node. */
   readonly turn: number;
+  /** Time on the clock of `performance.now()`. */
+  readonly now: number;
 }
 
 type ChooseHandler = (
@@ -20,6 +25,24 @@
   context: ChoiceContext,
 ) => WorkerRow;
 
+/** Candidates that are compared from the near and from all data centres. */
+const NEAR_CANDIDATES = 2;
+const ANY_CANDIDATES = 2;
+/** Age at which what others had in flight counts for 1/e of its figure. */
+const LOAD_FADING_MS = 500;
+/**
+ * Age at which a slow worker's service time has faded to 1/e of its excess.
+ * It must be tried again now and then, since only answers bring new figures.
+ */
+const SERVICE_TIME_FADING_MS = 5000;
+/** Service time assumed of a worker that has not answered yet. */
+const UNKNOWN_SERVICE_TIME_MS = 1;
+/** Weight of a share of failures against the time of an attempt. */
+const FAILURE_WEIGHT = 20;
+/** Factor for a worker that its gate reports as failing. */
+const FAILING_FACTOR = 50;
+const US_PER_MS = 1000;
+
 const CHOOSE_HANDLERS: Readonly<Record<BalancingPolicy, ChooseHandler>> = {
   adaptive: chooseAdaptive,
   random: chooseRandom,
@@ -37,6 +60,42 @@
   return CHOOSE_HANDLERS[policy](workers, context);
 }
 
+/** Expected time of an attempt at a worker in milliseconds, for comparison. */
+export function computeExpectedTimeMs(
+  row: WorkerRow,
+  context: ChoiceContext,
+): number {
+  const farMs = row.dataCentre === context.dataCentre ? 0 : context.farCostMs;
+  const {observed} = row;
+  if (!observed) {
+    const share = (row.inFlightHere + 1) / Math.max(1, row.slots);
+    return UNKNOWN_SERVICE_TIME_MS * (1 + share) + farMs;
+  }
+  const ageMs = context.now - observed.at;
+  const {figures} = observed;
+  const fading = Math.exp(-ageMs / SERVICE_TIME_FADING_MS);
+  const serviceTimeMs =
+    UNKNOWN_SERVICE_TIME_MS + (figures.serviceTimeUs / US_PER_MS) * fading;
+  const load = computeInFlight(row, ageMs);
+  const limit = Math.max(1, figures.limit);
+  // Up to its limit a worker serves side by side; beyond it, work queues.
+  const queueing = Math.max(1, (load + 1) / limit);
+  const crowding = 1 + load / limit;
+  const failing =
+    (1 + FAILURE_WEIGHT * figures.failureShare * fading) *
+    (figures.state === WorkerState.FAILING ? 1 + FAILING_FACTOR * fading : 1);
+  return serviceTimeMs * queueing * crowding * failing + farMs;
+}
+
+/** In-flight work now: own count exactly, others' as last told and faded. */
+function computeInFlight(row: WorkerRow, ageMs: number): number {
+  const {observed} = row;
+  if (!observed) return row.inFlightHere;
+  const {inFlight, queued} = observed.figures;
+  const others = Math.max(0, inFlight + queued - observed.inFlightHere);
+  return row.inFlightHere + others * Math.exp(-ageMs / LOAD_FADING_MS);
+}
+
 function chooseRandom(
   workers: readonly WorkerRow[],
   context: ChoiceContext,
@@ -51,17 +110,53 @@
   return workers[context.turn % workers.length]!;
 }
 
-function chooseLeastInFlight(workers: readonly WorkerRow[]): WorkerRow {
-  return workers.reduce((best, row) =>
-    row.inFlightHere < best.inFlightHere ? row : best,
-  );
+function chooseLeastInFlight(
+  workers: readonly WorkerRow[],
+  context: ChoiceContext,
+): WorkerRow {
+  const start = Math.floor(context.random() * workers.length);
+  let best = workers[start]!;
+  for (let step = 1; step < workers.length; step++) {
+    const row = workers[(start + step) % workers.length]!;
+    if (row.inFlightHere < best.inFlightHere) best = row;
+  }
+  return best;
 }
 
+/**
+ * A few random candidates instead of all, because entries that see the same
+ * old figures and all take the best would send everything to one worker.
+ */
 function chooseAdaptive(
   workers: readonly WorkerRow[],
   context: ChoiceContext,
 ): WorkerRow {
-  const first = chooseRandom(workers, context);
-  const second = chooseRandom(workers, context);
-  return second.inFlightHere < first.inFlightHere ? second : first;
+  const near = workers.filter(row => row.dataCentre === context.dataCentre);
+  const candidates = [
+    ...pickDistinct(near, NEAR_CANDIDATES, context.random),
+    ...pickDistinct(workers, ANY_CANDIDATES, context.random),
+  ];
+  let best = candidates[0]!;
+  let bestTimeMs = computeExpectedTimeMs(best, context);
+  for (const row of candidates.slice(1)) {
+    const timeMs = computeExpectedTimeMs(row, context);
+    if (timeMs >= bestTimeMs) continue;
+    best = row;
+    bestTimeMs = timeMs;
+  }
+  return best;
+}
+
+/** Up to `count` distinct rows, each as likely as any other. */
+function pickDistinct(
+  rows: readonly WorkerRow[],
+  count: number,
+  random: () => number,
+): WorkerRow[] {
+  if (rows.length <= count) return [...rows];
+  const picked = new Set<WorkerRow>();
+  while (picked.size < count) {
+    picked.add(rows[Math.floor(random() * rows.length)]!);
+  }
+  return [...picked];
 }
--- a/src/node-process.ts
+++ b/src/node-process.ts
@@ -5,26 +5,36 @@
 import {randomUUID} from 'node:crypto';
 import type {Server} from 'node:http';
 import type {ConnectRouter} from '@connectrpc/connect';
+import {AttemptRunner} from './coordination/attempt-runner.js';
+import {AttemptSender, SealError} from './coordination/attempt-sender.js';
 import {Entry} from './coordination/entry.js';
 import {Gate} from './coordination/gate.js';
 import {Membership} from './coordination/membership.js';
 import {announcementSchema} from './protocol/announcement.js';
 import type {Attempt, AttemptAnswer} from './protocol/attempt.js';
+import {AttemptService} from './protocol/attempts_pb.js';
 import {MembershipService} from './protocol/membership_pb.js';
 import type {NodeIdentity} from './protocol/node-identity.js';
 import {createIncarnation, parseAddress} from './protocol/node-identity.js';
 import {Reason, RefusalError} from './protocol/reasons.js';
 import type {NodeSettings} from './protocol/settings.js';
 import {formatFaults} from './protocol/settings.js';
+import type {SealOutcome} from './state/attempt-registry.js';
+import {AttemptRegistry} from './state/attempt-registry.js';
+import {Explanations} from './state/explanations.js';
 import {StateStore} from './state/state-store.js';
 import {WorkerTable} from './state/worker-table.js';
+import {
+  AskError,
+  askSealAttempt,
+  createSealHandler,
+} from './transport/attempt-service.js';
 import type {OwnRoute} from './transport/caller-listener.js';
 import {createCallerServer} from './transport/caller-listener.js';
 import {GateClient} from './transport/gate-client.js';
 import {createLogger} from './transport/logger.js';
 import {Metrics} from './transport/metrics.js';
 import {PeerClients} from './transport/peer-client.js';
-import type {ReceivedAttempt} from './transport/peer-listener.js';
 import {createPeerServer} from './transport/peer-listener.js';
 import {UpstreamClient} from './transport/upstream-client.js';
 
@@ -38,13 +48,17 @@
   private readonly peers = new PeerClients();
   private readonly gateClient;
   private readonly gate;
+  private readonly explanations = new Explanations();
+  private readonly attempts = new AttemptRegistry();
+  private readonly attemptRunner;
+  private readonly attemptSender;
   private readonly entry;
   private readonly membership;
   private readonly callerServer: Server;
   private readonly peerServer: Server;
   private isStopping = false;
 
-  constructor(settings: NodeSettings) {
+  constructor(private readonly settings: NodeSettings) {
     const {node} = settings;
     this.identity = {
       nodeId: node.id,
@@ -67,14 +81,29 @@
       this.state,
       node.dataCentre,
     );
+    this.attemptRunner = new AttemptRunner(
+      this.identity.incarnation,
+      this.attempts,
+      (request, version, signal, handleAdmitted) =>
+        this.gate.runAttempt(request, version, signal, handleAdmitted),
+    );
+    this.attemptSender = new AttemptSender(
+      (attempt, signal, handleSilence) =>
+        this.gateClient.sendAttempt(attempt, signal, handleSilence),
+      askSeal,
+      name => this.metrics.count(`attempts.${name}`),
+    );
     this.entry = new Entry({
-      nodeId: node.id,
       dataCentre: node.dataCentre,
       state: this.state,
       workers: this.workers,
+      explanations: this.explanations,
       sendAttempt: (attempt, signal) => this.sendAttempt(attempt, signal),
       random: Math.random,
       createAttemptId: randomUUID,
+      count: name => this.metrics.count(name),
+      isQuarantined: () => false,
+      selectVersion: () => undefined,
     });
     this.membership = new Membership({
       identity: this.identity,
@@ -105,14 +134,18 @@
     });
     this.peerServer = createPeerServer({
       handleAttempt: (attempt, signal, handleAdmitted) =>
-        this.handleAttempt(attempt, signal, handleAdmitted),
+        this.attemptRunner.run(attempt, signal, handleAdmitted),
       registerServices: router => this.registerServices(router),
     });
   }
 
   /** Listens, joins the other nodes and begins to work. */
   async start(): Promise<void> {
-    await startListening(this.peerServer, this.identity.peerAddress);
+    const {node} = this.settings;
+    await startListening(
+      this.peerServer,
+      node.peerListenAddress ?? node.peerAddress,
+    );
     await startListening(this.callerServer, this.identity.callerAddress);
     this.gate.events.on('workersChanged', () =>
       this.membership.updateWorkers(this.gate.listWorkers()),
@@ -144,21 +177,7 @@
     if (attempt.target.nodeId === this.identity.nodeId) {
       return this.gate.runAttempt(attempt.request, attempt.version, signal);
     }
-    return this.gateClient.sendAttempt(attempt, signal, () => {
-      this.metrics.count('connections.silent');
-    });
-  }
-
-  private async handleAttempt(
-    attempt: ReceivedAttempt,
-    signal: AbortSignal,
-    handleAdmitted: () => void,
-  ): Promise<AttemptAnswer> {
-    if (attempt.incarnation !== this.identity.incarnation) {
-      throw new RefusalError(Reason.WRONG_INCARNATION);
-    }
-    const {request, version} = attempt;
-    return this.gate.runAttempt(request, version, signal, handleAdmitted);
+    return this.attemptSender.sendAttempt(attempt, signal);
   }
 
   private registerServices(router: ConnectRouter): void {
@@ -167,6 +186,11 @@
         members: this.membership.handleExchange(request.members),
       }),
     });
+    router.service(AttemptService, {
+      sealAttempt: createSealHandler(this.identity.incarnation, (id, waitMs) =>
+        this.attempts.seal(id, waitMs),
+      ),
+    });
   }
 
   private buildOwnRoutes(): OwnRoute[] {
@@ -196,6 +220,16 @@
           },
         }),
       },
+      {
+        method: 'get',
+        path: '/-/explain/:requestId',
+        handle: ({params}) => {
+          const found = this.explanations.find(params['requestId'] ?? '');
+          return found
+            ? {status: 200, body: found}
+            : {status: 404, body: {error: 'request not known here'}};
+        },
+      },
       {
         method: 'post',
         path: '/-/announce',
@@ -216,6 +250,16 @@
   }
 }
 
+async function askSeal(attempt: Attempt, waitMs: number) {
+  try {
+    const {outcome, answer} = await askSealAttempt(attempt, waitMs);
+    return {outcome: outcome as SealOutcome, ...(answer ? {answer} : {})};
+  } catch (error) {
+    if (!(error instanceof AskError)) throw error;
+    throw new SealError(error.isRefused, error.message);
+  }
+}
+
 function startListening(server: Server, address: string): Promise<void> {
   return new Promise((resolve, reject) => {
     server.once('error', reject);
--- a/src/protocol/configuration.ts
+++ b/src/protocol/configuration.ts
@@ -103,6 +103,8 @@
 export const profileSchema = z
   .strictObject({
     balancing: z.enum(BALANCING_POLICIES).default('adaptive'),
+    /** What a worker in another data centre must be faster by. */
+    farCost: buildDurationSchema(0, SECOND_MS).prefault('3ms'),
     timeLimit: buildDurationSchema(1, HOUR_MS).prefault('2s'),
     maxTimeLimit: buildDurationSchema(1, HOUR_MS).prefault('30s'),
     routes: z.array(routeSchema).default([]),
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -33,6 +33,8 @@
     callerAddress: addressSchema,
     /** Where other nodes reach it. */
     peerAddress: addressSchema,
+    /** Where it listens for other nodes when that differs. */
+    peerListenAddress: addressSchema.optional(),
   }),
   platformLog: z.strictObject({
     address: addressSchema,
--- /dev/null
+++ b/src/state/attempt-registry.ts
@@ -0,0 +1,132 @@
+/**
+ * What a gate remembers of attempts that must not run twice, so that an entry
+ * that lost its connection can learn what became of one. Sealing an unknown
+ * attempt is a promise never to run it.
+ */
+import type {AttemptAnswer} from '../protocol/attempt.js';
+import {Reason, RefusalError} from '../protocol/reasons.js';
+
+/** What became of an attempt that an entry asks about. */
+export const SealOutcome = {
+  /** It did not run here and never will. */
+  NOT_RUN: 'not-run',
+  RUNNING: 'running',
+  /** It ran; its answer may still be held. */
+  RAN: 'ran',
+  MAY_HAVE_RUN: 'may-have-run',
+} as const;
+
+export type SealOutcome = (typeof SealOutcome)[keyof typeof SealOutcome];
+
+/** Answer to an entry that asks about an attempt. */
+export interface SealResult {
+  readonly outcome: SealOutcome;
+  readonly answer?: AttemptAnswer;
+}
+
+/** An attempt's registration; exactly one of the calls ends it. */
+export interface AttemptHandle {
+  /** The attempt ran; its answer is held when it is small. */
+  markRan(answer: AttemptAnswer): void;
+  markNotRun(): void;
+  markMayHaveRun(): void;
+}
+
+interface Known {
+  result: SealResult;
+  readonly at: number;
+  readonly ended: Promise<void>;
+  readonly markEnded: () => void;
+}
+
+/**
+ * How long an attempt is remembered. A request delayed in a network longer
+ * than this is refused by its gate because its deadline has passed.
+ */
+const REMEMBERED_MS = 600_000;
+const MAX_KNOWN = 200_000;
+/** Bytes of answers held for entries that ask. */
+const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
+
+/** Attempts of one gate that must not run twice. */
+export class AttemptRegistry {
+  private readonly known = new Map<string, Known>();
+  private readonly withAnswer: Known[] = [];
+  private answerBytes = 0;
+
+  /**
+   * Registers an attempt before it runs.
+   *
+   * @throws RefusalError with reason `sealed` when it may not run any more.
+   */
+  register(attemptId: string): AttemptHandle {
+    this.expire();
+    if (this.known.has(attemptId)) throw new RefusalError(Reason.SEALED);
+    if (this.known.size >= MAX_KNOWN) throw new RefusalError(Reason.QUEUE_FULL);
+    const known = createKnown({outcome: SealOutcome.RUNNING});
+    this.known.set(attemptId, known);
+    const end = (result: SealResult): void => {
+      known.result = result;
+      known.markEnded();
+    };
+    return {
+      markRan: answer => {
+        end({outcome: SealOutcome.RAN, ...this.holdAnswer(answer)});
+        if (known.result.answer) this.withAnswer.push(known);
+      },
+      markNotRun: () => end({outcome: SealOutcome.NOT_RUN}),
+      markMayHaveRun: () => end({outcome: SealOutcome.MAY_HAVE_RUN}),
+    };
+  }
+
+  /** Seals an attempt, or waits for its end when it is running. */
+  async seal(attemptId: string, waitMs: number): Promise<SealResult> {
+    const known = this.known.get(attemptId);
+    if (!known) {
+      const sealed = createKnown({outcome: SealOutcome.NOT_RUN});
+      this.known.set(attemptId, sealed);
+      return sealed.result;
+    }
+    if (known.result.outcome === SealOutcome.RUNNING) {
+      await waitAtMost(known.ended, waitMs);
+    }
+    return known.result;
+  }
+
+  private holdAnswer(answer: AttemptAnswer): Pick<SealResult, 'answer'> {
+    if (answer.body.rest) return {};
+    this.answerBytes += answer.body.held.length;
+    while (this.answerBytes > MAX_ANSWER_BYTES && this.withAnswer.length > 0) {
+      const oldest = this.withAnswer.shift()!;
+      this.answerBytes -= oldest.result.answer?.body.held.length ?? 0;
+      oldest.result = {outcome: oldest.result.outcome};
+    }
+    return {answer};
+  }
+
+  /** Drops what is older than it need be remembered; oldest come first. */
+  private expire(): void {
+    const before = performance.now() - REMEMBERED_MS;
+    for (const [id, known] of this.known) {
+      if (known.at > before) return;
+      if (known.result.outcome === SealOutcome.RUNNING) return;
+      this.known.delete(id);
+    }
+  }
+}
+
+function createKnown(result: SealResult): Known {
+  let markEnded: () => void = () => {};
+  const ended = new Promise<void>(resolve => (markEnded = resolve));
+  return {result, at: performance.now(), ended, markEnded};
+}
+
+function waitAtMost(ended: Promise<void>, limitMs: number): Promise<void> {
+  return new Promise(resolve => {
+    const timer = setTimeout(resolve, limitMs);
+    void ended.then(() => {
+      clearTimeout(timer);
+      resolve();
+    });
+  });
+}
--- /dev/null
+++ b/src/state/explanations.ts
@@ -0,0 +1,72 @@
+/**
+ * What was decided for recent requests, so that an operator can ask why one
+ * went where it went. Bounded: the oldest request is forgotten first.
+ */
+
+const MAX_REQUESTS = 5000;
+
+/** One step on a request's way. */
+export interface ExplanationStep {
+  /** Milliseconds since the request was taken. */
+  readonly atMs: number;
+  /** Such as `attempt`, `retry`, `hedge`, `seal`, `answer` or `refusal`. */
+  readonly kind: string;
+  readonly detail: Readonly<Record<string, unknown>>;
+}
+
+/** One request's way. */
+export interface Explanation {
+  readonly requestId: string;
+  readonly service: string;
+  readonly caller: string;
+  readonly route: string;
+  readonly startedAtMs: number;
+  readonly steps: ExplanationStep[];
+}
+
+/** Explanations of recent requests. */
+export class Explanations {
+  private readonly byId = new Map<string, Explanation>();
+
+  /** Starts the explanation of a request. */
+  start(request: {
+    readonly id: string;
+    readonly service: string;
+    readonly caller: string;
+    readonly route: string;
+  }): RequestExplainer {
+    const explanation: Explanation = {
+      requestId: request.id,
+      service: request.service,
+      caller: request.caller,
+      route: request.route,
+      startedAtMs: Date.now(),
+      steps: [],
+    };
+    this.byId.delete(request.id);
+    this.byId.set(request.id, explanation);
+    if (this.byId.size > MAX_REQUESTS) {
+      const [oldest] = this.byId.keys();
+      this.byId.delete(oldest!);
+    }
+    return new RequestExplainer(explanation);
+  }
+
+  /** Finds the explanation of a recent request. */
+  find(requestId: string): Explanation | undefined {
+    return this.byId.get(requestId);
+  }
+}
+
+/** Adds steps to one request's explanation. */
+export class RequestExplainer {
+  private readonly startedAt = performance.now();
+
+  constructor(private readonly explanation: Explanation) {}
+
+  /** Adds a step as of now. */
+  add(kind: string, detail: Readonly<Record<string, unknown>>): void {
+    const atMs = Math.round(performance.now() - this.startedAt);
+    this.explanation.steps.push({atMs, kind, detail});
+  }
+}
--- a/src/state/worker-table.ts
+++ b/src/state/worker-table.ts
@@ -25,6 +25,8 @@
 /** Load figures with the time at which they came. */
 export interface ObservedLoad {
   readonly figures: WorkerLoad;
+  /** Attempts that this node had in flight there at that time. */
+  readonly inFlightHere: number;
   /** Time on the clock of `performance.now()`. */
   readonly at: number;
 }
@@ -40,8 +42,6 @@
   /** Attempts that this node has sent and that have not ended. */
   inFlightHere: number;
   observed: ObservedLoad | undefined;
-  /** Moving average of the time of whole attempts from here, in ms. */
-  attemptTimeMs: number;
 }
 
 interface WorkerTableEvents {
@@ -110,7 +110,6 @@
       state: worker.state,
       inFlightHere: 0,
       observed: undefined,
-      attemptTimeMs: 0,
     };
     row.version = worker.version;
     row.slots = worker.slots;
--- /dev/null
+++ b/src/transport/attempt-service.ts
@@ -0,0 +1,115 @@
+/**
+ * Questions about attempts over Connect. Each question goes out on a
+ * connection of its own, because the one that the attempt went on is in doubt.
+ */
+import {create} from '@bufbuild/protobuf';
+import type {ServiceImpl} from '@connectrpc/connect';
+import {Code, ConnectError, createClient} from '@connectrpc/connect';
+import {createConnectTransport} from '@connectrpc/connect-node';
+import type {Attempt, AttemptAnswer} from '../protocol/attempt.js';
+import type {Answer, SealAttemptReply} from '../protocol/attempts_pb.js';
+import {
+  AnswerSchema,
+  AttemptService,
+  SealAttemptReplySchema,
+} from '../protocol/attempts_pb.js';
+import type {Headers} from '../protocol/service-request.js';
+
+/** Time beyond the wait in which the gate must have answered. */
+const ANSWER_MARGIN_MS = 300;
+
+/** What became of an attempt, as it goes over the wire. */
+export interface SealReply {
+  readonly outcome: string;
+  readonly answer?: AttemptAnswer;
+}
+
+/** A question that brought no answer. */
+export class AskError extends Error {
+  constructor(
+    /** Whether nothing listens at the address any more. */
+    readonly isRefused: boolean,
+    detail: string,
+  ) {
+    super(detail);
+    this.name = 'AskError';
+  }
+}
+
+/**
+ * Asks a gate to seal an attempt or to hand over its answer.
+ *
+ * @throws AskError
+ */
+export async function askSealAttempt(
+  attempt: Attempt,
+  waitMs: number,
+): Promise<SealReply> {
+  const transport = createConnectTransport({
+    baseUrl: `http://${attempt.target.peerAddress}`,
+    httpVersion: '1.1',
+    useBinaryFormat: true,
+    nodeOptions: {agent: false},
+    defaultTimeoutMs: waitMs + ANSWER_MARGIN_MS,
+  });
+  try {
+    const reply = await createClient(AttemptService, transport).sealAttempt({
+      attemptId: attempt.id,
+      incarnation: attempt.target.incarnation,
+      waitMs,
+    });
+    return {
+      outcome: reply.outcome,
+      ...(reply.answer ? {answer: readAnswer(reply.answer)} : {}),
+    };
+  } catch (error) {
+    const {code, message} = ConnectError.from(error);
+    const isRefused = code === Code.Unavailable && /ECONNREFUSED/.test(message);
+    throw new AskError(isRefused, message);
+  }
+}
+
+/** Builds the handler of the question on the gate's side. */
+export function createSealHandler(
+  incarnation: number,
+  seal: (attemptId: string, waitMs: number) => Promise<SealReply>,
+): ServiceImpl<typeof AttemptService>['sealAttempt'] {
+  return async request => {
+    if (request.incarnation !== incarnation) {
+      return buildReply({outcome: 'may-have-run'});
+    }
+    return buildReply(await seal(request.attemptId, request.waitMs));
+  };
+}
+
+function buildReply(reply: SealReply): SealAttemptReply {
+  return create(SealAttemptReplySchema, {
+    outcome: reply.outcome,
+    ...(reply.answer ? {answer: buildAnswer(reply.answer)} : {}),
+  });
+}
+
+/** Converts a held answer for the wire. */
+export function buildAnswer(answer: AttemptAnswer): Answer {
+  const headers = Object.entries(answer.headers).flatMap(([name, value]) =>
+    [value].flat().flatMap(item => [name, item]),
+  );
+  const {status, body} = answer;
+  return create(AnswerSchema, {status, headers, body: body.held});
+}
+
+/** Converts a held answer from the wire. */
+export function readAnswer(answer: Answer): AttemptAnswer {
+  const headers: Headers = {};
+  for (let index = 0; index + 1 < answer.headers.length; index += 2) {
+    const name = answer.headers[index]!;
+    const value = answer.headers[index + 1]!;
+    const known = headers[name];
+    headers[name] = known === undefined ? value : [known, value].flat();
+  }
+  return {
+    status: answer.status,
+    headers,
+    body: {held: Buffer.from(answer.body)},
+  };
+}
--- a/src/transport/gate-client.ts
+++ b/src/transport/gate-client.ts
@@ -8,7 +8,7 @@
 import type {Attempt, AttemptAnswer} from '../protocol/attempt.js';
 import {AttemptError} from '../protocol/attempt.js';
 import * as headerNames from '../protocol/headers.js';
-import {readReason, Reason} from '../protocol/reasons.js';
+import {readReason, Reason, RefusalError} from '../protocol/reasons.js';
 import type {
   Body,
   Headers,
@@ -219,6 +219,12 @@
     );
   }
   const detail = `${attempt.target.nodeId}: ${error.message}`;
+  // The entry gave up: its reason counts, not that of the connection.
+  const {cause} = error;
+  if (cause instanceof RefusalError) {
+    const verdict = error.sent ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN;
+    return new AttemptError(cause.reason, verdict, detail);
+  }
   return error.sent
     ? new AttemptError(Reason.CONNECTION_LOST, Verdict.MAY_HAVE_RUN, detail)
     : new AttemptError(Reason.UNREACHABLE, Verdict.NOT_RUN, detail);
--- a/src/transport/upstream-client.ts
+++ b/src/transport/upstream-client.ts
@@ -8,7 +8,7 @@
 import type {AttemptAnswer} from '../protocol/attempt.js';
 import {AttemptError} from '../protocol/attempt.js';
 import * as headerNames from '../protocol/headers.js';
-import {Reason} from '../protocol/reasons.js';
+import {Reason, RefusalError} from '../protocol/reasons.js';
 import type {Headers, ServiceRequest} from '../protocol/service-request.js';
 import {readHeldBody} from '../protocol/service-request.js';
 import {readVerdict, Verdict} from '../protocol/verdict.js';
@@ -163,6 +163,10 @@
 function buildUpstreamError(error: unknown): AttemptError {
   const sent = !(error instanceof ExchangeError) || error.sent;
   const detail = `worker: ${String(error)}`;
+  if (error instanceof ExchangeError && error.cause instanceof RefusalError) {
+    const verdict = error.sent ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN;
+    return new AttemptError(error.cause.reason, verdict, detail);
+  }
   return sent
     ? new AttemptError(Reason.CONNECTION_LOST, Verdict.MAY_HAVE_RUN, detail)
     : new AttemptError(Reason.UNREACHABLE, Verdict.NOT_RUN, detail);
