Fold the platform log and carry its records between nodes

SharedState wires them. Taking a move back needs no newest number: a step that came first in log order does not make a bad version good. The relay and the log client are not yet proved by tests of their own.

--- /dev/null
+++ b/src/coordination/record-relay.ts
@@ -0,0 +1,189 @@
+/**
+ * Carries records between nodes, so that what the log has accepted is in force
+ * everywhere within seconds, with the log up or down. New records are pushed to
+ * a few random peers, each of which pushes them on once; and each node pulls
+ * from one random peer at every interval, which covers lost pushes, newcomers
+ * and nodes that were frozen. Neither costs more with more nodes.
+ */
+import {waitMs} from '../protocol/backoff.js';
+import type {LoggedRecord} from '../protocol/records.js';
+import type {FoldedState} from '../state/folded-state.js';
+import {parseSnapshot} from '../state/snapshot.js';
+import type {StateStore} from '../state/state-store.js';
+
+/** Records sent in one message at most. */
+const MAX_RECORDS = 256;
+/** Pulls in a row while a peer is ahead. */
+const MAX_PULLS = 64;
+/** Wait between pulls until this node has reached a first peer. */
+const FIRST_PULL_WAIT_MS = 200;
+
+/** Records, or the whole state when they are no longer kept. */
+export interface RecordsAnswer {
+  readonly records: readonly LoggedRecord[];
+  readonly snapshot: FoldedState | undefined;
+  /** Offset after the last record that the answering node has folded. */
+  readonly nextOffset: number;
+  /** Age of the answering node's newest confirmation of the log's tail. */
+  readonly logAgeMs: number;
+}
+
+/** The same as it arrives, with the snapshot not yet checked. */
+export interface ReceivedRecords extends Omit<RecordsAnswer, 'snapshot'> {
+  readonly snapshot: unknown;
+}
+
+/** Calls to other nodes; the transport implements them. */
+export interface RelayCalls {
+  readRecords(peer: string, fromOffset: number): Promise<ReceivedRecords>;
+  /** Resolves with the peer's next offset. */
+  pushRecords(peer: string, records: readonly LoggedRecord[]): Promise<number>;
+}
+
+/** What a relay works with. */
+export interface RecordRelayOptions {
+  readonly state: StateStore;
+  readonly calls: RelayCalls;
+  /** Peer addresses of the other nodes known now. */
+  readonly listPeers: () => readonly string[];
+  /** Peers that get each new record from this node. */
+  readonly fanout: number;
+  readonly pullIntervalMs: number;
+  readonly random: () => number;
+  readonly count: (counter: string) => void;
+}
+
+/** Relay of one node. */
+export class RecordRelay {
+  private readonly abort = new AbortController();
+  private running: Promise<void> | undefined;
+  private stopWatching: (() => void) | undefined;
+
+  constructor(private readonly options: RecordRelayOptions) {}
+
+  /** Starts pushing new records and pulling missed ones. */
+  start(): void {
+    this.running ??= this.run();
+    const {events} = this.options.state;
+    this.stopWatching = events.on('folded', records => {
+      void this.spread(records);
+    });
+  }
+
+  /** Stops and waits for the running pull. */
+  async stop(): Promise<void> {
+    this.stopWatching?.();
+    this.abort.abort();
+    await this.running;
+  }
+
+  /** Answers a peer that pulls. */
+  handleRead(fromOffset: number, wantsState: boolean): RecordsAnswer {
+    const {state} = this.options;
+    const records = wantsState ? undefined : state.listRecords(fromOffset);
+    return {
+      records: records?.slice(0, MAX_RECORDS) ?? [],
+      snapshot: records ? undefined : state.current,
+      nextOffset: state.current.nextOffset,
+      logAgeMs: state.computeLogAgeMs(),
+    };
+  }
+
+  /** Takes records that a peer or an operator's command pushed. */
+  handlePush(records: readonly LoggedRecord[]): number {
+    const {state} = this.options;
+    state.applyRecords(records);
+    return state.current.nextOffset;
+  }
+
+  /** Pulls from one peer until nothing is missing here. */
+  async fetchFrom(peer: string): Promise<void> {
+    const {state, calls} = this.options;
+    for (let pull = 0; pull < MAX_PULLS; pull++) {
+      const askedAt = performance.now();
+      const before = state.current.nextOffset;
+      const answer = await calls.readRecords(peer, before);
+      const snapshot = parseSnapshot(answer.snapshot);
+      if (snapshot) state.applySnapshot(snapshot);
+      state.applyRecords(answer.records);
+      const {nextOffset} = state.current;
+      if (nextOffset >= answer.nextOffset) {
+        this.takeConfirmation(answer.logAgeMs, askedAt);
+        await this.sendMissing(peer, answer.nextOffset);
+        return;
+      }
+      if (nextOffset === before) return;
+    }
+  }
+
+  private async run(): Promise<void> {
+    const {signal} = this.abort;
+    const {pullIntervalMs, random} = this.options;
+    let hasReached = false;
+    while (!signal.aborted) {
+      hasReached = (await this.fetchFromAny()) || hasReached;
+      const pauseMs = hasReached
+        ? pullIntervalMs * (0.5 + random())
+        : Math.min(FIRST_PULL_WAIT_MS, pullIntervalMs);
+      await waitMs(pauseMs, signal);
+    }
+  }
+
+  private async fetchFromAny(): Promise<boolean> {
+    const [peer] = this.choosePeers(1);
+    if (peer === undefined) return false;
+    try {
+      await this.fetchFrom(peer);
+      return true;
+    } catch {
+      this.options.count('relay.pulls-failed');
+      return false;
+    }
+  }
+
+  private async spread(records: readonly LoggedRecord[]): Promise<void> {
+    const peers = this.choosePeers(this.options.fanout);
+    await Promise.all(peers.map(peer => this.pushTo(peer, records)));
+  }
+
+  /** Pushes, and follows up when the peer lacks older records as well. */
+  private async pushTo(
+    peer: string,
+    records: readonly LoggedRecord[],
+  ): Promise<void> {
+    const {calls, state, count} = this.options;
+    try {
+      const newest = records.slice(-MAX_RECORDS);
+      const theirs = await calls.pushRecords(peer, newest);
+      if (theirs >= newest[0]!.offset) return;
+      const missing = state.listRecords(theirs);
+      if (!missing?.length) return;
+      await calls.pushRecords(peer, missing.slice(0, MAX_RECORDS));
+    } catch {
+      count('relay.pushes-failed');
+    }
+  }
+
+  private async sendMissing(peer: string, theirs: number): Promise<void> {
+    const missing = this.options.state.listRecords(theirs);
+    if (!missing?.length) return;
+    await this.options.calls.pushRecords(peer, missing.slice(0, MAX_RECORDS));
+  }
+
+  /** A relayed age grows by the whole round trip, which errs towards stale. */
+  private takeConfirmation(ageMs: number, askedAt: number): void {
+    if (!Number.isFinite(ageMs) || ageMs < 0) return;
+    const {state} = this.options;
+    state.recordLogConfirmation(ageMs + performance.now() - askedAt);
+  }
+
+  private choosePeers(count: number): string[] {
+    const left = [...this.options.listPeers()];
+    const chosen: string[] = [];
+    while (chosen.length < count && left.length > 0) {
+      const index = Math.floor(this.options.random() * left.length);
+      chosen.push(...left.splice(index, 1));
+    }
+    return chosen;
+  }
+}
--- /dev/null
+++ b/src/coordination/snapshot-schedule.ts
@@ -0,0 +1,85 @@
+/**
+ * Appends a snapshot of the folded state again before the records that led to
+ * it expire. Each node has a jittered timer; the first to fire appends, and the
+ * others see its record and wait again. Two at once do no harm.
+ */
+import {randomUUID} from 'node:crypto';
+import {waitMs} from '../protocol/backoff.js';
+import type {LogRecord} from '../protocol/records.js';
+import type {StateStore} from '../state/state-store.js';
+import type {AppendRecord} from './record-publisher.js';
+
+/** Part of the interval over which the nodes' timers are spread. */
+const JITTER = 0.2;
+const LEAST_WAIT_MS = 50;
+
+/** What the schedule works with. */
+export interface SnapshotScheduleOptions {
+  readonly nodeId: string;
+  readonly state: StateStore;
+  readonly appendRecord: AppendRecord;
+  /** Time between snapshots; well below the log's retention. */
+  readonly intervalMs: number;
+  readonly random: () => number;
+  readonly count: (counter: string) => void;
+}
+
+/** Schedule of one node. */
+export class SnapshotSchedule {
+  private readonly abort = new AbortController();
+
+  constructor(private readonly options: SnapshotScheduleOptions) {}
+
+  /** Starts the timer. */
+  start(): void {
+    void this.run();
+  }
+
+  /** Stops the timer; an append under way is left to end by itself. */
+  stop(): void {
+    this.abort.abort();
+  }
+
+  private async run(): Promise<void> {
+    const {signal} = this.abort;
+    const {intervalMs, random} = this.options;
+    while (!signal.aborted) {
+      const newest = this.options.state.current.snapshotAtMs;
+      const jitterMs = intervalMs * JITTER * random();
+      const dueInMs = this.computeDueInMs() + jitterMs;
+      await waitMs(Math.max(LEAST_WAIT_MS, dueInMs), signal);
+      if (signal.aborted) return;
+      const {version, snapshotAtMs} = this.options.state.current;
+      // Another snapshot in the meantime starts the wait again.
+      if (version > 0 && snapshotAtMs === newest) await this.appendSnapshot();
+    }
+  }
+
+  /** Writers' clocks may be wrong, so the wait is bounded by the interval. */
+  private computeDueInMs(): number {
+    const {state, intervalMs} = this.options;
+    const {version, snapshotAtMs} = state.current;
+    if (version === 0) return intervalMs;
+    const dueInMs = snapshotAtMs + intervalMs - Date.now();
+    return Math.min(intervalMs, dueInMs);
+  }
+
+  private async appendSnapshot(): Promise<void> {
+    const {state, appendRecord, nodeId, count} = this.options;
+    const record: LogRecord = {
+      kind: 'snapshot',
+      id: randomUUID(),
+      author: nodeId,
+      writtenAtMs: Date.now(),
+      buildsOn: 0,
+      upToOffset: state.current.nextOffset,
+      state: state.current,
+    };
+    try {
+      await appendRecord(record);
+      count('log.snapshots');
+    } catch {
+      count('log.snapshots-failed');
+    }
+  }
+}
--- a/src/node-process.ts
+++ b/src/node-process.ts
@@ -16,7 +16,7 @@
 import {Reason, RefusalError} from './protocol/reasons.js';
 import type {NodeSettings} from './protocol/settings.js';
 import {formatFaults} from './protocol/settings.js';
-import {StateStore} from './state/state-store.js';
+import {SharedState} from './shared-state.js';
 import {WorkerTable} from './state/worker-table.js';
 import type {OwnRoute} from './transport/caller-listener.js';
 import {createCallerServer} from './transport/caller-listener.js';
@@ -33,6 +33,7 @@
   private readonly identity: NodeIdentity;
   private readonly logger;
   private readonly metrics;
+  private readonly sharedState: SharedState;
   private readonly state;
   private readonly workers = new WorkerTable();
   private readonly peers = new PeerClients();
@@ -55,7 +56,15 @@
     };
     this.logger = createLogger(node.id, settings.logging);
     this.metrics = new Metrics(node.id, settings.metrics);
-    this.state = new StateStore(settings.configuration);
+    this.sharedState = new SharedState({
+      identity: this.identity,
+      settings,
+      workers: this.workers,
+      peers: this.peers,
+      logger: this.logger,
+      metrics: this.metrics,
+    });
+    this.state = this.sharedState.store;
     this.gateClient = new GateClient(node.id, settings.connections);
     this.gate = new Gate(
       announcement =>
@@ -118,6 +127,7 @@
       this.membership.updateWorkers(this.gate.listWorkers()),
     );
     this.membership.start();
+    this.sharedState.start();
     this.logger.write('info', 'started', {
       callerAddress: this.identity.callerAddress,
       peerAddress: this.identity.peerAddress,
@@ -129,6 +139,7 @@
     this.isStopping = true;
     await this.membership.leave();
     this.membership.stop();
+    await this.sharedState.stop();
     await Promise.all([close(this.callerServer), close(this.peerServer)]);
     await this.gateClient.close();
     await this.gate.close();
@@ -162,6 +173,7 @@
   }
 
   private registerServices(router: ConnectRouter): void {
+    this.sharedState.registerServices(router);
     router.service(MembershipService, {
       exchangeMembers: request => ({
         members: this.membership.handleExchange(request.members),
@@ -192,6 +204,7 @@
           body: {
             ...this.identity,
             counters: this.metrics.report(),
+            state: this.sharedState.report(),
             nodes: this.workers.listNodes(),
           },
         }),
--- /dev/null
+++ b/src/protocol/backoff.ts
@@ -0,0 +1,48 @@
+/**
+ * Bounded exponential backoff with jitter, so that nodes that lost the log
+ * together do not return to it together.
+ */
+
+const FACTOR = 2;
+
+/** Delays between the tries of one operation. */
+export class Backoff {
+  private delayMs: number;
+
+  constructor(
+    private readonly leastMs: number,
+    private readonly mostMs: number,
+    private readonly random: () => number,
+  ) {
+    this.delayMs = leastMs;
+  }
+
+  /** Resolves after the next delay, which lies between half and the whole. */
+  async wait(signal?: AbortSignal): Promise<void> {
+    const delayMs = this.delayMs * (0.5 + this.random() / 2);
+    this.delayMs = Math.min(this.mostMs, this.delayMs * FACTOR);
+    await waitMs(delayMs, signal);
+  }
+
+  /** Starts again with the least delay, after a success. */
+  reset(): void {
+    this.delayMs = this.leastMs;
+  }
+}
+
+/** Resolves after a time, or at once when the signal is aborted. */
+export function waitMs(ms: number, signal?: AbortSignal): Promise<void> {
+  return new Promise(resolve => {
+    if (signal?.aborted) {
+      resolve();
+      return;
+    }
+    const finish = (): void => {
+      clearTimeout(timer);
+      signal?.removeEventListener('abort', finish);
+      resolve();
+    };
+    const timer = setTimeout(finish, ms);
+    signal?.addEventListener('abort', finish, {once: true});
+  });
+}
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -10,6 +10,7 @@
 import {buildDurationSchema} from './quantities.js';
 
 const MINUTE_MS = 60_000;
+const HOUR_MS = 60 * MINUTE_MS;
 
 /** An address by IP number, such as `127.0.0.1:7001`. */
 export const addressSchema = z
@@ -39,7 +40,21 @@
     name: nameSchema,
     /** Longest wait for one answer of the log. */
     timeLimit: buildDurationSchema(10, MINUTE_MS).prefault('2s'),
+    /** Longest wait of one read for a new record. */
+    pollWait: buildDurationSchema(10, MINUTE_MS).prefault('2s'),
+    /** Time between snapshots; well below the log's retention. */
+    snapshotInterval: buildDurationSchema(50, 24 * HOUR_MS).prefault('10m'),
   }),
+  relay: z
+    .strictObject({
+      /** Peers to which a node pushes each new record. */
+      fanout: z.int().min(1).max(20).default(3),
+      /** Mean time between pulls from a random peer. */
+      pullInterval: buildDurationSchema(50, MINUTE_MS).prefault('1s'),
+      /** Longest wait for one answer of a peer. */
+      timeLimit: buildDurationSchema(10, MINUTE_MS).prefault('1s'),
+    })
+    .prefault({}),
   membership: z
     .strictObject({
       /** Peer addresses of some nodes, to find the others. */
--- /dev/null
+++ b/src/state/fold-record.ts
@@ -0,0 +1,98 @@
+/**
+ * Folds one record of the platform log into the state. The function is pure
+ * and depends on nothing but its arguments, so that every node that has read
+ * the same records holds the same state, in whatever way they reached it.
+ */
+import type {LoggedRecord, LogRecord} from '../protocol/records.js';
+import {logRecordSchema} from '../protocol/records.js';
+import type {FoldedState} from './folded-state.js';
+import {RecordOutcome} from './folded-state.js';
+import {applyRecord} from './record-handlers.js';
+
+/** Ids that are remembered to tell a doubled record. */
+const REMEMBERED_RECORDS = 256;
+
+/** What folding a record came to, beside its own outcome. */
+export const FoldOutcome = {
+  ...RecordOutcome,
+  /** A record with this id was folded before. */
+  DUPLICATE: 'duplicate',
+  /** Not a record of a known kind; skipped. */
+  MALFORMED: 'malformed',
+  /** Its offset was folded before; nothing changed. */
+  OLD: 'old',
+  /** Records before it are missing; nothing changed. */
+  GAP: 'gap',
+} as const;
+
+export type FoldOutcome = (typeof FoldOutcome)[keyof typeof FoldOutcome];
+
+/** The state after a record, and what became of the record. */
+export interface FoldResult {
+  readonly state: FoldedState;
+  readonly outcome: FoldOutcome;
+  /** Why a malformed record was skipped. */
+  readonly detail?: string;
+}
+
+/** Folds the record at the state's next offset; any other changes nothing. */
+export function foldRecord(
+  state: FoldedState,
+  logged: LoggedRecord,
+): FoldResult {
+  if (logged.offset < state.nextOffset) {
+    return {state, outcome: FoldOutcome.OLD};
+  }
+  if (logged.offset > state.nextOffset) {
+    return {state, outcome: FoldOutcome.GAP};
+  }
+  const advanced = {...state, nextOffset: logged.offset + 1};
+  const parsed = parseRecord(logged.data);
+  if ('fault' in parsed) {
+    return {
+      state: {...advanced, malformedCount: state.malformedCount + 1},
+      outcome: FoldOutcome.MALFORMED,
+      detail: parsed.fault,
+    };
+  }
+  const {record} = parsed;
+  if (state.recentRecords.some(({id}) => id === record.id)) {
+    return {state: advanced, outcome: FoldOutcome.DUPLICATE};
+  }
+  return foldNewRecord(advanced, record);
+}
+
+/** Parses the text of a record; a fault instead when it is malformed. */
+export function parseRecord(
+  data: string,
+): {record: LogRecord} | {fault: string} {
+  let value: unknown;
+  try {
+    value = JSON.parse(data);
+  } catch {
+    return {fault: 'not JSON'};
+  }
+  const result = logRecordSchema.safeParse(value);
+  if (result.success) return {record: result.data};
+  const issue = result.error.issues[0];
+  return {fault: `${issue?.path.join('.') ?? ''}: ${issue?.message ?? ''}`};
+}
+
+function foldNewRecord(state: FoldedState, record: LogRecord): FoldResult {
+  const applied = applyRecord(state, record);
+  const outcome = applied ? RecordOutcome.ACCEPTED : RecordOutcome.SUPERSEDED;
+  const next = applied ?? state;
+  const recentRecords = [
+    ...state.recentRecords.slice(1 - REMEMBERED_RECORDS),
+    {id: record.id, outcome},
+  ];
+  return {
+    outcome,
+    state: {
+      ...next,
+      recentRecords,
+      version: state.version + (applied ? 1 : 0),
+      snapshotAtMs: next.snapshotAtMs || record.writtenAtMs,
+    },
+  };
+}
--- a/src/state/folded-state.ts
+++ b/src/state/folded-state.ts
@@ -37,6 +37,29 @@
   readonly number: number;
 }
 
+/** What became of a record when it was folded. */
+export const RecordOutcome = {
+  /** It took effect. */
+  ACCEPTED: 'accepted',
+  /** An earlier record took its place, or its subject had ended. */
+  SUPERSEDED: 'superseded',
+} as const;
+
+export type RecordOutcome = (typeof RecordOutcome)[keyof typeof RecordOutcome];
+
+/** A record that was folded lately, so that a doubled one folds once. */
+export interface FoldedRecordId {
+  readonly id: string;
+  readonly outcome: RecordOutcome;
+}
+
+/** A node that announced itself in the log. */
+export interface JoinedNode {
+  readonly incarnation: number;
+  readonly peerAddress: string;
+  readonly writtenAtMs: number;
+}
+
 /** Everything that follows from the log. It is plain JSON data. */
 export interface FoldedState {
   /** Number of accepted records; only ever grows. */
@@ -49,6 +72,17 @@
   readonly moves: Readonly<Record<string, Move>>;
   /** Home lists by service in order of epochs, ended ones included. */
   readonly homeLists: Readonly<Record<string, readonly HomeList[]>>;
+  /** Nodes that joined, by id; the newest ones only. */
+  readonly joins: Readonly<Record<string, JoinedNode>>;
+  /** Ids of the newest records, oldest first. */
+  readonly recentRecords: readonly FoldedRecordId[];
+  /** Records that were skipped because they were malformed. */
+  readonly malformedCount: number;
+  /**
+   * Writer's clock in the newest snapshot record, or in the first record
+   * while there is no snapshot; 0 before any record.
+   */
+  readonly snapshotAtMs: number;
 }
 
 /** The state before the first record. */
@@ -58,4 +92,8 @@
   dataCentres: {},
   moves: {},
   homeLists: {},
+  joins: {},
+  recentRecords: [],
+  malformedCount: 0,
+  snapshotAtMs: 0,
 };
--- /dev/null
+++ b/src/state/record-handlers.ts
@@ -0,0 +1,179 @@
+/**
+ * What each kind of record changes. A handler returns the new state, or
+ * undefined when the record names an older version of its subject than the one
+ * in force: of racing writers the first in log order wins.
+ */
+import type {
+  LogRecord,
+  LogRecordKind,
+  RecordOfKind,
+} from '../protocol/records.js';
+import type {FoldedState, JoinedNode, Move} from './folded-state.js';
+
+/** Nodes whose join records are remembered. */
+const REMEMBERED_JOINS = 256;
+
+type RecordHandler<K extends LogRecordKind> = (
+  state: FoldedState,
+  record: RecordOfKind<K>,
+) => FoldedState | undefined;
+
+const RECORD_HANDLERS: {readonly [K in LogRecordKind]: RecordHandler<K>} = {
+  configuration: applyConfiguration,
+  'data-centre': applyDataCentre,
+  'move-start': applyMoveStart,
+  'move-step': applyMoveStep,
+  'move-end': applyMoveEnd,
+  'home-list': applyHomeList,
+  join: applyJoin,
+  snapshot: applySnapshot,
+};
+
+/** Applies a record; undefined when it is superseded. */
+export function applyRecord(
+  state: FoldedState,
+  record: LogRecord,
+): FoldedState | undefined {
+  const handler = RECORD_HANDLERS[record.kind] as RecordHandler<LogRecordKind>;
+  return handler(state, record);
+}
+
+function applyConfiguration(
+  state: FoldedState,
+  record: RecordOfKind<'configuration'>,
+): FoldedState | undefined {
+  const number = state.configuration?.number ?? 0;
+  if (record.buildsOn !== number) return undefined;
+  const configuration = {number: number + 1, input: record.configuration};
+  return {...state, configuration};
+}
+
+function applyDataCentre(
+  state: FoldedState,
+  record: RecordOfKind<'data-centre'>,
+): FoldedState | undefined {
+  const number = state.dataCentres[record.dataCentre]?.number ?? 0;
+  if (record.buildsOn !== number) return undefined;
+  const changed = {isOut: record.out, number: number + 1};
+  return {
+    ...state,
+    dataCentres: {...state.dataCentres, [record.dataCentre]: changed},
+  };
+}
+
+function applyMoveStart(
+  state: FoldedState,
+  record: RecordOfKind<'move-start'>,
+): FoldedState | undefined {
+  const known = state.moves[record.service];
+  const number = known?.number ?? 0;
+  const isFree = known?.stage !== 'running' && known?.moveId !== record.moveId;
+  if (!isFree || record.buildsOn !== number) return undefined;
+  if (record.fromVersion === record.toVersion) return undefined;
+  return updateMove(state, record.service, {
+    moveId: record.moveId,
+    fromVersion: record.fromVersion,
+    toVersion: record.toVersion,
+    doneByMs: record.doneByMs,
+    startedAtMs: record.writtenAtMs,
+    sharePercent: 0,
+    stage: 'running',
+    evidence: '',
+    number: number + 1,
+  });
+}
+
+function applyMoveStep(
+  state: FoldedState,
+  record: RecordOfKind<'move-step'>,
+): FoldedState | undefined {
+  const move = findRunningMove(state, record);
+  if (!move || record.buildsOn !== move.number) return undefined;
+  if (record.sharePercent <= move.sharePercent) return undefined;
+  return updateMove(state, record.service, {
+    ...move,
+    sharePercent: record.sharePercent,
+    evidence: record.evidence,
+    number: move.number + 1,
+  });
+}
+
+/**
+ * Ends a move. Taking back needs the move's id only: a step that came first
+ * in log order does not make a bad version good.
+ */
+function applyMoveEnd(
+  state: FoldedState,
+  record: RecordOfKind<'move-end'>,
+): FoldedState | undefined {
+  const move = findRunningMove(state, record);
+  if (!move) return undefined;
+  const isDone = record.outcome === 'done';
+  if (isDone && record.buildsOn !== move.number) return undefined;
+  return updateMove(state, record.service, {
+    ...move,
+    sharePercent: isDone ? 100 : 0,
+    stage: record.outcome,
+    evidence: record.evidence,
+    number: move.number + 1,
+  });
+}
+
+function findRunningMove(
+  state: FoldedState,
+  record: RecordOfKind<'move-step' | 'move-end'>,
+): Move | undefined {
+  const move = state.moves[record.service];
+  const isRunning = move?.moveId === record.moveId && move.stage === 'running';
+  return isRunning ? move : undefined;
+}
+
+function updateMove(
+  state: FoldedState,
+  service: string,
+  move: Move,
+): FoldedState {
+  return {...state, moves: {...state.moves, [service]: move}};
+}
+
+function applyHomeList(
+  state: FoldedState,
+  record: RecordOfKind<'home-list'>,
+): FoldedState | undefined {
+  const lists = state.homeLists[record.service] ?? [];
+  const epoch = lists.at(-1)?.epoch ?? 0;
+  if (record.buildsOn !== epoch) return undefined;
+  const added = {
+    epoch: epoch + 1,
+    homes: record.homes,
+    handedOver: record.handedOver,
+    writtenAtMs: record.writtenAtMs,
+  };
+  return {
+    ...state,
+    homeLists: {...state.homeLists, [record.service]: [...lists, added]},
+  };
+}
+
+function applyJoin(
+  state: FoldedState,
+  record: RecordOfKind<'join'>,
+): FoldedState | undefined {
+  const known = state.joins[record.nodeId];
+  if (known && known.incarnation >= record.incarnation) return undefined;
+  const {incarnation, peerAddress, writtenAtMs} = record;
+  const others = Object.entries(state.joins)
+    .filter(([nodeId]) => nodeId !== record.nodeId)
+    .slice(1 - REMEMBERED_JOINS);
+  const joined: JoinedNode = {incarnation, peerAddress, writtenAtMs};
+  const joins = Object.fromEntries([...others, [record.nodeId, joined]]);
+  return {...state, joins};
+}
+
+/** Notes that a snapshot was appended; its state is what is folded already. */
+function applySnapshot(
+  state: FoldedState,
+  record: RecordOfKind<'snapshot'>,
+): FoldedState {
+  return {...state, snapshotAtMs: record.writtenAtMs};
+}
--- /dev/null
+++ b/src/state/snapshot.ts
@@ -0,0 +1,82 @@
+/**
+ * Snapshots: the whole folded state as JSON, for nodes that can no longer
+ * read the records that led to it.
+ */
+import {z} from 'zod';
+import {keyHomeSchema} from '../protocol/records.js';
+import type {LoggedRecord} from '../protocol/records.js';
+import {parseRecord} from './fold-record.js';
+import type {FoldedState} from './folded-state.js';
+import {RecordOutcome} from './folded-state.js';
+
+const homeListSchema = z.strictObject({
+  epoch: z.int().min(1),
+  homes: z.array(keyHomeSchema),
+  handedOver: z.array(keyHomeSchema),
+  writtenAtMs: z.number(),
+});
+
+const moveSchema = z.strictObject({
+  moveId: z.string(),
+  fromVersion: z.string(),
+  toVersion: z.string(),
+  doneByMs: z.number(),
+  startedAtMs: z.number(),
+  sharePercent: z.number(),
+  stage: z.enum(['running', 'done', 'taken-back']),
+  evidence: z.string(),
+  number: z.int(),
+});
+
+const foldedStateSchema: z.ZodType<FoldedState> = z.strictObject({
+  version: z.int().min(0),
+  nextOffset: z.int().min(0),
+  configuration: z
+    .strictObject({number: z.int().min(1), input: z.unknown()})
+    .optional(),
+  dataCentres: z.record(
+    z.string(),
+    z.strictObject({isOut: z.boolean(), number: z.int()}),
+  ),
+  moves: z.record(z.string(), moveSchema),
+  homeLists: z.record(z.string(), z.array(homeListSchema)),
+  joins: z.record(
+    z.string(),
+    z.strictObject({
+      incarnation: z.number(),
+      peerAddress: z.string(),
+      writtenAtMs: z.number(),
+    }),
+  ),
+  recentRecords: z.array(
+    z.strictObject({id: z.string(), outcome: z.enum(RecordOutcome)}),
+  ),
+  malformedCount: z.int().min(0),
+  snapshotAtMs: z.number(),
+});
+
+/** Parses a snapshot's state; undefined when it is malformed. */
+export function parseSnapshot(value: unknown): FoldedState | undefined {
+  const result = foldedStateSchema.safeParse(value);
+  return result.success ? result.data : undefined;
+}
+
+/**
+ * Finds the state to go on from among records that a reader cannot fold,
+ * because older ones have expired. A snapshot serves when every record after
+ * it is still kept.
+ */
+export function findSnapshot(
+  records: readonly LoggedRecord[],
+  firstKeptOffset: number,
+): FoldedState | undefined {
+  let best: FoldedState | undefined;
+  for (const {data} of records) {
+    const parsed = parseRecord(data);
+    if (!('record' in parsed) || parsed.record.kind !== 'snapshot') continue;
+    const state = parseSnapshot(parsed.record.state);
+    if (!state || state.nextOffset < firstKeptOffset) continue;
+    if (!best || state.version > best.version) best = state;
+  }
+  return best;
+}
--- a/src/state/state-store.ts
+++ b/src/state/state-store.ts
@@ -4,12 +4,41 @@
  */
 import Emittery from 'emittery';
 import type {Configuration, Profile} from '../protocol/configuration.js';
-import type {FoldedState, HomeList, Move} from './folded-state.js';
+import {configurationSchema} from '../protocol/configuration.js';
+import type {LoggedRecord} from '../protocol/records.js';
+import {FoldOutcome, foldRecord} from './fold-record.js';
+import type {
+  FoldedState,
+  HomeList,
+  Move,
+  RecordOutcome,
+} from './folded-state.js';
 import {EMPTY_STATE} from './folded-state.js';
 
+/** Records kept as read, for peers that lack them. */
+const KEPT_RECORDS = 512;
+
+/** A record that was skipped. */
+export interface SkippedRecord {
+  readonly offset: number;
+  readonly detail: string;
+}
+
+/** A data centre that was taken out or brought back. */
+export interface DataCentreChange {
+  readonly dataCentre: string;
+  readonly isOut: boolean;
+}
+
 interface StateEvents {
   /** The folded state moved to a newer version. */
   changed: number;
+  /** These records were folded, whatever came of them. */
+  folded: readonly LoggedRecord[];
+  /** A malformed record was skipped. */
+  skipped: SkippedRecord;
+  /** A data centre went out or came back; a worker there starts as cold. */
+  dataCentreChanged: DataCentreChange;
 }
 
 /** Folded state of one node. */
@@ -17,6 +46,7 @@
   readonly events = new Emittery<StateEvents>();
   private folded: FoldedState = EMPTY_STATE;
   private configuration: Configuration | undefined;
+  private kept: LoggedRecord[] = [];
   private confirmedAt = -Infinity;
 
   constructor(initial: Configuration | undefined) {
@@ -56,6 +86,61 @@
     return this.folded.homeLists[service] ?? [];
   }
 
+  /** What became of a record that was folded lately. */
+  findOutcome(recordId: string): RecordOutcome | undefined {
+    return this.folded.recentRecords.find(({id}) => id === recordId)?.outcome;
+  }
+
+  /**
+   * Records from an offset on, as read; undefined when some are no longer
+   * kept, so that the asker needs the whole state.
+   */
+  listRecords(fromOffset: number): readonly LoggedRecord[] | undefined {
+    const firstKept = this.kept[0]?.offset ?? this.folded.nextOffset;
+    if (fromOffset >= this.folded.nextOffset) return [];
+    if (fromOffset < firstKept) return undefined;
+    return this.kept.slice(fromOffset - firstKept);
+  }
+
+  /**
+   * Folds records in order. Records folded before and records after a gap
+   * change nothing.
+   *
+   * @returns how many records were folded.
+   */
+  applyRecords(records: readonly LoggedRecord[]): number {
+    const before = this.folded;
+    const taken: LoggedRecord[] = [];
+    for (const logged of records) {
+      const {state, outcome, detail} = foldRecord(this.folded, logged);
+      if (state === this.folded) continue;
+      this.folded = state;
+      taken.push(logged);
+      if (outcome === FoldOutcome.MALFORMED) {
+        const skipped = {offset: logged.offset, detail: detail ?? ''};
+        void this.events.emit('skipped', skipped);
+      }
+    }
+    if (taken.length === 0) return 0;
+    this.kept = [...this.kept, ...taken].slice(-KEPT_RECORDS);
+    void this.events.emit('folded', taken);
+    this.announce(before);
+    return taken.length;
+  }
+
+  /** Takes over a snapshot when it is ahead of what was folded here. */
+  applySnapshot(snapshot: FoldedState): boolean {
+    const before = this.folded;
+    const isAhead =
+      snapshot.nextOffset > before.nextOffset &&
+      snapshot.version >= before.version;
+    if (!isAhead) return false;
+    this.folded = snapshot;
+    this.kept = [];
+    this.announce(before);
+    return true;
+  }
+
   /**
    * Age in milliseconds of the newest proof that this node had read the log to
    * its tail; infinite when it never had.
@@ -69,4 +154,20 @@
     const at = performance.now() - ageMs;
     this.confirmedAt = Math.max(this.confirmedAt, at);
   }
+
+  private announce(before: FoldedState): void {
+    const {configuration, dataCentres, version} = this.folded;
+    if (
+      configuration &&
+      configuration.number !== before.configuration?.number
+    ) {
+      const result = configurationSchema.safeParse(configuration.input);
+      if (result.success) this.configuration = result.data;
+    }
+    for (const [dataCentre, {isOut}] of Object.entries(dataCentres)) {
+      if (isOut === (before.dataCentres[dataCentre]?.isOut ?? false)) continue;
+      void this.events.emit('dataCentreChanged', {dataCentre, isOut});
+    }
+    if (version > before.version) void this.events.emit('changed', version);
+  }
 }
--- /dev/null
+++ b/src/transport/platform-log-client.ts
@@ -0,0 +1,162 @@
+/**
+ * Client of the platform's log over HTTP. A failed append may have taken
+ * effect, so it is looked for by its record id before it is repeated; what
+ * doubles all the same folds once.
+ */
+import {Agent, request} from 'undici';
+import {z} from 'zod';
+import {Backoff} from '../protocol/backoff.js';
+import type {LogPage, PlatformLog} from '../protocol/platform-log.js';
+import {LogUnavailableError} from '../protocol/platform-log.js';
+import type {LoggedRecord, LogRecord} from '../protocol/records.js';
+
+const LEAST_BACKOFF_MS = 50;
+const MOST_BACKOFF_MS = 1000;
+const STATUS_OK = 200;
+/** Statuses of an append that the log refused before it took effect. */
+const REFUSED_STATUSES: ReadonlySet<number> = new Set([400, 413, 429]);
+/** Errors of a connection that was never made. */
+const UNSENT_CODES: ReadonlySet<string> = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+const pageSchema = z.object({
+  records: z.array(z.object({offset: z.int().min(0), data: z.string()})),
+  firstOffset: z.int().min(0),
+  nextOffset: z.int().min(0),
+});
+
+const appendedSchema = z.object({firstOffset: z.int().min(0)});
+
+/** Where the log is and how long one answer may take. */
+export interface PlatformLogOptions {
+  /** IP number and port. */
+  readonly address: string;
+  readonly name: string;
+  /** Longest wait for one answer, beyond the wait of a long poll. */
+  readonly timeLimit: number;
+}
+
+/** Client of one log. */
+export class PlatformLogClient implements PlatformLog {
+  private readonly agent: Agent;
+  private readonly url: string;
+
+  constructor(
+    private readonly options: PlatformLogOptions,
+    private readonly random: () => number = Math.random,
+  ) {
+    this.url = `http://${options.address}/logs/${options.name}`;
+    this.agent = new Agent({connect: {timeout: options.timeLimit}});
+  }
+
+  async read(
+    fromOffset: number,
+    waitMs: number,
+    signal?: AbortSignal,
+  ): Promise<LogPage> {
+    const url = `${this.url}?from=${fromOffset}&wait_ms=${waitMs}`;
+    const limitMs = waitMs + this.options.timeLimit;
+    return pageSchema.parse(await this.sendCall('GET', url, limitMs, {signal}));
+  }
+
+  async append(
+    record: LogRecord,
+    searchFrom: number,
+    limitMs: number,
+  ): Promise<LoggedRecord> {
+    const data = JSON.stringify(record);
+    const until = performance.now() + limitMs;
+    const backoff = new Backoff(LEAST_BACKOFF_MS, MOST_BACKOFF_MS, this.random);
+    let mayBeThere = false;
+    for (;;) {
+      try {
+        const found = mayBeThere
+          ? await this.findRecord(record.id, searchFrom)
+          : undefined;
+        if (found) return found;
+        return {offset: await this.appendOnce(data), data};
+      } catch (error) {
+        if (!(error instanceof LogUnavailableError)) throw error;
+        mayBeThere ||= error.mayHaveTakenEffect;
+        const leftMs = until - performance.now();
+        if (leftMs <= 0) {
+          throw new LogUnavailableError(error.message, mayBeThere);
+        }
+        await backoff.wait(AbortSignal.timeout(Math.ceil(leftMs)));
+      }
+    }
+  }
+
+  /** Closes the connections to the log. */
+  async close(): Promise<void> {
+    await this.agent.destroy();
+  }
+
+  /** Finds a record that is already in the log by its id. */
+  private async findRecord(
+    id: string,
+    searchFrom: number,
+  ): Promise<LoggedRecord | undefined> {
+    let offset = searchFrom;
+    for (;;) {
+      const page = await this.read(offset, 0);
+      const found = page.records.find(({data}) => readRecordId(data) === id);
+      if (found || page.records.length === 0) return found;
+      offset = page.records.at(-1)!.offset + 1;
+    }
+  }
+
+  private async appendOnce(data: string): Promise<number> {
+    const body = JSON.stringify({records: [data]});
+    const {timeLimit} = this.options;
+    const answer = await this.sendCall('POST', this.url, timeLimit, {body});
+    return appendedSchema.parse(answer).firstOffset;
+  }
+
+  private async sendCall(
+    method: 'GET' | 'POST',
+    url: string,
+    limitMs: number,
+    options: {body?: string; signal?: AbortSignal | undefined},
+  ): Promise<unknown> {
+    const limit = AbortSignal.timeout(limitMs);
+    const signal = options.signal
+      ? AbortSignal.any([limit, options.signal])
+      : limit;
+    try {
+      const answer = await request(url, {
+        method,
+        signal,
+        dispatcher: this.agent,
+        headers: {'content-type': 'application/json'},
+        ...(options.body === undefined ? {} : {body: options.body}),
+      });
+      if (answer.statusCode === STATUS_OK) return await answer.body.json();
+      await answer.body.dump();
+      throw new LogUnavailableError(
+        `status ${answer.statusCode}`,
+        !REFUSED_STATUSES.has(answer.statusCode),
+      );
+    } catch (error) {
+      throw toUnavailable(error);
+    }
+  }
+}
+
+function readRecordId(data: string): unknown {
+  try {
+    return (JSON.parse(data) as {id?: unknown} | null)?.id;
+  } catch {
+    return undefined;
+  }
+}
+
+function toUnavailable(error: unknown): LogUnavailableError {
+  if (error instanceof LogUnavailableError) return error;
+  const code = (error as {code?: string}).code ?? '';
+  return new LogUnavailableError(String(error), !UNSENT_CODES.has(code));
+}
--- /dev/null
+++ b/src/transport/state-service.ts
@@ -0,0 +1,109 @@
+/**
+ * Records, snapshots and evidence against versions between nodes, over
+ * Connect. The folded state travels as JSON text, because its own schema
+ * checks it where it arrives.
+ */
+import {create} from '@bufbuild/protobuf';
+import type {ConnectRouter} from '@connectrpc/connect';
+import type {LoggedRecord} from '../protocol/records.js';
+import type {PushBadnessRequest} from '../protocol/state_pb.js';
+import {LoggedRecordSchema, StateService} from '../protocol/state_pb.js';
+import type {PeerClients} from './peer-client.js';
+
+/** Answer to a peer that reads records. */
+export interface RecordsReply {
+  readonly records: readonly LoggedRecord[];
+  /** The whole state instead, as plain JSON data. */
+  readonly snapshot: unknown;
+  readonly nextOffset: number;
+  readonly logAgeMs: number;
+}
+
+/** What the service hands calls to. */
+export interface StateHandlers {
+  readRecords(fromOffset: number, wantsState: boolean): RecordsReply;
+  pushRecords(records: readonly LoggedRecord[]): number;
+  /** Takes evidence against a version from a peer. */
+  pushBadness(request: PushBadnessRequest): void;
+}
+
+/** Registers the service with the listener for other nodes. */
+export function registerStateService(
+  router: ConnectRouter,
+  handlers: StateHandlers,
+): void {
+  router.service(StateService, {
+    readRecords: request => {
+      const reply = handlers.readRecords(
+        request.fromOffset,
+        request.wholeState,
+      );
+      return {
+        records: reply.records.map(record =>
+          create(LoggedRecordSchema, {...record}),
+        ),
+        snapshot:
+          reply.snapshot === undefined ? '' : JSON.stringify(reply.snapshot),
+        nextOffset: reply.nextOffset,
+        logFreshnessMs: reply.logAgeMs,
+      };
+    },
+    pushRecords: request => ({
+      nextOffset: handlers.pushRecords(request.records),
+    }),
+    pushBadness: request => {
+      handlers.pushBadness(request);
+      return {};
+    },
+  });
+}
+
+/** Calls to the service of other nodes. */
+export class StateCalls {
+  constructor(
+    private readonly peers: PeerClients,
+    /** Longest wait for one answer, in milliseconds. */
+    private readonly timeLimit: number,
+  ) {}
+
+  /** Reads records, or the whole state when they are no longer kept. */
+  async readRecords(
+    peerAddress: string,
+    fromOffset: number,
+    wholeState = false,
+  ): Promise<RecordsReply> {
+    const client = this.peers.find(StateService, peerAddress);
+    const reply = await client.readRecords(
+      {fromOffset, wholeState},
+      {timeoutMs: this.timeLimit},
+    );
+    return {
+      records: reply.records.map(({offset, data}) => ({offset, data})),
+      snapshot: parseJson(reply.snapshot),
+      nextOffset: reply.nextOffset,
+      logAgeMs: reply.logFreshnessMs,
+    };
+  }
+
+  /** Pushes records and resolves with the peer's next offset. */
+  async pushRecords(
+    peerAddress: string,
+    records: readonly LoggedRecord[],
+  ): Promise<number> {
+    const client = this.peers.find(StateService, peerAddress);
+    const reply = await client.pushRecords(
+      {records: records.map(record => create(LoggedRecordSchema, {...record}))},
+      {timeoutMs: this.timeLimit},
+    );
+    return reply.nextOffset;
+  }
+}
+
+function parseJson(text: string): unknown {
+  if (text === '') return undefined;
+  try {
+    return JSON.parse(text) as unknown;
+  } catch {
+    return undefined;
+  }
+}
