Add the operators' command

Ruled out: an administration path on the nodes that appends for the operator (the command would then depend on a node, and its author would be the node); asking every node only by way of the log (not while it is down). It reads the state from a node and the log's tail, appends, pushes the accepted record to five nodes itself, and waits until every live node has folded it.

--- a/src/coordination/record-relay.ts
+++ b/src/coordination/record-relay.ts
@@ -116,6 +116,22 @@
     }
   }
 
+  /** Pushes, and follows up when the peer lacks older records as well. */
+  async pushTo(peer: string, records: readonly LoggedRecord[]): Promise<void> {
+    const {calls, state, count} = this.options;
+    if (records.length === 0) return;
+    try {
+      const newest = records.slice(-MAX_RECORDS);
+      const theirs = await calls.pushRecords(peer, newest);
+      if (theirs >= newest[0]!.offset) return;
+      const missing = state.listRecords(theirs);
+      if (!missing?.length) return;
+      await calls.pushRecords(peer, missing.slice(0, MAX_RECORDS));
+    } catch {
+      count('relay.pushes-failed');
+    }
+  }
+
   private async run(): Promise<void> {
     const {signal} = this.abort;
     const {pullIntervalMs, random} = this.options;
@@ -146,24 +162,6 @@
     await Promise.all(peers.map(peer => this.pushTo(peer, records)));
   }
 
-  /** Pushes, and follows up when the peer lacks older records as well. */
-  private async pushTo(
-    peer: string,
-    records: readonly LoggedRecord[],
-  ): Promise<void> {
-    const {calls, state, count} = this.options;
-    try {
-      const newest = records.slice(-MAX_RECORDS);
-      const theirs = await calls.pushRecords(peer, newest);
-      if (theirs >= newest[0]!.offset) return;
-      const missing = state.listRecords(theirs);
-      if (!missing?.length) return;
-      await calls.pushRecords(peer, missing.slice(0, MAX_RECORDS));
-    } catch {
-      count('relay.pushes-failed');
-    }
-  }
-
   private async sendMissing(peer: string, theirs: number): Promise<void> {
     const missing = this.options.state.listRecords(theirs);
     if (!missing?.length) return;
--- /dev/null
+++ b/src/ctl/control-client.ts
@@ -0,0 +1,220 @@
+/**
+ * What all commands of the operators share: reading the state, submitting a
+ * record, and waiting until it is in force at every live node.
+ */
+import {randomUUID} from 'node:crypto';
+import {readToTail} from '../coordination/log-follower.js';
+import {createRecordPublisher} from '../coordination/record-publisher.js';
+import {RecordRelay} from '../coordination/record-relay.js';
+import {waitMs} from '../protocol/backoff.js';
+import {LogUnavailableError} from '../protocol/platform-log.js';
+import type {LoggedRecord, LogRecord} from '../protocol/records.js';
+import {parseRecord} from '../state/fold-record.js';
+import {RecordOutcome} from '../state/folded-state.js';
+import {parseSnapshot} from '../state/snapshot.js';
+import {StateStore} from '../state/state-store.js';
+import {PeerClients} from '../transport/peer-client.js';
+import {PlatformLogClient} from '../transport/platform-log-client.js';
+import {StateCalls} from '../transport/state-service.js';
+import type {ControlSettings} from './control-settings.js';
+import {findAuthor} from './control-settings.js';
+import {ControlError, ExitCode} from './exit-codes.js';
+import type {KnownNode, NodeProgress} from './node-directory.js';
+import {NodeDirectory} from './node-directory.js';
+import type {Output} from './output.js';
+
+const PEER_LIMIT_MS = 1000;
+const POLL_MS = 100;
+/** Nodes that get an accepted record from the command itself. */
+const PUSH_FANOUT = 5;
+
+/** Fields that every record has and the client fills in. */
+type BaseField = 'id' | 'author' | 'writtenAtMs';
+
+/** A record without the fields that the client fills in. */
+export type DraftRecord = LogRecord extends infer R
+  ? R extends LogRecord
+    ? Omit<R, BaseField>
+    : never
+  : never;
+
+/** An accepted record and how many nodes it is in force at. */
+export interface Submission {
+  readonly recordId: string;
+  readonly offset: number;
+  readonly inForce: number;
+  readonly nodes: number;
+}
+
+/** Client of one deployment. */
+export class ControlClient {
+  readonly state = new StateStore(undefined);
+  readonly directory: NodeDirectory;
+  private readonly peers = new PeerClients();
+  private readonly calls = new StateCalls(this.peers, PEER_LIMIT_MS);
+  private readonly log;
+  private readonly relay;
+
+  constructor(
+    readonly settings: ControlSettings,
+    readonly output: Output,
+  ) {
+    this.log = new PlatformLogClient(settings.platformLog);
+    this.directory = new NodeDirectory(settings.nodes, this.calls);
+    this.relay = new RecordRelay({
+      state: this.state,
+      calls: this.calls,
+      listPeers: () => [],
+      fanout: PUSH_FANOUT,
+      pullIntervalMs: POLL_MS,
+      random: Math.random,
+      count: () => {},
+    });
+  }
+
+  /** Closes all connections. */
+  async close(): Promise<void> {
+    this.peers.close();
+    await this.log.close();
+  }
+
+  /** Brings the state up to the log's tail, or as far as a node has it. */
+  async refreshState(): Promise<void> {
+    const nodes = await this.directory.listNodes();
+    const hasNode = await this.fetchState(nodes);
+    const limit = AbortSignal.timeout(this.settings.timeLimit);
+    try {
+      await readToTail(this.log, this.state, limit);
+    } catch (error) {
+      if (!hasNode) throw error;
+    }
+  }
+
+  /** Takes the state of the first node that answers. */
+  async fetchState(nodes: readonly KnownNode[]): Promise<boolean> {
+    for (const node of nodes) {
+      try {
+        const reply = await this.calls.readRecords(node.peerAddress, 0, true);
+        const state = parseSnapshot(reply.snapshot);
+        if (state) this.state.applySnapshot(state);
+        if (state) return true;
+      } catch {
+        // The next node may answer.
+      }
+    }
+    return false;
+  }
+
+  /**
+   * Appends a record and waits until it is in force at every live node.
+   *
+   * @throws ControlError when another record came first, when the log did not
+   * take it, or when some node lacks it after the time limit.
+   */
+  async publishRecord(draft: DraftRecord): Promise<Submission> {
+    const record = {
+      ...draft,
+      id: randomUUID(),
+      author: findAuthor(this.settings),
+      writtenAtMs: Date.now(),
+    } as LogRecord;
+    const readUpTo = this.state.current.nextOffset;
+    await this.append(record, readUpTo);
+    const records = this.state.listRecords(readUpTo) ?? [];
+    const logged = records.find(each => readRecord(each)?.id === record.id);
+    const offset = logged?.offset ?? this.state.current.nextOffset - 1;
+    const inForce = await this.spread(records, offset);
+    return {recordId: record.id, offset, ...inForce};
+  }
+
+  /** Waits until every live node has folded the record at an offset. */
+  async waitUntilInForce(
+    offset: number,
+  ): Promise<{inForce: number; nodes: number}> {
+    const until = performance.now() + this.settings.timeLimit;
+    for (;;) {
+      const nodes = await this.directory.listNodes();
+      const progress = await this.directory.readProgress(nodes);
+      const lacking = progress.filter(node => !hasFolded(node, offset));
+      const inForce = nodes.length - lacking.length;
+      this.output.reportProgress(
+        `in force at ${inForce} of ${nodes.length} nodes`,
+      );
+      if (lacking.length === 0) return {inForce, nodes: nodes.length};
+      if (performance.now() > until) throw createNotInForce(lacking);
+      await waitMs(POLL_MS);
+    }
+  }
+
+  private async append(record: LogRecord, readUpTo: number): Promise<void> {
+    const appendRecord = createRecordPublisher({
+      log: this.log,
+      state: this.state,
+      appendLimitMs: this.settings.timeLimit,
+    });
+    let outcome: RecordOutcome;
+    try {
+      outcome = await appendRecord(record);
+    } catch (error) {
+      if (!(error instanceof LogUnavailableError)) throw error;
+      const doubt = error.mayHaveTakenEffect
+        ? '; it may have been taken all the same, see "status"'
+        : '; nothing was changed';
+      throw new ControlError(
+        ExitCode.LOG_UNAVAILABLE,
+        `${error.message}${doubt}`,
+      );
+    }
+    if (outcome === RecordOutcome.ACCEPTED) return;
+    throw new ControlError(
+      ExitCode.SUPERSEDED,
+      `superseded: ${this.describeWinner(record, readUpTo)}; nothing was changed`,
+    );
+  }
+
+  /** Pushes to a few nodes, because the log may be down before they read. */
+  private async spread(
+    records: readonly LoggedRecord[],
+    offset: number,
+  ): Promise<{inForce: number; nodes: number}> {
+    const nodes = await this.directory.listNodes();
+    const chosen = nodes.slice(0, PUSH_FANOUT);
+    await Promise.all(
+      chosen.map(node => this.relay.pushTo(node.peerAddress, records)),
+    );
+    return this.waitUntilInForce(offset);
+  }
+
+  private describeWinner(record: LogRecord, readUpTo: number): string {
+    const winner = (this.state.listRecords(readUpTo) ?? [])
+      .map(readRecord)
+      .find(
+        other =>
+          other?.kind === record.kind &&
+          other.id !== record.id &&
+          this.state.findOutcome(other.id) === RecordOutcome.ACCEPTED,
+      );
+    return winner
+      ? `${winner.author} came first with record ${winner.id}`
+      : 'the state has moved on, see "status"';
+  }
+}
+
+function hasFolded(node: NodeProgress, offset: number): boolean {
+  return node.nextOffset !== undefined && node.nextOffset > offset;
+}
+
+function readRecord(logged: LoggedRecord): LogRecord | undefined {
+  const parsed = parseRecord(logged.data);
+  return 'record' in parsed ? parsed.record : undefined;
+}
+
+function createNotInForce(lacking: readonly NodeProgress[]): ControlError {
+  const names = lacking.map(
+    node => `${node.nodeId} (${node.nextOffset ?? 'no answer'})`,
+  );
+  return new ControlError(
+    ExitCode.NOT_IN_FORCE,
+    `accepted, but not yet in force at: ${names.join(', ')}`,
+  );
+}
--- /dev/null
+++ b/src/ctl/node-directory.ts
@@ -0,0 +1,89 @@
+/**
+ * Finds the live nodes by asking some of them, and what each has folded.
+ */
+import {request} from 'undici';
+import {z} from 'zod';
+import type {StateCalls} from '../transport/state-service.js';
+
+const STATUS_LIMIT_MS = 2000;
+const STATUS_OK = 200;
+/** Nodes asked at the same time. */
+const CONCURRENCY = 64;
+
+const nodeSchema = z.object({
+  nodeId: z.string(),
+  peerAddress: z.string(),
+  dataCentre: z.string(),
+  callerAddress: z.string().optional(),
+});
+
+const statusSchema = nodeSchema.extend({nodes: z.array(nodeSchema)});
+
+/** A node as another node or itself describes it. */
+export type KnownNode = z.output<typeof nodeSchema>;
+
+/** How far a node has come; undefined when it does not answer. */
+export interface NodeProgress extends KnownNode {
+  readonly nextOffset: number | undefined;
+}
+
+/** Directory of the nodes of one deployment. */
+export class NodeDirectory {
+  constructor(
+    /** Caller addresses of some nodes. */
+    private readonly addresses: readonly string[],
+    private readonly calls: StateCalls,
+  ) {}
+
+  /** Nodes that the given ones know as live, themselves included. */
+  async listNodes(): Promise<KnownNode[]> {
+    const found = new Map<string, KnownNode>();
+    const lists = await Promise.all(this.addresses.map(readStatus));
+    for (const node of lists.flat()) {
+      const known = found.get(node.nodeId);
+      found.set(node.nodeId, {...known, ...node});
+    }
+    return [...found.values()];
+  }
+
+  /** Asks each node how far it has come. */
+  async readProgress(nodes: readonly KnownNode[]): Promise<NodeProgress[]> {
+    const progress: NodeProgress[] = [];
+    const left = [...nodes];
+    const work = async (): Promise<void> => {
+      for (let node = left.pop(); node; node = left.pop()) {
+        progress.push({...node, nextOffset: await this.readNextOffset(node)});
+      }
+    };
+    await Promise.all(Array.from({length: CONCURRENCY}, work));
+    return progress.sort((a, b) => a.nodeId.localeCompare(b.nodeId));
+  }
+
+  private async readNextOffset(node: KnownNode): Promise<number | undefined> {
+    try {
+      const reply = await this.calls.readRecords(
+        node.peerAddress,
+        Number.MAX_SAFE_INTEGER,
+      );
+      return reply.nextOffset;
+    } catch {
+      return undefined;
+    }
+  }
+}
+
+async function readStatus(address: string): Promise<KnownNode[]> {
+  try {
+    const answer = await request(`http://${address}/-/status`, {
+      signal: AbortSignal.timeout(STATUS_LIMIT_MS),
+    });
+    if (answer.statusCode !== STATUS_OK) {
+      await answer.body.dump();
+      return [];
+    }
+    const {nodes, ...self} = statusSchema.parse(await answer.body.json());
+    return [...nodes, self];
+  } catch {
+    return [];
+  }
+}
--- a/src/state/state-store.ts
+++ b/src/state/state-store.ts
@@ -66,6 +66,11 @@
       : this.configuration?.profiles[picked];
   }
 
+  /** Version that a service is configured to run; undefined for any. */
+  findServiceVersion(service: string): string | undefined {
+    return this.configuration?.services[service]?.version;
+  }
+
   /** Names of the services that are configured. */
   listServices(): string[] {
     return Object.keys(this.configuration?.services ?? {});
