--- a/src/ctl/control-settings.ts
+++ b/src/ctl/control-settings.ts
@@ -73,7 +73,10 @@
   });
   if (result.success) return result.data;
   const source = flags.settings ?? FLAGS_SOURCE;
-  throw new SettingsError(source, formatFaults(result.error));
+  throw new SettingsError(
+    source,
+    formatFaults(result.error, controlSettingsSchema),
+  );
 }
 
 /** Name for records when neither file nor flags give one. */
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -8,6 +8,7 @@
 import {z} from 'zod';
 import {configurationSchema, nameSchema} from './configuration.js';
 import {buildDurationSchema} from './quantities.js';
+import {listAllowedKeys} from './schema-keys.js';
 
 const MINUTE_MS = 60_000;
 const HOUR_MS = 60 * MINUTE_MS;
@@ -138,17 +139,31 @@
 }
 
 /** Formats the faults that a schema found, each with its key. */
-export function formatFaults(error: z.ZodError): string[] {
+export function formatFaults(error: z.ZodError, schema?: z.ZodType): string[] {
   return error.issues.map(issue => {
     const path = formatKeyPath(issue.path);
     if (issue.code === 'unrecognized_keys') {
       const keys = issue.keys.map(key => formatKeyPath([key])).join(', ');
-      return `${path ? `${path}: ` : ''}unknown key ${keys}`;
+      const allowed = schema && listAllowedKeys(schema, issue.path);
+      const names = allowed?.map(key => formatKeyPath([key])).join(', ');
+      const hint = names === undefined ? '' : `; allowed: ${names}`;
+      return `${path ? `${path}: ` : ''}unknown key ${keys}${hint}`;
+    }
+    if (issue.code === 'invalid_type') {
+      const isMissing = issue.message.endsWith('received undefined');
+      const fault = isMissing ? 'missing' : 'wrong type';
+      return `${path}: ${fault}; allowed: ${formatType(issue.expected)}`;
     }
     return `${path}: ${issue.message}`;
   });
 }
 
+function formatType(expected: string): string {
+  if (expected === 'object' || expected === 'record') return 'a table';
+  if (expected === 'int') return 'a whole number';
+  return `${expected === 'array' ? 'an' : 'a'} ${expected}`;
+}
+
 /**
  * Parses TOML text by a schema.
  *
@@ -169,7 +184,7 @@
   }
   const result = schema.safeParse(raw);
   if (!result.success)
-    throw new SettingsError(file, formatFaults(result.error));
+    throw new SettingsError(file, formatFaults(result.error, schema));
   return result.data;
 }
 
--- a/src/test/stand-ins/platform-log.ts
+++ b/src/test/stand-ins/platform-log.ts
@@ -24,6 +24,8 @@
   delayMs: number;
   /** Appends that take effect without an answer, counted down. */
   lostAnswers: number;
+  /** Appends until the log goes down by itself; 0 for never. */
+  appendsUntilDown: number;
   /** Records kept; older ones expire. */
   retainedRecords: number;
   /** Appends per second above which appends are refused. */
@@ -45,9 +47,12 @@
     isSilent: false,
     delayMs: 0,
     lostAnswers: 0,
+    appendsUntilDown: 0,
     retainedRecords: 100_000,
     appendsPerSecond: 500,
   };
+  /** Calls since the start, whatever became of them. */
+  callCount = 0;
   /** Appends taken since the start. */
   appendCount = 0;
   readCount = 0;
@@ -101,6 +106,7 @@
       return;
     }
     const {control} = this;
+    this.callCount += 1;
     if (control.isSilent) return;
     if (control.delayMs > 0) await wait(control.delayMs);
     if (control.isDown) {
@@ -126,6 +132,10 @@
       return;
     }
     this.appendCount += 1;
+    if (this.control.appendsUntilDown > 0) {
+      this.control.appendsUntilDown -= 1;
+      this.control.isDown = this.control.appendsUntilDown === 0;
+    }
     const firstOffset = this.append(name, records);
     if (this.control.lostAnswers > 0) {
       this.control.lostAnswers -= 1;
