--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -35,6 +35,8 @@
     callerAddress: addressSchema,
     /** Where other nodes reach it. */
     peerAddress: addressSchema,
+    /** Where it listens for other nodes when that differs. */
+    peerListenAddress: addressSchema.optional(),
   }),
   platformLog: z.strictObject({
     address: addressSchema,
