--- a/src/node-process.ts
+++ b/src/node-process.ts
@@ -19,10 +19,10 @@
 import {Reason, RefusalError} from './protocol/reasons.js';
 import type {NodeSettings} from './protocol/settings.js';
 import {formatFaults} from './protocol/settings.js';
+import {SharedState} from './shared-state.js';
 import type {SealOutcome} from './state/attempt-registry.js';
 import {AttemptRegistry} from './state/attempt-registry.js';
 import {Explanations} from './state/explanations.js';
-import {StateStore} from './state/state-store.js';
 import {WorkerTable} from './state/worker-table.js';
 import {
   AskError,
@@ -43,6 +43,7 @@
   private readonly identity: NodeIdentity;
   private readonly logger;
   private readonly metrics;
+  private readonly sharedState: SharedState;
   private readonly state;
   private readonly workers = new WorkerTable();
   private readonly peers = new PeerClients();
@@ -69,7 +70,15 @@
     };
     this.logger = createLogger(node.id, settings.logging);
     this.metrics = new Metrics(node.id, settings.metrics);
-    this.state = new StateStore(settings.configuration);
+    this.sharedState = new SharedState({
+      identity: this.identity,
+      settings,
+      workers: this.workers,
+      peers: this.peers,
+      logger: this.logger,
+      metrics: this.metrics,
+    });
+    this.state = this.sharedState.store;
     this.gateClient = new GateClient(node.id, settings.connections);
     this.gate = new Gate(
       announcement =>
@@ -151,6 +160,7 @@
       this.membership.updateWorkers(this.gate.listWorkers()),
     );
     this.membership.start();
+    this.sharedState.start();
     this.logger.write('info', 'started', {
       callerAddress: this.identity.callerAddress,
       peerAddress: this.identity.peerAddress,
@@ -162,6 +172,7 @@
     this.isStopping = true;
     await this.membership.leave();
     this.membership.stop();
+    await this.sharedState.stop();
     await Promise.all([close(this.callerServer), close(this.peerServer)]);
     await this.gateClient.close();
     await this.gate.close();
@@ -181,6 +192,7 @@
   }
 
   private registerServices(router: ConnectRouter): void {
+    this.sharedState.registerServices(router);
     router.service(MembershipService, {
       exchangeMembers: request => ({
         members: this.membership.handleExchange(request.members),
@@ -216,6 +228,7 @@
           body: {
             ...this.identity,
             counters: this.metrics.report(),
+            state: this.sharedState.report(),
             nodes: this.workers.listNodes(),
           },
         }),
