Probe members in the manner of SWIM

Cause: membership was a full exchange with the seeds; it never noticed a loss. Ruled out: holding a member dead on another node's word alone: after a partition each side would drop the members of the other's side and its own.

--- /dev/null
+++ b/src/coordination/member-exchange.ts
@@ -0,0 +1,119 @@
+/**
+ * Comparison of whole member tables between two nodes: when joining, now and
+ * then against lost updates, and to meet again after a partition.
+ */
+import {create} from '@bufbuild/protobuf';
+import type {
+  ExchangeMembersReply,
+  ExchangeMembersRequest,
+  Member,
+} from '../protocol/membership_pb.js';
+import {
+  ExchangeMembersReplySchema,
+  ExchangeMembersRequestSchema,
+  MemberStatus,
+} from '../protocol/membership_pb.js';
+import {
+  compareBucketDigests,
+  computeBucket,
+  computeBucketDigests,
+} from './member-digest.js';
+import {isNewer} from './member-table.js';
+import type {MemberView} from './member-view.js';
+import {UpdateSource} from './member-view.js';
+import type {MembershipCalls} from './membership-calls.js';
+
+/** A table of thousands of members needs more time than a probe. */
+const EXCHANGE_TIMEOUT_MS = 2000;
+
+/** Exchanges of one node. */
+export class MemberExchange {
+  constructor(
+    private readonly view: MemberView,
+    private readonly calls: MembershipCalls,
+  ) {}
+
+  /** Compares tables with the node at an address; false without an answer. */
+  async run(peerAddress: string): Promise<boolean> {
+    try {
+      const reply = await this.send(
+        peerAddress,
+        this.listIntroduction(peerAddress),
+        computeBucketDigests(this.view.table.list()),
+      );
+      this.view.applyUpdates(reply.members, UpdateSource.EXCHANGE);
+      const missing = this.listMissing(reply);
+      if (missing.length > 0) await this.send(peerAddress, missing, []);
+      return true;
+    } catch {
+      return false;
+    }
+  }
+
+  /** Answers another node's exchange. */
+  answer(request: ExchangeMembersRequest): ExchangeMembersReply {
+    this.view.applyUpdates(request.members, UpdateSource.GOSSIP);
+    if (request.bucketDigests.length === 0) {
+      return create(ExchangeMembersReplySchema);
+    }
+    const members = this.listMembers();
+    const differingBuckets = compareBucketDigests(
+      computeBucketDigests(members),
+      request.bucketDigests,
+    );
+    const wanted = new Set(differingBuckets);
+    return create(ExchangeMembersReplySchema, {
+      members: members.filter(({nodeId}) => wanted.has(computeBucket(nodeId))),
+      differingBuckets,
+    });
+  }
+
+  private send(
+    peerAddress: string,
+    members: Member[],
+    bucketDigests: number[],
+  ): Promise<ExchangeMembersReply> {
+    const request = create(ExchangeMembersRequestSchema, {
+      members,
+      bucketDigests,
+    });
+    return this.calls.exchangeMembers(
+      peerAddress,
+      request,
+      EXCHANGE_TIMEOUT_MS,
+    );
+  }
+
+  /** This node, and what the receiver may want to refute about itself. */
+  private listIntroduction(peerAddress: string): Member[] {
+    const doubted = this.view.table
+      .list()
+      .filter(
+        member =>
+          member.peerAddress === peerAddress &&
+          member.status !== MemberStatus.ALIVE,
+      );
+    return [this.view.self, ...doubted];
+  }
+
+  /** What this node knows better than the reply shows. */
+  private listMissing(reply: ExchangeMembersReply): Member[] {
+    const differing = new Set(reply.differingBuckets);
+    const theirs = new Map(
+      reply.members.map(member => [member.nodeId, member]),
+    );
+    return this.listMembers().filter(member => {
+      if (!differing.has(computeBucket(member.nodeId))) return false;
+      const their = theirs.get(member.nodeId);
+      if (their) return isNewer(member, their);
+      return member.status !== MemberStatus.DEAD;
+    });
+  }
+
+  private listMembers(): Member[] {
+    const {self, table} = this.view;
+    return table
+      .list()
+      .map(member => (member.nodeId === self.nodeId ? self : member));
+  }
+}
--- /dev/null
+++ b/src/coordination/member-prober.ts
@@ -0,0 +1,130 @@
+/**
+ * Finds out whether a member lives: asks it directly, then through a few
+ * others, so that one bad path or one silent connection suspects nobody.
+ */
+import {create} from '@bufbuild/protobuf';
+import type {Member, ProbeReply} from '../protocol/membership_pb.js';
+import {
+  ProbeIndirectRequestSchema,
+  ProbeRequestSchema,
+} from '../protocol/membership_pb.js';
+import type {NodeSettings} from '../protocol/settings.js';
+import {pickRandom} from './member-order.js';
+import type {MemberView} from './member-view.js';
+import {UpdateSource} from './member-view.js';
+import type {MembershipCalls} from './membership-calls.js';
+
+/** Members that are asked to probe on this node's behalf. */
+const INDIRECT_PROBES = 3;
+/** A helper needs its own probe timeout beside the way to and from it. */
+const INDIRECT_TIMEOUT_FACTOR = 2;
+/** Lateness of a probe's end that shows this process itself was paused. */
+const PAUSE_ALLOWANCE_MS = 250;
+
+/** What a check of a member found. */
+export const ProbeOutcome = {
+  ALIVE: 'alive',
+  /** Neither it nor a helper answered for it. */
+  SILENT: 'silent',
+  /** Another process answers at its address. */
+  REPLACED: 'replaced',
+  /** This process was paused meanwhile, so silence proves nothing. */
+  UNCLEAR: 'unclear',
+} as const;
+
+export type ProbeOutcome = (typeof ProbeOutcome)[keyof typeof ProbeOutcome];
+
+/** What a prober works with. */
+export interface MemberProberOptions {
+  readonly view: MemberView;
+  readonly calls: MembershipCalls;
+  readonly settings: NodeSettings['membership'];
+  readonly random: () => number;
+  /** Told of each reply, with the time since its request. */
+  readonly handleReply: (
+    peerAddress: string,
+    reply: ProbeReply,
+    elapsedMs: number,
+  ) => void;
+}
+
+/** Address and id of a node to probe. */
+export type ProbeTarget = Pick<Member, 'nodeId' | 'peerAddress'>;
+
+/** Probes other nodes. */
+export class MemberProber {
+  constructor(private readonly options: MemberProberOptions) {}
+
+  /** Checks one member directly and, when that fails, through others. */
+  async checkMember(member: Member): Promise<ProbeOutcome> {
+    const startedAt = performance.now();
+    const direct = await this.probe(member);
+    if (direct)
+      return direct.alive ? ProbeOutcome.ALIVE : ProbeOutcome.REPLACED;
+    if (await this.probeThroughOthers(member)) return ProbeOutcome.ALIVE;
+    return this.isLate(startedAt) ? ProbeOutcome.UNCLEAR : ProbeOutcome.SILENT;
+  }
+
+  /** Probes a node directly; undefined when no answer came in time. */
+  async probe(target: ProbeTarget): Promise<ProbeReply | undefined> {
+    const {view, calls, settings} = this.options;
+    const request = create(ProbeRequestSchema, {
+      fromNodeId: view.self.nodeId,
+      targetNodeId: target.nodeId,
+      updates: view.takeUpdates(target.nodeId),
+      stateVersion: view.self.stateVersion,
+    });
+    const {probeTimeout} = settings;
+    const startedAt = performance.now();
+    try {
+      const reply = await calls.probe(
+        target.peerAddress,
+        request,
+        probeTimeout,
+      );
+      view.applyUpdates(reply.updates, UpdateSource.GOSSIP);
+      const elapsedMs = performance.now() - startedAt;
+      this.options.handleReply(target.peerAddress, reply, elapsedMs);
+      return reply;
+    } catch {
+      return undefined;
+    }
+  }
+
+  private async probeThroughOthers(target: Member): Promise<boolean> {
+    const {view, random} = this.options;
+    const others = view
+      .listActivePeers()
+      .filter(member => member.nodeId !== target.nodeId);
+    const helpers = pickRandom(others, INDIRECT_PROBES, random);
+    const answers = await Promise.all(
+      helpers.map(helper => this.askHelper(helper, target)),
+    );
+    return answers.includes(true);
+  }
+
+  private async askHelper(helper: Member, target: Member): Promise<boolean> {
+    const {calls, settings} = this.options;
+    const request = create(ProbeIndirectRequestSchema, {
+      targetNodeId: target.nodeId,
+      targetPeerAddress: target.peerAddress,
+    });
+    try {
+      const reply = await calls.probeIndirect(
+        helper.peerAddress,
+        request,
+        INDIRECT_TIMEOUT_FACTOR * settings.probeTimeout,
+      );
+      return reply.alive;
+    } catch {
+      return false;
+    }
+  }
+
+  private isLate(startedAt: number): boolean {
+    const {probeTimeout} = this.options.settings;
+    const expectedMs = (1 + INDIRECT_TIMEOUT_FACTOR) * probeTimeout;
+    const elapsedMs = performance.now() - startedAt;
+    return elapsedMs > expectedMs + PAUSE_ALLOWANCE_MS;
+  }
+}
--- a/src/measure/local-deployment.ts
+++ b/src/measure/local-deployment.ts
@@ -44,6 +44,8 @@
   readonly dataCentre: string;
   readonly version: string;
   readonly slots: number;
+  /** IP number that its node connects to other nodes from. */
+  readonly localAddress?: string;
   /** Behaviour of the upstream stand-in from the start. */
   readonly control?: Readonly<Record<string, unknown>>;
 }
@@ -55,6 +57,11 @@
   readonly configuration: ConfigurationInput;
   readonly hosts: readonly HostSpec[];
   readonly startUpstream: StartUpstream;
+  /** Puts a proxy before a node's peer address; resolves with its address. */
+  readonly openPeerProxy?: (
+    hostId: string,
+    peerListenAddress: string,
+  ) => Promise<string>;
   /** Added to each node's settings, by section, in camel case. */
   readonly nodeSettings?: Readonly<Record<string, Record<string, unknown>>>;
 }
@@ -68,6 +75,7 @@
     readonly spec: HostSpec,
     readonly callerAddress: string,
     readonly peerAddress: string,
+    readonly peerListenAddress: string,
     readonly upstreamPort: number,
     readonly settingsFile: string,
   ) {}
@@ -101,7 +109,16 @@
   readonly counters: Record<string, number>;
   readonly nodes: ReadonlyArray<{
     readonly nodeId: string;
-    readonly workers: ReadonlyArray<{readonly service: string}>;
+    readonly incarnation: number;
+    readonly workers: ReadonlyArray<{
+      readonly service: string;
+      readonly state: string;
+    }>;
+  }>;
+  readonly members: ReadonlyArray<{
+    readonly nodeId: string;
+    readonly incarnation: number;
+    readonly status: string;
   }>;
 }
 
@@ -118,16 +135,23 @@
     const folder = mkdtempSync(join(tmpdir(), 'sequoiaspool-'));
     const ports = await findFreePorts(spec.hosts.length * 3);
     const takeAddress = (): string => `127.0.0.1:${ports.pop()}`;
-    const hosts = spec.hosts.map(
-      host =>
+    const hosts: Host[] = [];
+    for (const host of spec.hosts) {
+      const peerListenAddress = takeAddress();
+      const peerAddress =
+        (await spec.openPeerProxy?.(host.id, peerListenAddress)) ??
+        peerListenAddress;
+      hosts.push(
         new Host(
           host,
           takeAddress(),
-          takeAddress(),
+          peerAddress,
+          peerListenAddress,
           ports.pop()!,
           join(folder, `${host.id}.toml`),
         ),
-    );
+      );
+    }
     const deployment = new LocalDeployment(spec, hosts, folder);
     for (const host of hosts) deployment.writeSettings(host);
     try {
@@ -204,6 +228,7 @@
         dataCentre: spec.dataCentre,
         callerAddress: host.callerAddress,
         peerAddress: host.peerAddress,
+        peerListenAddress: host.peerListenAddress,
         ...extra['node'],
       },
       platformLog: {
@@ -215,7 +240,10 @@
         seeds: this.hosts.slice(0, 3).map(other => other.peerAddress),
         ...extra['membership'],
       },
-      connections: {...extra['connections']},
+      connections: {
+        localAddress: spec.localAddress,
+        ...extra['connections'],
+      },
       stop: {...extra['stop']},
       logging: {...extra['logging']},
       configuration: this.spec.configuration,
--- /dev/null
+++ b/src/node-membership.ts
@@ -0,0 +1,80 @@
+/**
+ * Membership of one node process: joins the coordination with the transport,
+ * the folded state and the connections that end when a node is lost.
+ */
+import {Membership} from './coordination/membership.js';
+import type {MemberStatus} from './protocol/membership_pb.js';
+import {MemberStatus as Statuses} from './protocol/membership_pb.js';
+import type {NodeIdentity} from './protocol/node-identity.js';
+import type {NodeSettings} from './protocol/settings.js';
+import type {StateStore} from './state/state-store.js';
+import type {WorkerTable} from './state/worker-table.js';
+import type {GateClient} from './transport/gate-client.js';
+import type {Logger} from './transport/logger.js';
+import {createMembershipCalls} from './transport/membership-service.js';
+import type {Metrics} from './transport/metrics.js';
+import type {PeerClients} from './transport/peer-client.js';
+
+/** What the membership of a node is made of. */
+export interface NodeMembershipParts {
+  readonly identity: NodeIdentity;
+  readonly settings: NodeSettings;
+  readonly workers: WorkerTable;
+  readonly state: StateStore;
+  readonly peers: PeerClients;
+  readonly gateClient: GateClient;
+  readonly metrics: Metrics;
+  readonly logger: Logger;
+}
+
+/** One member as the status path shows it. */
+export interface MemberStatusRow {
+  readonly nodeId: string;
+  readonly incarnation: number;
+  readonly status: string;
+  readonly peerAddress: string;
+  readonly stateVersion: number;
+}
+
+/** Creates the membership of a node. */
+export function createNodeMembership(parts: NodeMembershipParts): Membership {
+  const {identity, settings, state, metrics, peers} = parts;
+  const membership = new Membership({
+    identity,
+    settings: settings.membership,
+    workers: parts.workers,
+    calls: createMembershipCalls(peers, (name, amount) =>
+      metrics.count(name, amount),
+    ),
+    random: Math.random,
+    findStateVersion: () => state.current.version,
+    computeLogAgeMs: () => state.computeLogAgeMs(),
+    recordLogConfirmation: ageMs => state.recordLogConfirmation(ageMs),
+  });
+  membership.events.on('nodeLost', ({peerAddress}) => {
+    peers.remove(peerAddress);
+    void parts.gateClient.removeNode(peerAddress);
+    parts.logger.write('info', 'node lost', {peerAddress});
+  });
+  membership.events.on('replaced', ({peerAddress}) => {
+    parts.logger.write('error', 'a later process has this node id', {
+      peerAddress,
+    });
+  });
+  return membership;
+}
+
+/** Lists the members for the status path. */
+export function listMemberRows(membership: Membership): MemberStatusRow[] {
+  return membership.listMembers().map(member => ({
+    nodeId: member.nodeId,
+    incarnation: member.incarnation,
+    status: formatStatus(member.status),
+    peerAddress: member.peerAddress,
+    stateVersion: member.stateVersion,
+  }));
+}
+
+function formatStatus(status: MemberStatus): string {
+  return Statuses[status].toLowerCase();
+}
--- a/src/node-process.ts
+++ b/src/node-process.ts
@@ -9,11 +9,11 @@
 import {AttemptSender, SealError} from './coordination/attempt-sender.js';
 import {Entry} from './coordination/entry.js';
 import {Gate} from './coordination/gate.js';
-import {Membership} from './coordination/membership.js';
+import type {Membership} from './coordination/membership.js';
+import {createNodeMembership, listMemberRows} from './node-membership.js';
 import {announcementSchema} from './protocol/announcement.js';
 import type {Attempt, AttemptAnswer} from './protocol/attempt.js';
 import {AttemptService} from './protocol/attempts_pb.js';
-import {MembershipService} from './protocol/membership_pb.js';
 import type {NodeIdentity} from './protocol/node-identity.js';
 import {createIncarnation, parseAddress} from './protocol/node-identity.js';
 import {Reason, RefusalError} from './protocol/reasons.js';
@@ -33,6 +33,7 @@
 import {createCallerServer} from './transport/caller-listener.js';
 import {GateClient} from './transport/gate-client.js';
 import {createLogger} from './transport/logger.js';
+import {registerMembershipService} from './transport/membership-service.js';
 import {Metrics} from './transport/metrics.js';
 import {PeerClients} from './transport/peer-client.js';
 import {createPeerServer} from './transport/peer-listener.js';
@@ -45,7 +46,7 @@
   private readonly metrics;
   private readonly state;
   private readonly workers = new WorkerTable();
-  private readonly peers = new PeerClients();
+  private readonly peers;
   private readonly gateClient;
   private readonly gate;
   private readonly explanations = new Explanations();
@@ -53,7 +54,7 @@
   private readonly attemptRunner;
   private readonly attemptSender;
   private readonly entry;
-  private readonly membership;
+  private readonly membership: Membership;
   private readonly callerServer: Server;
   private readonly peerServer: Server;
   private isStopping = false;
@@ -70,6 +71,7 @@
     this.logger = createLogger(node.id, settings.logging);
     this.metrics = new Metrics(node.id, settings.metrics);
     this.state = new StateStore(settings.configuration);
+    this.peers = new PeerClients(settings.connections.localAddress);
     this.gateClient = new GateClient(node.id, settings.connections);
     this.gate = new Gate(
       announcement =>
@@ -105,17 +107,15 @@
       isQuarantined: () => false,
       selectVersion: () => undefined,
     });
-    this.membership = new Membership({
+    this.membership = createNodeMembership({
       identity: this.identity,
-      settings: settings.membership,
+      settings,
       workers: this.workers,
-      random: Math.random,
-      calls: {
-        exchangeMembers: async (peerAddress, members) => {
-          const client = this.peers.find(MembershipService, peerAddress);
-          return (await client.exchangeMembers({members})).members;
-        },
-      },
+      state: this.state,
+      peers: this.peers,
+      gateClient: this.gateClient,
+      metrics: this.metrics,
+      logger: this.logger,
     });
     this.callerServer = createCallerServer({
       ownRoutes: this.buildOwnRoutes(),
@@ -181,11 +181,9 @@
   }
 
   private registerServices(router: ConnectRouter): void {
-    router.service(MembershipService, {
-      exchangeMembers: request => ({
-        members: this.membership.handleExchange(request.members),
-      }),
-    });
+    registerMembershipService(router, this.membership, (name, amount) =>
+      this.metrics.count(name, amount),
+    );
     router.service(AttemptService, {
       sealAttempt: createSealHandler(this.identity.incarnation, (id, waitMs) =>
         this.attempts.seal(id, waitMs),
@@ -217,6 +215,7 @@
             ...this.identity,
             counters: this.metrics.report(),
             nodes: this.workers.listNodes(),
+            members: listMemberRows(this.membership),
           },
         }),
       },
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -54,6 +54,8 @@
     .prefault({}),
   connections: z
     .strictObject({
+      /** IP number to connect to other nodes from; the system's choice without. */
+      localAddress: z.ipv4().optional(),
       /** Connections to one other node at most. */
       maxPerNode: z.int().min(1).max(10_000).default(64),
       connectTimeout: buildDurationSchema(10, MINUTE_MS).prefault('250ms'),
--- a/src/state/worker-table.ts
+++ b/src/state/worker-table.ts
@@ -19,6 +19,8 @@
 /** A node with its workers. */
 export interface NodeDescription extends AttemptTarget {
   readonly dataCentre: string;
+  /** Whether its silence is being looked into; work may still be sent. */
+  readonly isSuspect?: boolean;
   readonly workers: readonly WorkerDescription[];
 }
 
@@ -39,6 +41,8 @@
   version: string;
   slots: number;
   state: WorkerState;
+  /** Whether its node's silence is being looked into. */
+  isSuspect: boolean;
   /** Attempts that this node has sent and that have not ended. */
   inFlightHere: number;
   observed: ObservedLoad | undefined;
@@ -79,7 +83,13 @@
       const old = isSameProcess
         ? oldRows.find(row => row.service === worker.service)
         : undefined;
-      this.addRow(node, worker, old);
+      const row = this.addRow(node, worker, old);
+      const isRepeated = known?.workers.some(
+        other =>
+          other.service === worker.service && other.state === worker.state,
+      );
+      // A repeated description is older than what answers told since.
+      if (!old || !isRepeated) row.state = worker.state;
     }
     void this.events.emit('changed');
   }
@@ -95,7 +105,7 @@
     node: NodeDescription,
     worker: WorkerDescription,
     old: WorkerRow | undefined,
-  ): void {
+  ): WorkerRow {
     const isSameVersion = old?.version === worker.version;
     const row: WorkerRow = old ?? {
       target: {
@@ -108,16 +118,18 @@
       version: worker.version,
       slots: worker.slots,
       state: worker.state,
+      isSuspect: false,
       inFlightHere: 0,
       observed: undefined,
     };
     row.version = worker.version;
     row.slots = worker.slots;
-    row.state = worker.state;
+    row.isSuspect = node.isSuspect ?? false;
     if (!isSameVersion) row.observed = undefined;
     const rows = this.rowsByService.get(worker.service);
     if (rows) rows.push(row);
     else this.rowsByService.set(worker.service, [row]);
+    return row;
   }
 
   private takeRows(nodeId: string): WorkerRow[] {
--- a/src/test/deployment-fixture.ts
+++ b/src/test/deployment-fixture.ts
@@ -5,6 +5,7 @@
 import type {ConfigurationInput} from '../protocol/configuration.js';
 import type {HostSpec} from '../measure/local-deployment.js';
 import {LocalDeployment} from '../measure/local-deployment.js';
+import {FaultProxy} from './stand-ins/fault-proxy.js';
 import {PlatformLogStandIn} from './stand-ins/platform-log.js';
 import type {UpstreamControl} from './stand-ins/upstream.js';
 import {UpstreamStandIn} from './stand-ins/upstream.js';
@@ -18,6 +19,11 @@
   readonly control?: Partial<UpstreamControl>;
   readonly configuration?: ConfigurationInput;
   readonly nodeSettings?: Readonly<Record<string, Record<string, unknown>>>;
+  /**
+   * Whether a fault proxy stands before each node's peer address. Nodes then
+   * connect to each other from addresses of their own, see `computeLocalAddress`.
+   */
+  readonly hasPeerProxies?: boolean;
 }
 
 /** A deployment with its stand-ins. */
@@ -26,9 +32,18 @@
   readonly deployment: LocalDeployment;
   /** Upstream stand-ins by host id; replaced when one is started again. */
   readonly upstreams: ReadonlyMap<string, UpstreamStandIn>;
+  /** Proxies before the peer addresses by host id. */
+  readonly peerProxies: ReadonlyMap<string, FaultProxy>;
   stop(): Promise<void>;
 }
 
+/** Address that the node of a host connects from when there are proxies. */
+export function computeLocalAddress(hostIndex: number): string {
+  return `127.0.0.${FIRST_LOCAL_NUMBER + hostIndex}`;
+}
+
+const FIRST_LOCAL_NUMBER = 11;
+
 export const DEFAULT_CONFIGURATION: ConfigurationInput = {
   profiles: {desk: {}},
   services: {'kona-desk': {profile: 'desk'}},
@@ -48,17 +63,30 @@
       version: 'v1',
       slots: options.slots ?? 6,
       control: options.control ?? {},
+      ...(options.hasPeerProxies
+        ? {localAddress: computeLocalAddress(index)}
+        : {}),
     });
   }
   const log = new PlatformLogStandIn();
   await log.start();
   const upstreams = new Map<string, UpstreamStandIn>();
+  const peerProxies = new Map<string, FaultProxy>();
+  const openPeerProxy = async (
+    hostId: string,
+    peerListenAddress: string,
+  ): Promise<string> => {
+    const proxy = new FaultProxy(peerListenAddress);
+    peerProxies.set(hostId, proxy);
+    return proxy.start();
+  };
   const deployment = await LocalDeployment.start({
     name: 'kona',
     logAddress: log.address,
     configuration: options.configuration ?? DEFAULT_CONFIGURATION,
     hosts,
     nodeSettings: options.nodeSettings,
+    ...(options.hasPeerProxies ? {openPeerProxy} : {}),
     startUpstream: async start => {
       const upstream = new UpstreamStandIn(start);
       upstreams.set(start.seed, upstream);
@@ -78,8 +106,10 @@
     log,
     deployment,
     upstreams,
+    peerProxies,
     stop: async () => {
       await deployment.stop();
+      for (const proxy of peerProxies.values()) await proxy.stop();
       await log.stop();
     },
   };
--- /dev/null
+++ b/src/transport/counting-agent.ts
@@ -0,0 +1,42 @@
+/**
+ * An HTTP agent that counts the bytes of its connections, headers included,
+ * since headers outweigh the bodies of small calls.
+ */
+import type {ClientRequestArgs} from 'node:http';
+import {Agent} from 'node:http';
+import {Socket} from 'node:net';
+import type {Duplex} from 'node:stream';
+
+/** Agent with a count of bytes. */
+export class CountingAgent extends Agent {
+  private readonly open = new Set<Socket>();
+  private closedBytes = 0;
+
+  override createConnection(
+    options: ClientRequestArgs,
+    callback?: (error: Error | null, stream: Duplex) => void,
+  ): Duplex | null | undefined {
+    const stream = super.createConnection(options, callback);
+    if (stream instanceof Socket) this.watch(stream);
+    return stream;
+  }
+
+  /** Bytes written and read on all connections since the start. */
+  countBytes(): number {
+    let bytes = this.closedBytes;
+    for (const socket of this.open) bytes += countSocketBytes(socket);
+    return bytes;
+  }
+
+  private watch(socket: Socket): void {
+    this.open.add(socket);
+    socket.once('close', () => {
+      this.open.delete(socket);
+      this.closedBytes += countSocketBytes(socket);
+    });
+  }
+}
+
+function countSocketBytes(socket: Socket): number {
+  return socket.bytesWritten + socket.bytesRead;
+}
--- a/src/transport/gate-client.ts
+++ b/src/transport/gate-client.ts
@@ -107,6 +107,9 @@
         pipelining: 1,
         keepAliveTimeout: this.settings.idleTimeout,
         connect: {timeout: this.settings.connectTimeout},
+        ...(this.settings.localAddress
+          ? {localAddress: this.settings.localAddress}
+          : {}),
       });
       this.pools.set(peerAddress, pool);
     }
--- /dev/null
+++ b/src/transport/membership-service.ts
@@ -0,0 +1,98 @@
+/**
+ * Membership over Connect: the calls to other nodes and the service that
+ * answers theirs. Both sides count messages and bytes, because the cost of
+ * membership has to stay the same for any number of nodes.
+ */
+import type {DescMessage, MessageShape} from '@bufbuild/protobuf';
+import {toBinary} from '@bufbuild/protobuf';
+import type {ConnectRouter} from '@connectrpc/connect';
+import type {
+  ExchangeMembersReply,
+  ExchangeMembersRequest,
+  ProbeIndirectReply,
+  ProbeIndirectRequest,
+  ProbeReply,
+  ProbeRequest,
+} from '../protocol/membership_pb.js';
+import {
+  ExchangeMembersReplySchema,
+  ExchangeMembersRequestSchema,
+  MembershipService,
+  ProbeIndirectReplySchema,
+  ProbeIndirectRequestSchema,
+  ProbeReplySchema,
+  ProbeRequestSchema,
+} from '../protocol/membership_pb.js';
+import type {PeerClients} from './peer-client.js';
+
+/** Adds to a counter of the node. */
+export type Count = (name: string, amount?: number) => void;
+
+/** What answers the calls of other nodes. */
+export interface MembershipHandlers {
+  handleProbe(request: ProbeRequest): ProbeReply;
+  handleProbeIndirect(
+    request: ProbeIndirectRequest,
+  ): Promise<ProbeIndirectReply>;
+  handleExchange(request: ExchangeMembersRequest): ExchangeMembersReply;
+}
+
+/** Creates the calls to the membership service of other nodes. */
+export function createMembershipCalls(peers: PeerClients, count: Count) {
+  const find = (peerAddress: string) =>
+    peers.find(MembershipService, peerAddress);
+  return {
+    probe: (peerAddress: string, request: ProbeRequest, timeoutMs: number) => {
+      countMessage(count, ProbeRequestSchema, request);
+      return find(peerAddress).probe(request, {timeoutMs});
+    },
+    probeIndirect: (
+      peerAddress: string,
+      request: ProbeIndirectRequest,
+      timeoutMs: number,
+    ) => {
+      countMessage(count, ProbeIndirectRequestSchema, request);
+      return find(peerAddress).probeIndirect(request, {timeoutMs});
+    },
+    exchangeMembers: (
+      peerAddress: string,
+      request: ExchangeMembersRequest,
+      timeoutMs: number,
+    ) => {
+      countMessage(count, ExchangeMembersRequestSchema, request);
+      return find(peerAddress).exchangeMembers(request, {timeoutMs});
+    },
+  };
+}
+
+/** Registers the service that answers other nodes. */
+export function registerMembershipService(
+  router: ConnectRouter,
+  handlers: MembershipHandlers,
+  count: Count,
+): void {
+  router.service(MembershipService, {
+    probe: request => {
+      const reply = handlers.handleProbe(request);
+      return countMessage(count, ProbeReplySchema, reply);
+    },
+    probeIndirect: async request => {
+      const reply = await handlers.handleProbeIndirect(request);
+      return countMessage(count, ProbeIndirectReplySchema, reply);
+    },
+    exchangeMembers: request => {
+      const reply = handlers.handleExchange(request);
+      return countMessage(count, ExchangeMembersReplySchema, reply);
+    },
+  });
+}
+
+function countMessage<S extends DescMessage>(
+  count: Count,
+  schema: S,
+  message: MessageShape<S>,
+): MessageShape<S> {
+  count('membership.messages-sent');
+  count('membership.bytes-sent', toBinary(schema, message).length);
+  return message;
+}
--- a/src/transport/peer-client.ts
+++ b/src/transport/peer-client.ts
@@ -5,18 +5,28 @@
 import {createClient} from '@connectrpc/connect';
 import type {DescService} from '@bufbuild/protobuf';
 import {createConnectTransport} from '@connectrpc/connect-node';
-import {Agent} from 'node:http';
+import type {Socket} from 'node:net';
+import {CountingAgent} from './counting-agent.js';
 
 const IDLE_SOCKETS_PER_NODE = 2;
+/** Below the keep-alive time of the peer listener, which closes later. */
+const IDLE_TIMEOUT_MS = 60_000;
 
 /** Clients of the services of other nodes. */
 export class PeerClients {
-  private readonly agent = new Agent({
-    keepAlive: true,
-    maxFreeSockets: IDLE_SOCKETS_PER_NODE,
-  });
+  private readonly agent;
   private readonly clients = new Map<string, unknown>();
 
+  /** Connects from the local address when one is given. */
+  constructor(localAddress?: string) {
+    this.agent = new CountingAgent({
+      keepAlive: true,
+      maxFreeSockets: IDLE_SOCKETS_PER_NODE,
+      timeout: IDLE_TIMEOUT_MS,
+      ...(localAddress === undefined ? {} : {localAddress}),
+    });
+  }
+
   /** Finds or creates the client of a service at a peer address. */
   find<S extends DescService>(service: S, peerAddress: string): Client<S> {
     const name = `${service.typeName}@${peerAddress}`;
@@ -34,11 +44,17 @@
     return client;
   }
 
-  /** Forgets the clients of an address. */
+  /** Bytes written and read on all connections since the start. */
+  countBytes(): number {
+    return this.agent.countBytes();
+  }
+
+  /** Forgets an address and closes its idle connections. */
   remove(peerAddress: string): void {
     for (const name of this.clients.keys()) {
       if (name.endsWith(`@${peerAddress}`)) this.clients.delete(name);
     }
+    for (const socket of this.listIdleSockets(peerAddress)) socket.destroy();
   }
 
   /** Closes idle connections. */
@@ -46,4 +62,10 @@
     this.agent.destroy();
     this.clients.clear();
   }
+
+  private listIdleSockets(peerAddress: string): Socket[] {
+    return Object.entries(this.agent.freeSockets)
+      .filter(([name]) => name.startsWith(`${peerAddress}:`))
+      .flatMap(([, sockets]) => sockets ?? []);
+  }
 }
