Test membership with real processes and mend what it showed

Cause: a member whose refutation had been sent often enough was held suspect by a node that had missed it until the suspicion ran out; and after a partition each side took the other's word that its own members were dead. Ruled out: longer suspicion, which hides both faults on small deployments. Change: a node tells its record again to whoever shows an older one; the word of others that a member is dead starts a suspicion only. Before / after: npx vitest run src/test/membership_test.ts, six nodes: healing left a node with 1 of 6 workers; now 6 passed, 5 runs of 5. Conclusion: kills, restarts, freezes and partitions end in the right tables.

--- a/src/coordination/member-view.ts
+++ b/src/coordination/member-view.ts
@@ -142,9 +142,13 @@
       this.options.handleReplaced(claim);
       return;
     }
-    if (!isNewer(claim, own)) return;
-    const sequence = claim.sequence + 1;
-    this.publishSelf(create(MemberSchema, {...this.self, sequence}));
+    if (isNewer(claim, own)) {
+      const sequence = claim.sequence + 1;
+      this.publishSelf(create(MemberSchema, {...this.self, sequence}));
+    } else if (isNewer(own, claim)) {
+      // The sender missed the refutation: it has to be told again.
+      this.gossip.enqueue(this.ownRecord);
+    }
   }
 
   private publishSelf(record: Member): void {
@@ -154,14 +158,16 @@
 }
 
 /**
- * Holds a member that others call dead for suspect while it is alive here:
- * after a partition each side calls the other dead, and dropping the members
- * of this side for that would leave requests without a worker.
+ * Takes another node's word that a member is dead for a suspicion only, so
+ * that each node waits the suspicion time itself: after a partition each side
+ * calls the other dead, and dropping the members of this side for that would
+ * leave requests without a worker.
  */
 function resolveDeath(update: Member, known: Member | undefined): Member {
-  const isSurprise =
+  const isHearsay =
     update.status === MemberStatus.DEAD &&
-    known?.status === MemberStatus.ALIVE &&
+    (known?.status === MemberStatus.ALIVE ||
+      known?.status === MemberStatus.SUSPECT) &&
     known.incarnation === update.incarnation;
-  return isSurprise ? copyWithStatus(update, MemberStatus.SUSPECT) : update;
+  return isHearsay ? copyWithStatus(update, MemberStatus.SUSPECT) : update;
 }
--- a/src/measure/local-deployment.ts
+++ b/src/measure/local-deployment.ts
@@ -2,7 +2,7 @@
  * A deployment on loopback: the platform log stand-in, and for each host an
  * upstream stand-in and a node process. Tests and measurements drive it.
  */
-import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {mkdtempSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join, resolve} from 'node:path';
 import {stringify as formatToml} from 'smol-toml';
@@ -95,6 +95,17 @@
     );
   }
 
+  /** Starts a node of another id at the addresses of this host. */
+  async startNodeAs(nodeId: string): Promise<void> {
+    const settings = readFileSync(this.settingsFile, 'utf8');
+    const line = `id = "${this.spec.id}"`;
+    writeFileSync(
+      this.settingsFile,
+      settings.replace(line, `id = "${nodeId}"`),
+    );
+    await this.startNode();
+  }
+
   /** Reads the node's status. */
   async readStatus(): Promise<NodeStatus> {
     const response = await fetch(`http://${this.callerAddress}/-/status`);
--- /dev/null
+++ b/src/test/membership_test.ts
@@ -0,0 +1,213 @@
+/**
+ * Membership among real node processes: losses are noticed, those that were
+ * only away come back, and healing takes no worker from anybody.
+ */
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+import type {Host} from '../measure/local-deployment.js';
+import {waitFor} from '../measure/wait-for.js';
+import type {Fixture} from './deployment-fixture.js';
+import {computeLocalAddress, startFixture} from './deployment-fixture.js';
+import {createLinkFaults} from './stand-ins/fault-proxy.js';
+
+const NODE_COUNT = 6;
+/** Probes often, so that a test takes seconds. */
+const FAST_MEMBERSHIP = {
+  probeInterval: '100ms',
+  probeTimeout: '100ms',
+  suspicionTime: '500ms',
+};
+
+let fixture: Fixture;
+
+beforeEach(async () => {
+  fixture = await startFixture({
+    workers: NODE_COUNT,
+    hasPeerProxies: true,
+    nodeSettings: {membership: FAST_MEMBERSHIP},
+  });
+});
+
+afterEach(async () => {
+  await fixture?.stop();
+});
+
+function listHosts(...indexes: number[]): Host[] {
+  return indexes.map(index => fixture.deployment.hosts[index]!);
+}
+
+async function readStatuses(host: Host): Promise<Map<string, string>> {
+  const {members} = await host.readStatus();
+  return new Map(members.map(({nodeId, status}) => [nodeId, status]));
+}
+
+/** Waits until each observer holds each subject in a status. */
+async function waitForStatus(
+  observers: readonly Host[],
+  subjects: readonly Host[],
+  expected: string,
+): Promise<void> {
+  await waitFor(`${expected} everywhere`, async () => {
+    for (const observer of observers) {
+      const statuses = await readStatuses(observer);
+      const differs = subjects.some(
+        subject => statuses.get(subject.spec.id) !== expected,
+      );
+      if (differs) return false;
+    }
+    return true;
+  });
+}
+
+/** Waits until each node routes to the workers of all nodes. */
+async function waitForAllWorkers(): Promise<void> {
+  const {hosts} = fixture.deployment;
+  await waitForStatus(hosts, hosts, 'alive');
+  await waitFor('workers of all nodes', async () => {
+    for (const host of hosts) {
+      const {nodes} = await host.readStatus();
+      const workers = nodes.flatMap(node => node.workers);
+      if (workers.length !== NODE_COUNT) return false;
+    }
+    return true;
+  });
+}
+
+/** Holds all bytes between two groups of hosts, until released. */
+function startPartition(one: readonly Host[], other: readonly Host[]): void {
+  holdPaths(one, other);
+  holdPaths(other, one);
+}
+
+function holdPaths(from: readonly Host[], to: readonly Host[]): void {
+  for (const source of from) {
+    const index = fixture.deployment.hosts.indexOf(source);
+    for (const target of to) {
+      const faults = createLinkFaults();
+      faults.toTarget.isStalled = true;
+      faults.toClient.isStalled = true;
+      const proxy = fixture.peerProxies.get(target.spec.id)!;
+      proxy.faultsBySource.set(computeLocalAddress(index), faults);
+    }
+  }
+}
+
+function stopPartition(): void {
+  for (const proxy of fixture.peerProxies.values()) {
+    for (const faults of proxy.faultsBySource.values()) {
+      faults.toTarget.isStalled = false;
+      faults.toClient.isStalled = false;
+    }
+  }
+}
+
+interface AwayCase {
+  readonly name: string;
+  /** Takes host 1 away; resolves with what brings it back. */
+  readonly leave: (host: Host) => Promise<() => Promise<void>>;
+}
+
+const awayCases: AwayCase[] = [
+  {
+    name: 'killed and started again at the same address',
+    leave: async host => {
+      await host.node!.kill();
+      return () => host.startNode();
+    },
+  },
+  {
+    name: 'frozen and thawed',
+    leave: async host => {
+      host.node!.send('SIGSTOP');
+      return async () => host.node!.send('SIGCONT');
+    },
+  },
+  {
+    name: 'cut off from all others and joined again',
+    leave: async host => {
+      const others = fixture.deployment.hosts.filter(other => other !== host);
+      startPartition([host], others);
+      return async () => stopPartition();
+    },
+  },
+];
+
+describe('a node that goes away is held dead and joins again', () => {
+  it.each(awayCases)('$name', async ({leave}) => {
+    const [away] = listHosts(1);
+    const others = listHosts(0, 2, 3, 4, 5);
+    const bringBack = await leave(away!);
+    await waitForStatus(others, [away!], 'dead');
+    for (const other of others) {
+      const {nodes} = await other.readStatus();
+      expect(nodes.map(node => node.nodeId)).not.toContain(away!.spec.id);
+    }
+    await waitForStatus(others, others, 'alive');
+    await bringBack();
+    await waitForAllWorkers();
+  });
+});
+
+describe('a partition in two halves', () => {
+  it('each half goes on, and healing takes no worker away', async () => {
+    const one = listHosts(0, 1, 2);
+    const other = listHosts(3, 4, 5);
+    startPartition(one, other);
+    await waitForStatus(one, other, 'dead');
+    await waitForStatus(other, one, 'dead');
+    await waitForStatus(one, one, 'alive');
+    await waitForStatus(other, other, 'alive');
+    let fewestWorkers = NODE_COUNT;
+    let isHealed = false;
+    const watch = async (host: Host): Promise<void> => {
+      while (!isHealed) {
+        const {nodes} = await host.readStatus();
+        const count = nodes.flatMap(node => node.workers).length;
+        fewestWorkers = Math.min(fewestWorkers, count);
+      }
+    };
+    const watches = [...one, ...other].map(watch);
+    stopPartition();
+    await waitForAllWorkers();
+    isHealed = true;
+    await Promise.all(watches);
+    expect(fewestWorkers).toBeGreaterThanOrEqual(NODE_COUNT / 2);
+  });
+});
+
+describe('one bad path', () => {
+  it('between two nodes makes neither of them dead', async () => {
+    const [first, second] = listHosts(4, 5);
+    const {hosts} = fixture.deployment;
+    startPartition([first!], [second!]);
+    const before = await countProbes(first!);
+    // Enough probes for the two to have tried each other several times.
+    await waitFor('probes', async () => {
+      const statuses = await readStatuses(first!);
+      expect([...statuses.values()]).not.toContain('dead');
+      return (await countProbes(first!)) > before + 100;
+    });
+    await waitForStatus(hosts, hosts, 'alive');
+  });
+});
+
+async function countProbes(host: Host): Promise<number> {
+  const {counters} = await host.readStatus();
+  return counters['membership.messages-sent'] ?? 0;
+}
+
+describe('a node replaced by one of another id at its address', () => {
+  it('is held dead everywhere and the new one alive', async () => {
+    const [old] = listHosts(2);
+    const others = listHosts(0, 1, 3, 4, 5);
+    await old!.node!.kill();
+    await old!.startNodeAs('desk-new');
+    await waitForStatus(others, [old!], 'dead');
+    await waitFor('the new node everywhere', async () => {
+      for (const other of others) {
+        const statuses = await readStatuses(other);
+        if (statuses.get('desk-new') !== 'alive') return false;
+      }
+      return true;
+    });
+  });
+});
