Stop a node without cutting a request

Cause: the stop closed the listeners at once, with requests on their way. Ruled out: closing idle connections after a fixed short linger alone: a caller may use one at that very moment, and no answer can follow a close. Change: peers are told first, then the gate refuses not-run, node-stopping; answers close their connections; callers are told by Keep-Alive not to use a connection idle for longer than the linger time (now 5 s, ends early when all connections are gone); running work has the drain timeout; beforeExit hooks run while other nodes can still be reached.

--- a/src/node-process.ts
+++ b/src/node-process.ts
@@ -11,6 +11,7 @@
 import {Gate} from './coordination/gate.js';
 import type {Membership} from './coordination/membership.js';
 import {createNodeMembership, listMemberRows} from './node-membership.js';
+import {NodeStop} from './node-stop.js';
 import {announcementSchema} from './protocol/announcement.js';
 import type {Attempt, AttemptAnswer} from './protocol/attempt.js';
 import {AttemptService} from './protocol/attempts_pb.js';
@@ -57,7 +58,7 @@
   private readonly membership: Membership;
   private readonly callerServer: Server;
   private readonly peerServer: Server;
-  private isStopping = false;
+  private readonly planned: NodeStop;
 
   constructor(private readonly settings: NodeSettings) {
     const {node} = settings;
@@ -130,13 +131,26 @@
           verdict: refusal.verdict,
         });
       },
-      isStopping: () => this.isStopping,
+      isStopping: () => this.planned.isStopping,
     });
     this.peerServer = createPeerServer({
-      handleAttempt: (attempt, signal, handleAdmitted) =>
-        this.attemptRunner.run(attempt, signal, handleAdmitted),
+      handleAttempt: async (attempt, signal, handleAdmitted) => {
+        if (this.planned.isRefusingAttempts) {
+          throw new RefusalError(Reason.NODE_STOPPING);
+        }
+        return this.attemptRunner.run(attempt, signal, handleAdmitted);
+      },
       registerServices: router => this.registerServices(router),
     });
+    this.planned = new NodeStop({
+      settings: settings.stop,
+      membership: this.membership,
+      callerServer: this.callerServer,
+      peerServer: this.peerServer,
+      closeClients: () => this.closeClients(),
+      handleStep: (step, isComplete) =>
+        this.logger.write('info', step, {isComplete}),
+    });
   }
 
   /** Listens, joins the other nodes and begins to work. */
@@ -159,15 +173,15 @@
 
   /** Stops without cutting a request. */
   async stop(): Promise<void> {
-    this.isStopping = true;
-    await this.membership.leave();
-    this.membership.stop();
-    await Promise.all([close(this.callerServer), close(this.peerServer)]);
+    await this.planned.run();
+    this.logger.write('info', 'stopped');
+  }
+
+  private async closeClients(): Promise<void> {
     await this.gateClient.close();
     await this.gate.close();
     this.peers.close();
     await this.metrics.close();
-    this.logger.write('info', 'stopped');
   }
 
   private async sendAttempt(
@@ -202,7 +216,7 @@
         method: 'get',
         path: '/-/ready',
         handle: () =>
-          this.isStopping
+          this.planned.isStopping
             ? {status: 503, body: {status: 'stopping'}}
             : {status: 200, body: {status: 'ready'}},
       },
@@ -265,7 +279,3 @@
     server.listen(parseAddress(address), () => resolve());
   });
 }
-
-function close(server: Server): Promise<void> {
-  return new Promise(resolve => server.close(() => resolve()));
-}
--- /dev/null
+++ b/src/node-stop.ts
@@ -0,0 +1,119 @@
+/**
+ * Planned stop of a node. Peers and callers are told first and the node goes
+ * on serving meanwhile, so that no request is cut, whether it runs, waits or
+ * is on its way on an open connection.
+ */
+import type {Server} from 'node:http';
+import type {Membership} from './coordination/membership.js';
+import type {NodeSettings} from './protocol/settings.js';
+import {ConnectionCloser} from './transport/connection-closer.js';
+import {drainServer, waitForNoConnections} from './transport/server-drain.js';
+
+/** Time for connections that nobody uses any more to close. */
+const CLOSE_LIMIT_MS = 1000;
+
+/** Work that has to be done before the process may end. */
+export type BeforeExit = () => Promise<void>;
+
+/** What a stop works with. */
+export interface NodeStopParts {
+  readonly settings: NodeSettings['stop'];
+  readonly membership: Membership;
+  readonly callerServer: Server;
+  readonly peerServer: Server;
+  /** Closes the connections to other nodes, the upstream and the metrics. */
+  readonly closeClients: () => Promise<void>;
+  /** Told of each step, with whether it ended in time. */
+  readonly handleStep: (step: string, isComplete: boolean) => void;
+}
+
+/** The stop of one node. */
+export class NodeStop {
+  /**
+   * Called one after the other when all callers have their answers and other
+   * nodes can still be reached, for instance to hand keys over.
+   */
+  readonly beforeExit: BeforeExit[] = [];
+  private readonly callerConnections: ConnectionCloser;
+  private readonly peerConnections: ConnectionCloser;
+  private hasBegun = false;
+  private isRefusing = false;
+
+  constructor(private readonly parts: NodeStopParts) {
+    const {callerServer, peerServer, settings} = parts;
+    this.callerConnections = new ConnectionCloser(
+      callerServer,
+      settings.lingerTime,
+    );
+    this.peerConnections = new ConnectionCloser(peerServer);
+  }
+
+  /** Whether a stop has begun, so that the node is not ready. */
+  get isStopping(): boolean {
+    return this.hasBegun;
+  }
+
+  /** Whether other nodes have been told and the gate takes no attempts. */
+  get isRefusingAttempts(): boolean {
+    return this.isRefusing;
+  }
+
+  /** Runs the stop to its end. */
+  async run(): Promise<void> {
+    this.hasBegun = true;
+    this.callerConnections.start();
+    await this.announceLeaving();
+    await this.releaseCallers();
+    await this.runBeforeExit();
+    await this.drainAttempts();
+    this.parts.membership.stop();
+    await waitAtMost(this.parts.closeClients(), CLOSE_LIMIT_MS);
+  }
+
+  private async announceLeaving(): Promise<void> {
+    await this.parts.membership.leave();
+    this.isRefusing = true;
+    this.peerConnections.start();
+    this.parts.handleStep('peers told', true);
+  }
+
+  private async releaseCallers(): Promise<void> {
+    const {callerServer, settings, handleStep} = this.parts;
+    const {lingerTime, drainTimeout} = settings;
+    const haveLeft = await waitForNoConnections(callerServer, lingerTime);
+    handleStep('callers left', haveLeft);
+    handleStep('answered', await drainServer(callerServer, drainTimeout));
+  }
+
+  private async runBeforeExit(): Promise<void> {
+    const {settings, handleStep} = this.parts;
+    for (const task of this.beforeExit) {
+      const isDone = await waitAtMost(task(), settings.drainTimeout);
+      handleStep('before exit', isDone);
+    }
+  }
+
+  private async drainAttempts(): Promise<void> {
+    const {peerServer, settings, handleStep} = this.parts;
+    const haveEnded = await drainServer(peerServer, settings.drainTimeout);
+    handleStep('attempts ended', haveEnded);
+  }
+}
+
+/** Waits for a task; false when it failed or time ran out. */
+async function waitAtMost(
+  task: Promise<void>,
+  limitMs: number,
+): Promise<boolean> {
+  let timer: NodeJS.Timeout | undefined;
+  const limit = new Promise<boolean>(resolve => {
+    timer = setTimeout(() => resolve(false), limitMs);
+  });
+  const outcome = task.then(
+    () => true,
+    () => false,
+  );
+  const isDone = await Promise.race([outcome, limit]);
+  clearTimeout(timer);
+  return isDone;
+}
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -69,8 +69,11 @@
     .strictObject({
       /** Longest wait for running work at a planned stop. */
       drainTimeout: buildDurationSchema(0, 10 * MINUTE_MS).prefault('30s'),
-      /** How long idle connections stay open for requests already sent. */
-      lingerTime: buildDurationSchema(0, MINUTE_MS).prefault('500ms'),
+      /**
+       * How long idle connections stay open for requests already sent. Callers
+       * are told not to use connections that were idle for longer.
+       */
+      lingerTime: buildDurationSchema(0, MINUTE_MS).prefault('5s'),
     })
     .prefault({}),
   metrics: z
