--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -70,6 +70,8 @@
     .prefault({}),
   connections: z
     .strictObject({
+      /** IP number to connect to other nodes from; the system's choice without. */
+      localAddress: z.ipv4().optional(),
       /** Connections to one other node at most. */
       maxPerNode: z.int().min(1).max(10_000).default(64),
       connectTimeout: buildDurationSchema(10, MINUTE_MS).prefault('250ms'),
@@ -83,8 +85,11 @@
     .strictObject({
       /** Longest wait for running work at a planned stop. */
       drainTimeout: buildDurationSchema(0, 10 * MINUTE_MS).prefault('30s'),
-      /** How long idle connections stay open for requests already sent. */
-      lingerTime: buildDurationSchema(0, MINUTE_MS).prefault('500ms'),
+      /**
+       * How long idle connections stay open for requests already sent. Callers
+       * are told not to use connections that were idle for longer.
+       */
+      lingerTime: buildDurationSchema(0, MINUTE_MS).prefault('5s'),
     })
     .prefault({}),
   metrics: z
--- a/src/test/deployment-fixture.ts
+++ b/src/test/deployment-fixture.ts
@@ -19,8 +19,13 @@
   readonly control?: Partial<UpstreamControl>;
   readonly configuration?: ConfigurationInput;
   readonly nodeSettings?: Readonly<Record<string, Record<string, unknown>>>;
-  /** Puts a fault proxy before each node's peer listener and upstream. */
-  readonly withProxies?: boolean;
+  /**
+   * Whether a fault proxy stands before each node's peer address. Nodes then
+   * connect to each other from addresses of their own, see `computeLocalAddress`.
+   */
+  readonly hasPeerProxies?: boolean;
+  /** Whether a fault proxy stands before each upstream. */
+  readonly hasUpstreamProxies?: boolean;
 }
 
 /** A deployment with its stand-ins. */
@@ -36,6 +41,13 @@
   stop(): Promise<void>;
 }
 
+/** Address that the node of a host connects from when there are proxies. */
+export function computeLocalAddress(hostIndex: number): string {
+  return `127.0.0.${FIRST_LOCAL_NUMBER + hostIndex}`;
+}
+
+const FIRST_LOCAL_NUMBER = 11;
+
 export const DEFAULT_CONFIGURATION: ConfigurationInput = {
   profiles: {desk: {}},
   services: {'kona-desk': {profile: 'desk'}},
@@ -55,6 +67,9 @@
       version: 'v1',
       slots: options.slots ?? 6,
       control: options.control ?? {},
+      ...(options.hasPeerProxies
+        ? {localAddress: computeLocalAddress(index)}
+        : {}),
     });
   }
   const log = new PlatformLogStandIn();
@@ -77,14 +92,14 @@
     configuration: options.configuration ?? DEFAULT_CONFIGURATION,
     hosts,
     nodeSettings: options.nodeSettings,
-    ...(options.withProxies
+    ...(options.hasPeerProxies
       ? {
           openPeerProxy: (hostId, address) =>
             openProxy(peerProxies, hostId, address),
         }
       : {}),
     startUpstream: async start => {
-      const announcedAddress = options.withProxies
+      const announcedAddress = options.hasUpstreamProxies
         ? await openProxy(
             upstreamProxies,
             start.seed,
--- a/src/test/fault-matrix_test.ts
+++ b/src/test/fault-matrix_test.ts
@@ -94,7 +94,8 @@
 beforeAll(async () => {
   fixture = await startFixture({
     workers: 3,
-    withProxies: true,
+    hasPeerProxies: true,
+    hasUpstreamProxies: true,
     control: {serviceTimeMs: SERVICE_TIME_MS},
     // About half of all requests meet a fault here, more than any budget
     // for ordinary days; the budget has tests of its own.
