Adapt the gate's concurrency limit and queue fairly between callers

Cause: the stand-in admission let a worker's announced slots through whatever the worker bore, and one first-in-first-out queue served whoever sent most. Ruled out: a rate limit per caller (needs a share that nobody knows); a fixed slow start by time (says nothing of what the worker bears). Change: concurrency-limit.ts (cold, ready and failing phases that follow evidence), latency-baseline.ts (service time by route), caller-queue.ts (deficit round robin, longest backlog gives way), admission.ts joins them with one expiry timer for all that wait. The gate resets to cold when its data centre comes back.

--- a/src/coordination/admission.ts
+++ b/src/coordination/admission.ts
@@ -1,30 +1,24 @@
 /**
- * Admission to one worker: a concurrency limit that never exceeds the
- * worker's slots, and a short queue before it.
+ * Admission to one worker: an adaptive concurrency limit, and before it a
+ * short queue that is fair between callers and knows deadlines. A request that
+ * can't be served in time is refused at once, because a wait that ends in a
+ * refusal costs the caller time that another worker could have used.
  */
-import {Reason, RefusalError} from '../protocol/reasons.js';
 import type {Profile} from '../protocol/configuration.js';
+import {Reason, RefusalError} from '../protocol/reasons.js';
 import type {WorkerLoad} from '../protocol/worker-load.js';
 import {WorkerState} from '../protocol/worker-load.js';
-
-/** How a request left its slot. */
-export const SlotOutcome = {
-  SUCCESS: 'success',
-  /** The worker answered with a server error or cut its answer. */
-  FAILURE: 'failure',
-  /** The worker shed the request. */
-  SHED: 'shed',
-  /** The connection to the worker was refused or lost. */
-  CONNECTION_LOST: 'connection-lost',
-  /** The caller went away or the deadline passed. */
-  CANCELLED: 'cancelled',
-} as const;
-
-export type SlotOutcome = (typeof SlotOutcome)[keyof typeof SlotOutcome];
+import {CallerQueue} from './caller-queue.js';
+import {
+  ConcurrencyLimit,
+  LimitPhase,
+  SlotOutcome,
+} from './concurrency-limit.js';
 
 /** What admission needs to know of a request. */
 export interface AdmissionRequest {
   readonly caller: string;
+  readonly route: string;
   /** Deadline on the clock of `performance.now()`. */
   readonly deadline: number;
 }
@@ -36,40 +30,104 @@
 }
 
 interface Waiting {
+  readonly request: AdmissionRequest;
+  /** Time by which it has a slot or is refused. */
+  readonly expiresAt: number;
   resolve(slot: Slot): void;
   reject(error: RefusalError): void;
 }
 
+const US_PER_MS = 1000;
+const AVERAGE_WEIGHT = 0.1;
+/** An announced `cold` is believed this long; then evidence decides. */
+const COLD_TRUST_MS = 120_000;
+
+const STATE_OF_PHASE: Readonly<Record<LimitPhase, WorkerState>> = {
+  cold: WorkerState.COLD,
+  ready: WorkerState.READY,
+  failing: WorkerState.FAILING,
+};
+
+/** Why a request that finds no room is refused, by the limit's phase. */
+const FULL_REASON: Readonly<Record<LimitPhase, Reason>> = {
+  cold: Reason.WORKER_COLD,
+  ready: Reason.QUEUE_FULL,
+  failing: Reason.WORKER_GONE,
+};
+
+/** Why a request that waited in vain is refused, by the limit's phase. */
+const TIMEOUT_REASON: Readonly<Record<LimitPhase, Reason>> = {
+  cold: Reason.WORKER_COLD,
+  ready: Reason.QUEUE_TIMEOUT,
+  failing: Reason.WORKER_GONE,
+};
+
 /** Admission to one worker. */
 export class Admission {
-  private readonly waiting: Waiting[] = [];
+  private readonly queue = new CallerQueue<Waiting>();
+  private readonly limit: ConcurrencyLimit;
   private inFlight = 0;
   private serviceTimeUs = 0;
   private failureShare = 0;
-  private state: WorkerState = WorkerState.READY;
+  private isDraining = false;
+  private announcedColdAt: number | undefined;
+  private lastOutcomeTime = -Infinity;
+  private expiryTimer: NodeJS.Timeout | undefined;
+  private expiryTimerAt = Infinity;
 
   constructor(
     private slots: number,
     private limits: Profile['limits'],
-  ) {}
+    private readonly now: () => number = () => performance.now(),
+  ) {
+    this.limit = new ConcurrencyLimit(this.computeBounds());
+  }
 
   /** Load figures as of now. */
   get load(): WorkerLoad {
     return {
-      state: this.state,
+      state: this.isDraining
+        ? WorkerState.DRAINING
+        : STATE_OF_PHASE[this.limit.phase],
       inFlight: this.inFlight,
-      queued: this.waiting.length,
-      limit: this.slots,
+      queued: this.queue.length,
+      limit: this.limit.value,
       serviceTimeUs: this.serviceTimeUs,
       failureShare: this.failureShare,
     };
   }
 
+  /** Time of the newest outcome of a request; `-Infinity` before the first. */
+  get lastOutcomeAt(): number {
+    return this.lastOutcomeTime;
+  }
+
   /** Takes over what the worker announced and the profile in force. */
   update(slots: number, state: WorkerState, limits: Profile['limits']): void {
     this.slots = slots;
-    this.state = state;
     this.limits = limits;
+    this.limit.update(this.computeBounds());
+    this.isDraining = state === WorkerState.DRAINING;
+    this.updateCold(state);
+    if (this.isDraining) this.refuseQueue(Reason.WORKER_DRAINING);
+    this.serveQueue();
+  }
+
+  /** Falls back to what a cold worker bears, as when it comes back. */
+  resetToCold(): void {
+    this.limit.resetToCold();
+  }
+
+  /** Notes that the worker answered a probe. */
+  recordProbeAnswer(): void {
+    this.limit.recordProbeAnswer();
+    this.serveQueue();
+  }
+
+  /** Notes that the worker accepted no connection of a probe. */
+  recordUnreachable(): void {
+    this.limit.recordUnreachable(this.now());
+    this.refuseQueue(Reason.WORKER_GONE);
   }
 
   /**
@@ -78,73 +136,191 @@
    * @throws RefusalError with verdict `not-run`.
    */
   async admit(request: AdmissionRequest, signal: AbortSignal): Promise<Slot> {
-    if (this.state === WorkerState.DRAINING) {
-      throw new RefusalError(Reason.WORKER_DRAINING);
+    if (this.isDraining) throw new RefusalError(Reason.WORKER_DRAINING);
+    const now = this.now();
+    const isFree = this.queue.length === 0;
+    if (isFree && this.limit.admit(this.inFlight, now)) {
+      return this.take(request);
     }
-    if (this.inFlight < this.slots) return this.take();
-    if (this.waiting.length >= this.limits.queueLength) {
-      throw new RefusalError(Reason.QUEUE_FULL);
+    if (this.limit.phase === LimitPhase.FAILING) {
+      throw new RefusalError(Reason.WORKER_GONE);
     }
-    return this.enqueue(request, signal);
+    this.checkWait(request, now);
+    this.reserveRoom(request.caller);
+    return this.enqueue(request, signal, now);
+  }
+
+  private computeBounds(): {slots: number; coldConcurrency: number} {
+    return {
+      slots: this.slots,
+      coldConcurrency: this.limits.coldConcurrency,
+    };
+  }
+
+  private updateCold(state: WorkerState): void {
+    const isCold = state === WorkerState.COLD;
+    this.announcedColdAt = isCold
+      ? (this.announcedColdAt ?? this.now())
+      : undefined;
+    const isTrusted =
+      this.announcedColdAt !== undefined &&
+      this.now() - this.announcedColdAt < COLD_TRUST_MS;
+    if (isTrusted) this.limit.holdCold();
+    else this.limit.releaseCold();
+  }
+
+  /**
+   * Refuses a request whose turn would come too late. Round robin lets at most
+   * the caller's own backlog, times the number of callers, go first.
+   */
+  private checkWait(request: AdmissionRequest, now: number): void {
+    const own = this.queue.count(request.caller);
+    const callers = this.queue.countCallers() + (own === 0 ? 1 : 0);
+    const ahead = Math.min(this.queue.length, own * callers + callers - 1);
+    const serviceMs = this.serviceTimeUs / US_PER_MS;
+    const waitMs = (ahead * serviceMs) / this.limit.value;
+    const remainingMs = request.deadline - now;
+    const isInTime =
+      waitMs <= this.limits.queueWait && waitMs + serviceMs <= remainingMs;
+    if (isInTime && remainingMs > 0) return;
+    throw new RefusalError(
+      own > 0 && callers > 1 && remainingMs > 0
+        ? Reason.CALLER_LIMIT
+        : TIMEOUT_REASON[this.limit.phase],
+    );
+  }
+
+  /** Makes room in a full queue at the cost of the longest backlog. */
+  private reserveRoom(caller: string): void {
+    if (this.queue.length < this.limits.queueLength) return;
+    const displaced = this.queue.takeForRoom(caller);
+    if (displaced) {
+      displaced.reject(new RefusalError(Reason.CALLER_LIMIT));
+      return;
+    }
+    const own = this.queue.count(caller);
+    const isAlone = own === this.queue.length;
+    throw new RefusalError(
+      own > 0 && !isAlone ? Reason.CALLER_LIMIT : FULL_REASON[this.limit.phase],
+    );
   }
 
   private enqueue(
     request: AdmissionRequest,
     signal: AbortSignal,
+    now: number,
   ): Promise<Slot> {
-    const waitMs = Math.min(
-      this.limits.queueWait,
-      request.deadline - performance.now(),
-    );
+    const expiresAt = Math.min(now + this.limits.queueWait, request.deadline);
     return new Promise((resolve, reject) => {
-      const timer = setTimeout(
-        () => entry.reject(new RefusalError(Reason.QUEUE_TIMEOUT)),
-        waitMs,
-      );
-      const handleAbort = (): void =>
-        entry.reject(new RefusalError(Reason.CALLER_GONE));
-      const leave = (): void => {
-        clearTimeout(timer);
-        signal.removeEventListener('abort', handleAbort);
-        const index = this.waiting.indexOf(entry);
-        if (index >= 0) this.waiting.splice(index, 1);
+      const handleAbort = (): void => {
+        if (this.queue.remove(request.caller, entry)) {
+          entry.reject(new RefusalError(Reason.CALLER_GONE));
+        }
       };
       const entry: Waiting = {
+        request,
+        expiresAt,
         resolve: slot => {
-          leave();
+          signal.removeEventListener('abort', handleAbort);
           resolve(slot);
         },
         reject: error => {
-          leave();
+          signal.removeEventListener('abort', handleAbort);
           reject(error);
         },
       };
       signal.addEventListener('abort', handleAbort, {once: true});
-      this.waiting.push(entry);
+      const cost = this.limit.computeCost(request.route);
+      this.queue.append(request.caller, entry, cost);
+      this.watchExpiry(expiresAt);
     });
   }
 
-  private take(): Slot {
+  private take(request: AdmissionRequest): Slot {
     this.inFlight += 1;
-    const startedAt = performance.now();
+    const startedAt = this.now();
+    const {generation} = this.limit;
     let isReleased = false;
     return {
       release: outcome => {
         if (isReleased) return;
         isReleased = true;
         this.inFlight -= 1;
-        this.record(outcome, performance.now() - startedAt);
-        this.waiting[0]?.resolve(this.take());
+        this.record(outcome, request.route, startedAt, generation);
+        this.serveQueue();
       },
     };
   }
 
-  private record(outcome: SlotOutcome, serviceTimeMs: number): void {
+  private record(
+    outcome: SlotOutcome,
+    route: string,
+    startedAt: number,
+    generation: number,
+  ): void {
+    const now = this.now();
+    const serviceTimeMs = now - startedAt;
+    this.limit.record({outcome, route, serviceTimeMs, generation}, now);
     if (outcome === SlotOutcome.CANCELLED) return;
-    const weight = 0.1;
-    const failed = outcome === SlotOutcome.SUCCESS ? 0 : 1;
-    this.failureShare += weight * (failed - this.failureShare);
-    if (failed) return;
-    this.serviceTimeUs += weight * (serviceTimeMs * 1000 - this.serviceTimeUs);
+    this.lastOutcomeTime = now;
+    const isSuccess = outcome === SlotOutcome.SUCCESS;
+    const failure = isSuccess ? 0 : 1;
+    this.failureShare += AVERAGE_WEIGHT * (failure - this.failureShare);
+    if (isSuccess) this.recordServiceTime(serviceTimeMs * US_PER_MS);
+  }
+
+  private recordServiceTime(serviceTimeUs: number): void {
+    const weight = this.serviceTimeUs === 0 ? 1 : AVERAGE_WEIGHT;
+    this.serviceTimeUs += weight * (serviceTimeUs - this.serviceTimeUs);
+  }
+
+  /** Hands free slots to those whose turn it is. */
+  private serveQueue(): void {
+    if (this.queue.length === 0) return;
+    if (this.limit.phase === LimitPhase.FAILING) {
+      this.refuseQueue(Reason.WORKER_GONE);
+      return;
+    }
+    const now = this.now();
+    while (this.queue.length > 0 && this.limit.admit(this.inFlight, now)) {
+      const waiting = this.queue.take()!;
+      if (waiting.expiresAt > now) waiting.resolve(this.take(waiting.request));
+      else this.expire(waiting);
+    }
+  }
+
+  private refuseQueue(reason: Reason): void {
+    for (let waiting; (waiting = this.queue.take());) {
+      waiting.reject(new RefusalError(reason));
+    }
+  }
+
+  private expire(waiting: Waiting): void {
+    waiting.reject(new RefusalError(TIMEOUT_REASON[this.limit.phase]));
+  }
+
+  /** One timer serves all that wait; it is set to the earliest expiry. */
+  private watchExpiry(expiresAt: number): void {
+    if (expiresAt >= this.expiryTimerAt) return;
+    clearTimeout(this.expiryTimer);
+    this.expiryTimerAt = expiresAt;
+    this.expiryTimer = setTimeout(
+      () => this.expireQueue(),
+      Math.max(0, Math.ceil(expiresAt - this.now())),
+    );
+  }
+
+  private expireQueue(): void {
+    this.expiryTimerAt = Infinity;
+    const now = this.now();
+    let earliest = Infinity;
+    for (const waiting of this.queue.list()) {
+      if (waiting.expiresAt > now) {
+        earliest = Math.min(earliest, waiting.expiresAt);
+      } else if (this.queue.remove(waiting.request.caller, waiting)) {
+        this.expire(waiting);
+      }
+    }
+    if (earliest < Infinity) this.watchExpiry(earliest);
   }
 }
--- a/src/coordination/gate.ts
+++ b/src/coordination/gate.ts
@@ -13,7 +13,8 @@
 import type {WorkerLoad} from '../protocol/worker-load.js';
 import type {WorkerState} from '../protocol/worker-load.js';
 import type {StateStore} from '../state/state-store.js';
-import {Admission, SlotOutcome} from './admission.js';
+import {Admission} from './admission.js';
+import {SlotOutcome} from './concurrency-limit.js';
 
 const SERVER_ERROR = 500;
 
@@ -49,12 +50,16 @@
 export class Gate {
   readonly events = new Emittery<GateEvents>();
   private readonly workers = new Map<string, LocalWorker>();
+  private wasOut: boolean;
 
   constructor(
     private readonly openConnection: OpenWorkerConnection,
     private readonly state: StateStore,
     private readonly dataCentre: string,
-  ) {}
+  ) {
+    this.wasOut = state.isDataCentreOut(dataCentre);
+    state.events.on('changed', () => this.updateDataCentre());
+  }
 
   /** Announcements of the workers that are here now. */
   listWorkers(): Announcement[] {
@@ -124,6 +129,15 @@
     await Promise.all(workers.map(worker => worker.connection.close()));
   }
 
+  /** Workers of a data centre that comes back are cold. */
+  private updateDataCentre(): void {
+    const isOut = this.state.isDataCentreOut(this.dataCentre);
+    const isBack = this.wasOut && !isOut;
+    this.wasOut = isOut;
+    if (!isBack) return;
+    for (const {admission} of this.workers.values()) admission.resetToCold();
+  }
+
   private findWorker(
     request: ServiceRequest,
     version: string | undefined,
@@ -195,7 +209,7 @@
 
 const OUTCOME_OF_REASON: Readonly<Partial<Record<Reason, SlotOutcome>>> = {
   'worker-shed': SlotOutcome.SHED,
-  unreachable: SlotOutcome.CONNECTION_LOST,
+  unreachable: SlotOutcome.UNREACHABLE,
   'connection-lost': SlotOutcome.CONNECTION_LOST,
 };
 
--- /dev/null
+++ b/src/test/admission_test.ts
@@ -0,0 +1,189 @@
+/** Admission refuses truly and at once, and shares the queue among callers. */
+import {describe, expect, it} from 'vitest';
+import type {Slot} from '../coordination/admission.js';
+import {Admission} from '../coordination/admission.js';
+import {SlotOutcome} from '../coordination/concurrency-limit.js';
+import {profileSchema} from '../protocol/configuration.js';
+import type {RefusalError} from '../protocol/reasons.js';
+import type {WorkerState} from '../protocol/worker-load.js';
+
+const SERVICE_TIME_MS = 10;
+
+/** One admission with a clock that the test moves. */
+class Bench {
+  now = 0;
+  readonly limits;
+  readonly admission: Admission;
+
+  constructor(slots: number, limits: Record<string, unknown> = {}) {
+    this.limits = profileSchema.parse({limits}).limits;
+    this.admission = new Admission(slots, this.limits, () => this.now);
+    this.update('ready');
+  }
+
+  update(state: WorkerState): void {
+    this.admission.update(2, state, this.limits);
+  }
+
+  admit(caller: string, timeLimitMs = 1000): Promise<Slot> {
+    const deadline = this.now + timeLimitMs;
+    const {signal} = new AbortController();
+    return this.admission.admit({caller, route: 'r', deadline}, signal);
+  }
+
+  /** Reason for which a request is refused, or `admitted`. */
+  async find(slot: Promise<Slot>): Promise<string> {
+    return slot.then(
+      () => 'admitted',
+      (error: RefusalError) => `${error.reason} ${error.verdict}`,
+    );
+  }
+
+  /** Runs requests one after another, so that the limit ramps. */
+  async run(count: number, outcome: SlotOutcome): Promise<void> {
+    for (let index = 0; index < count; index++) {
+      const slot = await this.admit('first');
+      this.now += SERVICE_TIME_MS;
+      slot.release(outcome);
+    }
+  }
+}
+
+describe('a request is refused not-run', () => {
+  const cases = [
+    {
+      name: 'when it cannot be served before its deadline',
+      limits: {},
+      queued: ['a', 'b', 'c', 'd'],
+      late: {caller: 'e', timeLimitMs: 15},
+      refused: 'queue-timeout not-run',
+    },
+    {
+      name: 'when its deadline has passed',
+      limits: {},
+      queued: ['a'],
+      late: {caller: 'a', timeLimitMs: 0},
+      refused: 'queue-timeout not-run',
+    },
+    {
+      name: 'when its own backlog is too long',
+      limits: {queueWait: '15ms'},
+      queued: ['a', 'a', 'a', 'b'],
+      late: {caller: 'a', timeLimitMs: 1000},
+      refused: 'caller-limit not-run',
+    },
+    {
+      name: 'when the queue is full of others who wait alike',
+      limits: {queueLength: 3},
+      queued: ['a', 'b', 'c'],
+      late: {caller: 'd', timeLimitMs: 1000},
+      refused: 'queue-full not-run',
+    },
+    {
+      name: 'when the queue is full and it has the longest backlog',
+      limits: {queueLength: 4},
+      queued: ['a', 'a', 'a', 'b'],
+      late: {caller: 'a', timeLimitMs: 1000},
+      refused: 'caller-limit not-run',
+    },
+  ];
+  it.each(cases)('$name', async ({limits, queued, late, refused}) => {
+    const bench = new Bench(2, {coldConcurrency: 2, ...limits});
+    await bench.run(40, SlotOutcome.SUCCESS);
+    const slots = [await bench.admit('x'), await bench.admit('x')];
+    const waiting = queued.map(caller => bench.find(bench.admit(caller)));
+    const slot = bench.admit(late.caller, late.timeLimitMs);
+    expect(await bench.find(slot)).toBe(refused);
+    for (const each of slots) each.release(SlotOutcome.SUCCESS);
+    await Promise.race(waiting);
+  });
+
+  it('by a worker that drains, also when it waits already', async () => {
+    const bench = new Bench(2);
+    await bench.admit('a');
+    const waiting = bench.find(bench.admit('b'));
+    bench.update('draining');
+    expect(await waiting).toBe('worker-draining not-run');
+    const late = bench.find(bench.admit('c'));
+    expect(await late).toBe('worker-draining not-run');
+  });
+
+  it('by a dead worker, also when it waits already', async () => {
+    const bench = new Bench(2);
+    const slot = await bench.admit('a');
+    const waiting = bench.find(bench.admit('b'));
+    slot.release(SlotOutcome.UNREACHABLE);
+    expect(await waiting).toBe('worker-gone not-run');
+    expect(bench.admission.load.state).toBe('failing');
+  });
+
+  it('by a worker that stays silent, when it has waited long enough', async () => {
+    const bench = new Bench(2, {queueWait: '30ms'});
+    await bench.admit('a');
+    const waiting = bench.find(bench.admit('b'));
+    bench.now += 31;
+    expect(await waiting).toBe('worker-cold not-run');
+  });
+});
+
+describe('the queue', () => {
+  it('displaces the newest of the longest backlog for another', async () => {
+    const bench = new Bench(2, {queueLength: 4});
+    const first = await bench.admit('x');
+    const flood = [1, 2, 3, 4].map(() => bench.find(bench.admit('flood')));
+    const rare = bench.find(bench.admit('rare'));
+    expect(await flood[3]).toBe('caller-limit not-run');
+    first.release(SlotOutcome.SUCCESS);
+    expect(await Promise.race([flood[0], rare])).toBe('admitted');
+    expect(bench.admission.load.queued).toBe(3);
+  });
+
+  it('gives no slot twice and takes each back once', async () => {
+    const bench = new Bench(2, {coldConcurrency: 2});
+    const slot = await bench.admit('a');
+    slot.release(SlotOutcome.SUCCESS);
+    slot.release(SlotOutcome.SUCCESS);
+    expect(bench.admission.load.inFlight).toBe(0);
+  });
+});
+
+describe('load figures', () => {
+  it.each([
+    {
+      name: 'good answers',
+      outcome: SlotOutcome.SUCCESS,
+      state: 'ready',
+      limit: 2,
+      failing: false,
+    },
+    {
+      name: 'fast failures',
+      outcome: SlotOutcome.FAILURE,
+      state: 'failing',
+      limit: 1,
+      failing: true,
+    },
+    {
+      name: 'shedding',
+      outcome: SlotOutcome.SHED,
+      state: 'failing',
+      limit: 1,
+      failing: true,
+    },
+  ])('show $name', async ({outcome, state, limit, failing}) => {
+    const bench = new Bench(2);
+    await bench.run(20, SlotOutcome.SUCCESS);
+    await bench.run(40, outcome).catch(() => {});
+    const {load} = bench.admission;
+    expect({state: load.state, limit: load.limit}).toEqual({state, limit});
+    expect(load.failureShare > 0.3).toBe(failing);
+  });
+
+  it('show a worker that comes back as cold', async () => {
+    const bench = new Bench(2);
+    await bench.run(40, SlotOutcome.SUCCESS);
+    bench.admission.resetToCold();
+    expect(bench.admission.load.state).toBe('cold');
+    expect(bench.admission.load.limit).toBe(1);
+  });
+});
--- /dev/null
+++ b/src/test/concurrency-limit_test.ts
@@ -0,0 +1,218 @@
+/**
+ * The concurrency limit follows evidence: up by windows of good answers, down
+ * at once on bursts of failures and jumps of the service time.
+ */
+import {describe, expect, it} from 'vitest';
+import {
+  ConcurrencyLimit,
+  LimitPhase,
+  SlotOutcome,
+} from '../coordination/concurrency-limit.js';
+
+const BOUNDS = {slots: 8, coldConcurrency: 1};
+
+/** Feeds a limit as a worker under full load would. */
+class Driver {
+  now = 0;
+  readonly limit = new ConcurrencyLimit(BOUNDS);
+
+  /** Number of requests that were let through. */
+  run(count: number, outcome: SlotOutcome, serviceTimeMs = 4): number {
+    let admitted = 0;
+    for (let index = 0; index < count; index++) {
+      this.now += 1;
+      if (!this.limit.admit(this.limit.value - 1, this.now)) continue;
+      admitted += 1;
+      const {generation} = this.limit;
+      this.limit.record(
+        {outcome, route: 'r', serviceTimeMs, generation},
+        this.now,
+      );
+    }
+    return admitted;
+  }
+}
+
+interface LimitCase {
+  readonly name: string;
+  readonly steps: ReadonlyArray<[number, SlotOutcome, number?]>;
+  readonly limit: number;
+  readonly phase: LimitPhase;
+}
+
+const {SUCCESS, FAILURE, SHED, CONNECTION_LOST, UNREACHABLE, CANCELLED} =
+  SlotOutcome;
+
+describe('the limit follows evidence', () => {
+  const cases: LimitCase[] = [
+    {name: 'starts cold', steps: [], limit: 1, phase: 'cold'},
+    {name: 'doubles', steps: [[8, SUCCESS]], limit: 2, phase: 'cold'},
+    {name: 'reaches slots', steps: [[200, SUCCESS]], limit: 8, phase: 'ready'},
+    {
+      name: 'does not ramp on cancelled requests',
+      steps: [[200, CANCELLED]],
+      limit: 1,
+      phase: 'cold',
+    },
+    {
+      name: 'falls to cold on a burst of failures',
+      steps: [
+        [200, SUCCESS],
+        [5, FAILURE],
+      ],
+      limit: 1,
+      phase: 'cold',
+    },
+    {
+      name: 'stays on few failures',
+      steps: [
+        [200, SUCCESS],
+        [3, FAILURE],
+        [20, SUCCESS],
+        [3, FAILURE],
+      ],
+      limit: 8,
+      phase: 'ready',
+    },
+    {
+      name: 'falls to cold when the service time jumps',
+      steps: [
+        [200, SUCCESS],
+        [40, SUCCESS, 40],
+      ],
+      limit: 1,
+      phase: 'cold',
+    },
+    {
+      name: 'shrinks when the service time grows somewhat',
+      steps: [
+        [200, SUCCESS],
+        [32, SUCCESS, 9],
+      ],
+      limit: 4,
+      phase: 'ready',
+    },
+    {
+      name: 'falls to cold when all requests are cancelled late',
+      steps: [
+        [200, SUCCESS],
+        [16, CANCELLED, 100],
+      ],
+      limit: 1,
+      phase: 'cold',
+    },
+    {
+      name: 'shrinks on shedding',
+      steps: [
+        [200, SUCCESS],
+        [2, SHED],
+      ],
+      limit: 4,
+      phase: 'ready',
+    },
+    {
+      name: 'falls to cold when connections are lost together',
+      steps: [
+        [200, SUCCESS],
+        [2, CONNECTION_LOST],
+      ],
+      limit: 1,
+      phase: 'cold',
+    },
+    {
+      name: 'fails when connections are refused',
+      steps: [
+        [200, SUCCESS],
+        [1, UNREACHABLE],
+      ],
+      limit: 1,
+      phase: 'failing',
+    },
+    {
+      name: 'fails when failures go on',
+      steps: [
+        [200, SUCCESS],
+        [20, FAILURE],
+      ],
+      limit: 1,
+      phase: 'failing',
+    },
+    {
+      name: 'adopts a lasting service time as its baseline',
+      steps: [
+        [200, SUCCESS],
+        [5000, SUCCESS, 16],
+      ],
+      limit: 8,
+      phase: 'ready',
+    },
+  ];
+  it.each(cases)('$name', ({steps, limit, phase}) => {
+    const driver = new Driver();
+    for (const step of steps) driver.run(...step);
+    expect(driver.limit.value).toBe(limit);
+    expect(driver.limit.phase).toBe(phase);
+  });
+});
+
+describe('a failing worker', () => {
+  it('gets few trials and comes back by good ones, cold', () => {
+    const driver = new Driver();
+    driver.run(200, SUCCESS);
+    driver.run(20, FAILURE);
+    expect(driver.run(20_000, FAILURE)).toBeLessThanOrEqual(20);
+    driver.run(2500, SUCCESS);
+    expect(driver.limit.phase).toBe(LimitPhase.READY);
+  });
+
+  it.each([
+    {
+      name: 'a probe ends refused connections',
+      outcome: UNREACHABLE,
+      is: 'cold',
+    },
+    {name: 'a probe ends no failures', outcome: FAILURE, is: 'failing'},
+  ])('$name', ({outcome, is}) => {
+    const driver = new Driver();
+    driver.run(20, outcome);
+    driver.limit.recordProbeAnswer();
+    expect(driver.limit.phase).toBe(is);
+  });
+});
+
+describe('a cold worker', () => {
+  it('is held while it says so and ramps afterwards', () => {
+    const driver = new Driver();
+    driver.limit.holdCold();
+    driver.run(500, SUCCESS);
+    expect(driver.limit.value).toBe(1);
+    driver.limit.releaseCold();
+    driver.run(200, SUCCESS);
+    expect(driver.limit.value).toBe(8);
+  });
+
+  it('that fails at each growth is tried ever more rarely', () => {
+    const driver = new Driver();
+    let failures = 0;
+    for (let index = 0; index < 4000; index++) {
+      const isTooMuch = driver.limit.value > 1;
+      failures +=
+        driver.run(1, isTooMuch ? FAILURE : SUCCESS) && isTooMuch ? 1 : 0;
+    }
+    expect(failures).toBeLessThanOrEqual(50);
+  });
+
+  it('answers of before a collapse change nothing after it', () => {
+    const driver = new Driver();
+    driver.run(200, SUCCESS);
+    const {generation} = driver.limit;
+    driver.run(5, FAILURE);
+    for (let index = 0; index < 20; index++) {
+      driver.limit.record(
+        {outcome: FAILURE, route: 'r', serviceTimeMs: 1, generation},
+        driver.now,
+      );
+    }
+    expect(driver.limit.phase).toBe(LimitPhase.COLD);
+  });
+});
--- /dev/null
+++ b/src/test/load-loops.ts
@@ -0,0 +1,60 @@
+/**
+ * Callers for tests against real nodes: each sends one lookup after another
+ * through the nodes in turn, and all answers are counted by reason.
+ */
+import {Agent, request} from 'undici';
+import type {Fixture} from './deployment-fixture.js';
+
+/** What one group of callers sends. */
+export interface LoadSpec {
+  readonly fixture: Fixture;
+  readonly caller: string;
+  /** Requests in flight at once. */
+  readonly concurrency: number;
+  readonly requests: number;
+  readonly path?: string;
+  readonly service?: string;
+  /** Hosts whose nodes take the requests; all by default. */
+  readonly hosts?: readonly string[];
+}
+
+/** Answers by `answered`, `failed` or the reason of the refusal. */
+export type LoadCounts = Readonly<Record<string, number>>;
+
+/** Sends the requests and counts the answers. */
+export async function runLoad(spec: LoadSpec): Promise<LoadCounts> {
+  const {deployment} = spec.fixture;
+  const names = spec.hosts ?? deployment.hosts.map(host => host.spec.id);
+  const addresses = names.map(name => deployment.findHost(name).callerAddress);
+  const dispatcher = new Agent({connections: spec.concurrency});
+  const counts: Record<string, number> = {};
+  let sent = 0;
+  const send = async (): Promise<void> => {
+    while (sent < spec.requests) {
+      sent += 1;
+      const address = addresses[sent % addresses.length]!;
+      const {service = 'kona-desk', path = '/tickets'} = spec;
+      const url = `http://${address}/${service}${path}/${sent}`;
+      const headers = {'x-client-id': spec.caller};
+      const response = await request(url, {dispatcher, headers});
+      await response.body.dump();
+      const reason = response.headers['sequoiaspool-reason'];
+      const other = response.statusCode === 200 ? 'answered' : 'failed';
+      const name = typeof reason === 'string' ? reason : other;
+      counts[name] = (counts[name] ?? 0) + 1;
+    }
+  };
+  await Promise.all(Array.from({length: spec.concurrency}, send));
+  await dispatcher.close();
+  return counts;
+}
+
+/** Adds up one figure of all upstreams of a deployment. */
+export function countFigure(
+  fixture: Fixture,
+  name: 'coldOverloads' | 'requests' | 'probes',
+): number {
+  let total = 0;
+  for (const {figures} of fixture.upstreams.values()) total += figures[name];
+  return total;
+}
