Probe idle and failing workers from a token bucket

Cause: a worker that fails gets hardly any requests, and an idle one none, so nothing showed that it was gone or back. Ruled out: probing on a fixed schedule (costs budget while requests show the state); reading the health path's status (it says 200 while requests fail and 503 while they succeed). The upstream stand-in can leave its health path silent. UpstreamClient.sendProbe throws AttemptError.

--- a/src/coordination/gate.ts
+++ b/src/coordination/gate.ts
@@ -15,6 +15,7 @@
 import type {StateStore} from '../state/state-store.js';
 import {Admission} from './admission.js';
 import {SlotOutcome} from './concurrency-limit.js';
+import {Prober} from './prober.js';
 
 const SERVER_ERROR = 500;
 
@@ -24,6 +25,11 @@
     request: ServiceRequest,
     signal: AbortSignal,
   ): Promise<AttemptAnswer>;
+  /**
+   * Resolves with the HTTP status of the worker's health path.
+   *
+   * @throws AttemptError; `unreachable` when no connection came about.
+   */
   sendProbe(path: string, signal: AbortSignal): Promise<number>;
   close(): Promise<void>;
 }
@@ -38,6 +44,7 @@
   announcement: Announcement;
   readonly connection: WorkerConnection;
   readonly admission: Admission;
+  readonly prober: Prober;
   expiryTimer: NodeJS.Timeout | undefined;
 }
 
@@ -125,7 +132,10 @@
   async close(): Promise<void> {
     const workers = [...this.workers.values()];
     this.workers.clear();
-    for (const worker of workers) clearTimeout(worker.expiryTimer);
+    for (const worker of workers) {
+      clearTimeout(worker.expiryTimer);
+      worker.prober.stop();
+    }
     await Promise.all(workers.map(worker => worker.connection.close()));
   }
 
@@ -179,18 +189,29 @@
   }
 
   private addWorker(announcement: Announcement, profile: Profile): LocalWorker {
+    const {service} = announcement;
+    const connection = this.openConnection(announcement);
+    const admission = new Admission(announcement.slots, profile.limits);
+    const prober = new Prober({
+      sendProbe: (path, signal) => connection.sendProbe(path, signal),
+      admission,
+      findBudget: () => this.state.findProfile(service)?.probes,
+    });
+    prober.start();
     const worker: LocalWorker = {
       announcement,
-      connection: this.openConnection(announcement),
-      admission: new Admission(announcement.slots, profile.limits),
+      connection,
+      admission,
+      prober,
       expiryTimer: undefined,
     };
-    this.workers.set(announcement.service, worker);
+    this.workers.set(service, worker);
     return worker;
   }
 
   private removeWorker(worker: LocalWorker): void {
     clearTimeout(worker.expiryTimer);
+    worker.prober.stop();
     const {service} = worker.announcement;
     if (this.workers.get(service) === worker) this.workers.delete(service);
     void worker.connection.close();
--- a/src/test/stand-ins/upstream.ts
+++ b/src/test/stand-ins/upstream.ts
@@ -47,6 +47,8 @@
   isCutting: boolean;
   /** Answers the health path with this status. */
   healthStatus: number;
+  /** Leaves the health path without an answer. */
+  isHealthSilent: boolean;
   /** Mean service time in milliseconds. */
   serviceTimeMs: number;
   /** State that the worker announces. */
@@ -129,6 +131,7 @@
       isSilent: false,
       isCutting: false,
       healthStatus: 200,
+      isHealthSilent: false,
       serviceTimeMs: 4,
       state: 'ready',
       answerBytes: 0,
@@ -186,6 +189,7 @@
     }
     if (message.headers[PROBE] !== undefined || path === '/health') {
       this.figures.probes += 1;
+      if (this.control.isHealthSilent) return;
       sendJson(response, this.control.healthStatus, {
         state: this.control.state,
       });
--- a/src/transport/upstream-client.ts
+++ b/src/transport/upstream-client.ts
@@ -60,7 +60,7 @@
   /**
    * Asks the worker's health path. Resolves with the HTTP status.
    *
-   * @throws ExchangeError when no answer came.
+   * @throws AttemptError when no answer came.
    */
   async sendProbe(path: string, signal: AbortSignal): Promise<number> {
     const client = this.openClient();
@@ -77,6 +77,8 @@
       );
       response.body.on('error', () => {}).resume();
       return response.status;
+    } catch (error) {
+      throw buildUpstreamError(error);
     } finally {
       void client.close();
     }
