Run each keyed request at most once at its key home

Cause: a booking that is sent again through another node, or after its home was lost, could run twice; nothing remembered keys. Ruled out: remembering a doubt about an earlier home. It would turn a lost connection into a doubt for the key's whole lifetime; asking again is as safe.

--- /dev/null
+++ b/src/coordination/key-leave.ts
@@ -0,0 +1,146 @@
+/**
+ * Clean leave of a key home: it takes no more keys, waits for those that run,
+ * copies what it remembers to the homes under the lists without it, and only
+ * then appends those lists, which say that its keys were handed over. Later
+ * homes then need not ask it, so a planned stop leaves no key in doubt.
+ */
+import type {ClaimCopy} from '../protocol/key-messages.js';
+import type {KeyHome} from '../protocol/records.js';
+import type {HomeList} from '../state/folded-state.js';
+import type {KeyClaim, KeyClaims} from '../state/key-claims.js';
+import {ClaimState} from '../state/key-claims.js';
+import {chooseHome} from './home-choice.js';
+import type {HomeState} from './home-epochs.js';
+import {isSameHome} from './home-epochs.js';
+import type {KeyHomeCalls} from './key-sealing.js';
+
+const MAX_TRIES = 5;
+/** Claims in one call, so that no message grows without bound. */
+const CLAIMS_PER_CALL = 200;
+/** Bytes of answers in one call after which the next call begins. */
+const BYTES_PER_CALL = 1024 * 1024;
+
+/** A list to append, by compare-and-set on the epoch it builds on. */
+export interface NextHomeList {
+  readonly service: string;
+  readonly buildsOn: number;
+  readonly homes: readonly KeyHome[];
+  readonly handedOver: readonly KeyHome[];
+}
+
+/** Appends a list; resolves with whether it is in force now. */
+export type AppendList = (list: NextHomeList) => Promise<boolean>;
+
+/** What a leave works with. */
+export interface LeaveOptions {
+  readonly identity: KeyHome;
+  readonly state: Pick<HomeState, 'listHomeLists'>;
+  readonly claims: KeyClaims;
+  readonly calls: Pick<KeyHomeCalls, 'handOverKeys'>;
+  readonly listServices: () => readonly string[];
+  readonly appendList: AppendList;
+  /** Ends the wait for running keys, whose claims are then in doubt. */
+  readonly signal: AbortSignal;
+}
+
+/** Hands over all keys of this node; it takes none from the call on. */
+export async function leaveHomes(options: LeaveOptions): Promise<void> {
+  const {claims, listServices, signal} = options;
+  claims.close();
+  await waitForRuns(claims, signal);
+  await Promise.all(listServices().map(service => leave(options, service)));
+}
+
+async function waitForRuns(
+  claims: KeyClaims,
+  signal: AbortSignal,
+): Promise<void> {
+  const aborted = new Promise<void>(resolve => {
+    if (signal.aborted) resolve();
+    else signal.addEventListener('abort', () => resolve(), {once: true});
+  });
+  const runs = claims.listClaims().map(claim => claim.ended);
+  await Promise.race([Promise.all(runs), aborted]);
+}
+
+/** Tries again when another list came first, since it may name other homes. */
+async function leave(options: LeaveOptions, service: string): Promise<void> {
+  const {identity, state} = options;
+  for (let tries = 0; tries < MAX_TRIES; tries++) {
+    const lists = state.listHomeLists(service);
+    const newest = lists.at(-1);
+    const wasHome = lists.some(list => hasHome(list, identity));
+    if (!newest || !wasHome) return;
+    const homes = newest.homes.filter(home => !isSameHome(home, identity));
+    if (homes.length === 0) return;
+    const isCopied = await copyClaims(options, service, homes);
+    const isAppended = await options.appendList({
+      service,
+      buildsOn: newest.epoch,
+      homes,
+      handedOver: isCopied ? [identity] : [],
+    });
+    if (isAppended) return;
+  }
+}
+
+function hasHome(list: HomeList, identity: KeyHome): boolean {
+  return list.homes.some(home => isSameHome(home, identity));
+}
+
+/** Whether each claim of a service is now remembered by its next home. */
+async function copyClaims(
+  {identity, claims, calls}: LeaveOptions,
+  service: string,
+  homes: readonly KeyHome[],
+): Promise<boolean> {
+  const claimsByHome = new Map<KeyHome, KeyClaim[]>();
+  for (const claim of claims.listClaims()) {
+    if (claim.service !== service) continue;
+    const home = chooseHome(homes, service, claim.key)!;
+    const known = claimsByHome.get(home);
+    if (known) known.push(claim);
+    else claimsByHome.set(home, [claim]);
+  }
+  const results = await Promise.all(
+    [...claimsByHome].map(async ([to, ofHome]) => {
+      for (const batch of buildBatches(ofHome.map(toCopy))) {
+        const handOver = {fromNodeId: identity.nodeId, to, claims: batch};
+        const taken = await calls.handOverKeys(handOver).catch(() => 0);
+        if (taken < batch.length) return false;
+      }
+      return true;
+    }),
+  );
+  return results.every(Boolean);
+}
+
+function toCopy(claim: KeyClaim): ClaimCopy {
+  const {service, key, fingerprint, state, answer} = claim;
+  return {
+    service,
+    key,
+    fingerprint,
+    // A key that still runs can't be told from one that ran.
+    state: state === ClaimState.FINISHED ? 'finished' : 'in-doubt',
+    ...(answer ? {answer} : {}),
+    ageMs: performance.now() - claim.claimedAt,
+  };
+}
+
+function buildBatches(copies: readonly ClaimCopy[]): ClaimCopy[][] {
+  const batches: ClaimCopy[][] = [];
+  let batch: ClaimCopy[] = [];
+  let bytes = 0;
+  for (const copy of copies) {
+    if (batch.length >= CLAIMS_PER_CALL || bytes >= BYTES_PER_CALL) {
+      batches.push(batch);
+      batch = [];
+      bytes = 0;
+    }
+    batch.push(copy);
+    bytes += copy.answer?.body.held.length ?? 0;
+  }
+  if (batch.length > 0) batches.push(batch);
+  return batches;
+}
--- /dev/null
+++ b/src/coordination/key-sealing.ts
@@ -0,0 +1,120 @@
+/**
+ * Sealing of a key at its earlier homes, which makes sure that none of them
+ * has run the key or ever will, before a new home claims it.
+ */
+import type {
+  HandOver,
+  KeptAnswer,
+  SealQuestion,
+  SealReply,
+} from '../protocol/key-messages.js';
+import {SealOutcome} from '../protocol/key-messages.js';
+import type {EarlierHome, HomeEpochs} from './home-epochs.js';
+
+/** How long an earlier home holds the question while the key runs there. */
+const SEAL_WAIT_MS = 500;
+
+/** Calls to other key homes; the transport implements them. */
+export interface KeyHomeCalls {
+  /**
+   * Asks a home to seal a key.
+   *
+   * @throws when no reply came, for whatever cause.
+   */
+  sealKey(question: SealQuestion): Promise<SealReply>;
+  /**
+   * Copies claims to another home and resolves with how many it took.
+   *
+   * @throws when no reply came or the process is another.
+   */
+  handOverKeys(handOver: HandOver): Promise<number>;
+}
+
+/** What all earlier homes of a key say together. */
+export type SealSummary =
+  | {readonly outcome: typeof SealOutcome.SEALED}
+  | {readonly outcome: typeof SealOutcome.RUNNING}
+  | {readonly outcome: typeof SealOutcome.IN_DOUBT; readonly detail: string}
+  | {
+      readonly outcome: typeof SealOutcome.FINISHED;
+      readonly fingerprint: string;
+      readonly answer: KeptAnswer | undefined;
+    };
+
+interface HomeReply {
+  readonly earlier: EarlierHome;
+  readonly reply: SealReply;
+}
+
+/** Seals a key at each of its earlier homes. */
+export async function sealAtHomes(
+  homes: readonly EarlierHome[],
+  name: {
+    readonly service: string;
+    readonly key: string;
+    readonly epoch: number;
+  },
+  calls: KeyHomeCalls,
+  epochs: HomeEpochs,
+): Promise<SealSummary> {
+  const {service, key, epoch} = name;
+  const replies = await Promise.all(
+    homes.map(async earlier => ({
+      earlier,
+      reply: await askHome(calls, {
+        service,
+        key,
+        epoch,
+        home: earlier.home,
+        waitMs: SEAL_WAIT_MS,
+      }),
+    })),
+  );
+  for (const {reply} of replies) {
+    epochs.recordFirstOpenEpoch(service, reply.firstOpenEpoch);
+  }
+  return mergeReplies(replies, epochs.computeFirstOpenEpoch(service));
+}
+
+async function askHome(
+  calls: KeyHomeCalls,
+  question: SealQuestion,
+): Promise<SealReply> {
+  try {
+    return await calls.sealKey(question);
+  } catch {
+    return {outcome: SealOutcome.IN_DOUBT, firstOpenEpoch: 0};
+  }
+}
+
+/**
+ * One home that ran the key settles the matter, whatever the others say. A
+ * doubt about an epoch that turns out to be closed does not count.
+ */
+function mergeReplies(
+  replies: readonly HomeReply[],
+  firstOpenEpoch: number,
+): SealSummary {
+  const find = (outcome: SealOutcome): HomeReply | undefined =>
+    replies.find(
+      ({reply, earlier}) =>
+        reply.outcome === outcome &&
+        (outcome !== SealOutcome.IN_DOUBT || earlier.epoch >= firstOpenEpoch),
+    );
+  const finished = find(SealOutcome.FINISHED)?.reply;
+  if (finished) {
+    return {
+      outcome: SealOutcome.FINISHED,
+      fingerprint: finished.fingerprint ?? '',
+      answer: finished.answer,
+    };
+  }
+  if (find(SealOutcome.RUNNING)) return {outcome: SealOutcome.RUNNING};
+  const doubtful = find(SealOutcome.IN_DOUBT)?.earlier;
+  if (doubtful) {
+    const {home, epoch} = doubtful;
+    const detail = `home ${home.nodeId} of epoch ${epoch} can't tell`;
+    return {outcome: SealOutcome.IN_DOUBT, detail};
+  }
+  return {outcome: SealOutcome.SEALED};
+}
