Find key homes from any entry and keep their lists

Cause: the rule needs an entry that finds a key's home, lists in the log that follow the nodes that live, and calls between homes. Ruled out: a home attempt through the sealing of attempts; the key itself is the safer seal, since its home answers any resend. Not yet wired into the node. Conclusion: ready to be wired once the log client is there.

--- /dev/null
+++ b/src/coordination/home-lists.ts
@@ -0,0 +1,293 @@
+/**
+ * Upkeep of the home lists: any node that has a worker of a service may append
+ * the next list, by compare-and-set on the epoch. A lost node is dropped after
+ * a while, a new one added, and nodes take turns by a rank that all of them
+ * compute, so that usually one of them writes.
+ *
+ * A wrong list costs service and never safety: dropping a home that lives
+ * only means that later homes ask it.
+ */
+import type {KeyHome, RecordOfKind} from '../protocol/records.js';
+import type {HomeList} from '../state/folded-state.js';
+import type {StateStore} from '../state/state-store.js';
+import type {WorkerTable} from '../state/worker-table.js';
+import {computeRank} from './home-choice.js';
+import {isSameHome} from './home-epochs.js';
+import type {NextHomeList} from './key-leave.js';
+import type {AppendRecord} from './record-publisher.js';
+import {AppendOutcome, LogUnavailableError} from './record-publisher.js';
+
+/** Homes of one service at most; more would only make lists longer. */
+const MAX_HOMES = 128;
+const CHECK_INTERVAL_MS = 500;
+/** A pause between checks that shows that this process was frozen. */
+const FROZEN_MS = 5 * CHECK_INTERVAL_MS;
+/** A node is added after it was there this long. */
+const JOIN_DELAY_MS = 1000;
+/** A home is dropped after it was away this long. */
+const LOSS_DELAY_MS = 2000;
+/** The same when most homes are away, which may be this node's own loss. */
+const MASS_LOSS_DELAY_MS = 15_000;
+/** Time between two lists when the newer only adds homes. */
+const MIN_ADD_INTERVAL_MS = 5000;
+/** Time between two lists when the newer drops homes. */
+const MIN_DROP_INTERVAL_MS = 1000;
+/** Each node waits for this long for each node that goes before it. */
+const TURN_MS = 300;
+const MAX_TURNS = 30;
+
+/** What the upkeep works with. */
+export interface HomeListKeeperOptions {
+  readonly identity: KeyHome;
+  readonly state: Pick<
+    StateStore,
+    'listHomeLists' | 'listServices' | 'isDataCentreOut'
+  >;
+  readonly workers: Pick<WorkerTable, 'listWorkers'>;
+  readonly appendRecord: AppendRecord;
+  readonly createRecordId: () => string;
+  readonly random: () => number;
+  readonly count: (name: string) => void;
+  readonly readClock?: () => number;
+}
+
+/** What this node has seen of one service. */
+interface ServiceView {
+  /** Since when each process has been there, by name. */
+  presentSince: Map<string, number>;
+  /** Since when each home of the newest list has been away, by name. */
+  absentSince: Map<string, number>;
+  epoch: number;
+  epochSeenAt: number;
+  /** When a change was first due and in whose turn, for this epoch. */
+  dueSince: number | undefined;
+  isAppending: boolean;
+}
+
+/** Upkeep of the lists by one node. */
+export class HomeListKeeper {
+  private readonly views = new Map<string, ServiceView>();
+  private readonly readClock: () => number;
+  private timer: NodeJS.Timeout | undefined;
+  private checkedAt = -Infinity;
+  private isStopped = false;
+
+  constructor(private readonly options: HomeListKeeperOptions) {
+    this.readClock = options.readClock ?? (() => performance.now());
+  }
+
+  /** Starts checking the lists of all services. */
+  start(): void {
+    const run = (): void => {
+      this.checkAll();
+      if (this.isStopped) return;
+      const waitMs = CHECK_INTERVAL_MS * (0.5 + this.options.random());
+      this.timer = setTimeout(run, waitMs);
+      this.timer.unref();
+    };
+    run();
+  }
+
+  /** Stops checking, before this node leaves. */
+  stop(): void {
+    this.isStopped = true;
+    clearTimeout(this.timer);
+  }
+
+  /** Checks each service once and appends the lists that are due. */
+  checkAll(): void {
+    const now = this.readClock();
+    // What was seen before a freeze says nothing about now.
+    if (now - this.checkedAt > FROZEN_MS) this.views.clear();
+    this.checkedAt = now;
+    for (const service of this.options.state.listServices()) {
+      this.check(service, now);
+    }
+  }
+
+  /** Appends a list; resolves with whether it is in force. */
+  async appendList(list: NextHomeList): Promise<boolean> {
+    const {identity, appendRecord, createRecordId} = this.options;
+    const record: RecordOfKind<'home-list'> = {
+      kind: 'home-list',
+      id: createRecordId(),
+      author: identity.nodeId,
+      writtenAtMs: Date.now(),
+      buildsOn: list.buildsOn,
+      service: list.service,
+      homes: [...list.homes],
+      handedOver: [...list.handedOver],
+    };
+    return (await appendRecord(record)) === AppendOutcome.ACCEPTED;
+  }
+
+  private check(service: string, now: number): void {
+    const newest = this.options.state.listHomeLists(service).at(-1);
+    const view = this.updateView(service, newest, now);
+    const candidates = this.listCandidates(service);
+    updateTimes(view, candidates, newest?.homes ?? [], now);
+    const homes = chooseHomes(service, view, candidates, newest, now);
+    if (!homes || view.isAppending) {
+      if (!homes) view.dueSince = undefined;
+      return;
+    }
+    view.dueSince ??= now;
+    const turnMs = this.computeTurn(service, view.epoch, candidates) * TURN_MS;
+    if (now - view.dueSince < turnMs) return;
+    void this.appendNext(service, view, homes);
+  }
+
+  private async appendNext(
+    service: string,
+    view: ServiceView,
+    homes: readonly KeyHome[],
+  ): Promise<void> {
+    view.isAppending = true;
+    const list = {service, buildsOn: view.epoch, homes, handedOver: []};
+    try {
+      const isAccepted = await this.appendList(list);
+      this.options.count(isAccepted ? 'lists-appended' : 'lists-superseded');
+    } catch (error) {
+      if (!(error instanceof LogUnavailableError)) throw error;
+      this.options.count('lists-failed');
+    } finally {
+      view.isAppending = false;
+      view.dueSince = undefined;
+    }
+  }
+
+  private updateView(
+    service: string,
+    newest: HomeList | undefined,
+    now: number,
+  ): ServiceView {
+    const epoch = newest?.epoch ?? 0;
+    let view = this.views.get(service);
+    if (!view) {
+      view = {
+        presentSince: new Map(),
+        absentSince: new Map(),
+        epoch,
+        epochSeenAt: now,
+        dueSince: undefined,
+        isAppending: false,
+      };
+      this.views.set(service, view);
+    }
+    if (view.epoch !== epoch) {
+      view.epoch = epoch;
+      view.epochSeenAt = now;
+      view.dueSince = undefined;
+    }
+    return view;
+  }
+
+  /** Processes that may be homes now. */
+  private listCandidates(service: string): KeyHome[] {
+    const {workers, state} = this.options;
+    return workers
+      .listWorkers(service)
+      .filter(row => !state.isDataCentreOut(row.dataCentre))
+      .map(({target: {nodeId, incarnation, peerAddress}}) => ({
+        nodeId,
+        incarnation,
+        peerAddress,
+      }));
+  }
+
+  /** Number of nodes that go before this one in appending the next list. */
+  private computeTurn(
+    service: string,
+    epoch: number,
+    candidates: readonly KeyHome[],
+  ): number {
+    const {identity} = this.options;
+    if (!candidates.some(home => isSameHome(home, identity))) return Infinity;
+    const text = `${service}/${epoch}`;
+    const ownRank = computeRank(text, identity.nodeId);
+    const before = candidates.filter(
+      home => computeRank(text, home.nodeId) < ownRank,
+    );
+    return Math.min(MAX_TURNS, before.length);
+  }
+}
+
+function formatName({nodeId, incarnation}: KeyHome): string {
+  return `${nodeId}#${incarnation}`;
+}
+
+/** Notes since when each process is there or, of the homes, away. */
+function updateTimes(
+  view: ServiceView,
+  candidates: readonly KeyHome[],
+  homes: readonly KeyHome[],
+  now: number,
+): void {
+  const present = new Set(candidates.map(formatName));
+  const absent = homes.map(formatName).filter(name => !present.has(name));
+  view.presentSince = copyTimes(view.presentSince, present, now);
+  view.absentSince = copyTimes(view.absentSince, absent, now);
+}
+
+function copyTimes(
+  times: ReadonlyMap<string, number>,
+  names: Iterable<string>,
+  now: number,
+): Map<string, number> {
+  const copy = new Map<string, number>();
+  for (const name of names) copy.set(name, times.get(name) ?? now);
+  return copy;
+}
+
+/** Homes of the next list; undefined while none is due. */
+function chooseHomes(
+  service: string,
+  view: ServiceView,
+  candidates: readonly KeyHome[],
+  newest: HomeList | undefined,
+  now: number,
+): readonly KeyHome[] | undefined {
+  const current = newest?.homes ?? [];
+  const lost = listLost(view, candidates, current, now);
+  const kept = current.filter(home => !lost.includes(home));
+  const added = candidates
+    .filter(home => !current.some(known => isSameHome(known, home)))
+    .filter(
+      home => now - view.presentSince.get(formatName(home))! >= JOIN_DELAY_MS,
+    )
+    .sort(
+      (first, second) =>
+        computeRank(service, first.nodeId) -
+        computeRank(service, second.nodeId),
+    )
+    .slice(0, Math.max(0, MAX_HOMES - kept.length));
+  const homes = [...kept, ...added];
+  if (homes.length === 0 || lost.length + added.length === 0) return undefined;
+  const minIntervalMs =
+    lost.length > 0 ? MIN_DROP_INTERVAL_MS : MIN_ADD_INTERVAL_MS;
+  const isTooSoon = newest && now - view.epochSeenAt < minIntervalMs;
+  return isTooSoon ? undefined : homes;
+}
+
+/** Homes to drop: those away for long, and those whose node started again. */
+function listLost(
+  view: ServiceView,
+  candidates: readonly KeyHome[],
+  current: readonly KeyHome[],
+  now: number,
+): readonly KeyHome[] {
+  const isReplaced = (home: KeyHome): boolean =>
+    candidates.some(
+      candidate =>
+        candidate.nodeId === home.nodeId &&
+        candidate.incarnation > home.incarnation,
+    );
+  const absent = current.filter(home => view.absentSince.has(formatName(home)));
+  const replaced = absent.filter(isReplaced);
+  const away = absent.filter(home => !isReplaced(home));
+  const isMassLoss = away.length * 2 > current.length;
+  const delayMs = isMassLoss ? MASS_LOSS_DELAY_MS : LOSS_DELAY_MS;
+  const isLong = (home: KeyHome): boolean =>
+    now - view.absentSince.get(formatName(home))! >= delayMs;
+  return [...replaced, ...away.filter(isLong)];
+}
--- a/src/coordination/key-home.ts
+++ b/src/coordination/key-home.ts
@@ -65,11 +65,14 @@
   /**
    * Runs a request once, or answers for its earlier run.
    *
+   * @param handleClaimed called when the request is about to run, so that the
+   *     rest of its body may be sent.
    * @throws RefusalError with a true verdict.
    */
   async handleRequest(
     request: KeyedRequest,
     signal: AbortSignal,
+    handleClaimed: () => void = () => {},
   ): Promise<ServiceAnswer> {
     const {claims} = this.options;
     const limit = {deadline: request.deadline, signal};
@@ -91,6 +94,7 @@
       const result = this.checkAndClaim(request, profile, epoch);
       if (result.kind === 'known') continue;
       if (result.kind !== 'claimed') throw REFUSAL_OF_CLAIM[result.kind]();
+      handleClaimed();
       const answer = this.run(result.claim, request, profile);
       answer.catch(() => {});
       return await waitWithin(answer, limit);
--- /dev/null
+++ b/src/key-homes.ts
@@ -0,0 +1,207 @@
+/**
+ * Joins the parts of key homes for one node: the home itself, the entry's side
+ * of it, the upkeep of the lists and the clean leave.
+ */
+import {randomUUID} from 'node:crypto';
+import type {ConnectRouter} from '@connectrpc/connect';
+import {HomeEpochs} from './coordination/home-epochs.js';
+import {HomeListKeeper} from './coordination/home-lists.js';
+import type {SendToHome} from './coordination/key-entry.js';
+import {KeyEntry} from './coordination/key-entry.js';
+import type {KeyedRequest, RunRequest} from './coordination/key-home.js';
+import {KeyHome} from './coordination/key-home.js';
+import {leaveHomes} from './coordination/key-leave.js';
+import type {Gate} from './coordination/gate.js';
+import type {AppendRecord} from './coordination/record-publisher.js';
+import type {AttemptAnswer} from './protocol/attempt.js';
+import type {NodeIdentity} from './protocol/node-identity.js';
+import {Reason, RefusalError} from './protocol/reasons.js';
+import type {
+  ServiceAnswer,
+  ServiceRequest,
+} from './protocol/service-request.js';
+import {isResendable} from './protocol/service-request.js';
+import {Verdict} from './protocol/verdict.js';
+import {WorkerState} from './protocol/worker-load.js';
+import {KeyClaims} from './state/key-claims.js';
+import type {StateStore} from './state/state-store.js';
+import type {WorkerTable} from './state/worker-table.js';
+import {
+  askSealKey,
+  registerKeyHomeCalls,
+  sendHandOver,
+} from './transport/key-home-service.js';
+import type {ReceivedAttempt} from './transport/peer-listener.js';
+
+/** What key homes need of their node. */
+export interface KeyHomesOptions {
+  readonly identity: NodeIdentity;
+  readonly state: StateStore;
+  readonly workers: WorkerTable;
+  readonly gate: Gate;
+  readonly appendRecord: AppendRecord;
+  /** Has a request run by the entry's normal path. */
+  readonly runThroughEntry: RunRequest;
+  readonly sendToHome: SendToHome;
+  readonly count: (name: string) => void;
+}
+
+/** What the status path tells of key homes. */
+export interface KeyHomesReport {
+  readonly rememberedKeys: number;
+  /** Newest epoch and number of homes, by service. */
+  readonly lists: Readonly<Record<string, {epoch: number; homes: number}>>;
+}
+
+/** Key homes of one node. */
+export class KeyHomes {
+  private readonly claims = new KeyClaims();
+  private readonly epochs: HomeEpochs;
+  private readonly keyHome: KeyHome;
+  private readonly keyEntry: KeyEntry;
+  private readonly keeper: HomeListKeeper;
+  private readonly calls = {sealKey: askSealKey, handOverKeys: sendHandOver};
+
+  constructor(private readonly options: KeyHomesOptions) {
+    const {identity, state, workers, appendRecord, sendToHome} = options;
+    const count = (name: string): void => options.count(`keys.${name}`);
+    this.epochs = new HomeEpochs(state);
+    this.keyHome = new KeyHome({
+      identity,
+      state,
+      epochs: this.epochs,
+      claims: this.claims,
+      calls: this.calls,
+      runRequest: (request, signal) => this.runRequest(request, signal),
+    });
+    this.keyEntry = new KeyEntry({
+      identity,
+      epochs: this.epochs,
+      keyHome: this.keyHome,
+      sendToHome,
+      createAttemptId: randomUUID,
+      random: Math.random,
+      count,
+    });
+    this.keeper = new HomeListKeeper({
+      identity: this.ownEntry,
+      state,
+      workers,
+      appendRecord,
+      createRecordId: randomUUID,
+      random: Math.random,
+      count,
+    });
+  }
+
+  /** Starts the upkeep of the home lists. */
+  start(): void {
+    const {state} = this.options;
+    state.events.on('changed', () => {
+      for (const service of state.listServices()) this.epochs.observe(service);
+    });
+    this.keeper.start();
+  }
+
+  /**
+   * Hands the keys of this node over to the other homes, before its listeners
+   * close. Without the log or the other homes it ends without having done so,
+   * and its keys are in doubt as after a loss.
+   */
+  async leave(signal: AbortSignal): Promise<void> {
+    const {state} = this.options;
+    this.keeper.stop();
+    try {
+      await leaveHomes({
+        identity: this.ownEntry,
+        state,
+        claims: this.claims,
+        calls: this.calls,
+        listServices: () => state.listServices(),
+        appendList: list => this.keeper.appendList(list),
+        signal,
+      });
+    } catch {
+      this.options.count('keys.leave-failed');
+    }
+  }
+
+  /** Whether a request is a matter of key homes. */
+  hasKey(request: ServiceRequest): request is KeyedRequest {
+    return request.key !== undefined;
+  }
+
+  /** Handles a caller's request that has a key. */
+  handleRequest(
+    request: KeyedRequest,
+    signal: AbortSignal,
+  ): Promise<ServiceAnswer> {
+    return this.keyEntry.handleRequest(request, signal);
+  }
+
+  /** Handles an attempt that another entry meant for this node as a home. */
+  async handleAttempt(
+    attempt: ReceivedAttempt,
+    signal: AbortSignal,
+    handleClaimed: () => void,
+  ): Promise<AttemptAnswer> {
+    if (attempt.incarnation !== this.options.identity.incarnation) {
+      throw new RefusalError(Reason.WRONG_INCARNATION);
+    }
+    const {request} = attempt;
+    if (!this.hasKey(request)) throw new RefusalError(Reason.MALFORMED_REQUEST);
+    return this.keyHome.handleRequest(request, signal, handleClaimed);
+  }
+
+  /** Registers the calls between key homes. */
+  registerServices(router: ConnectRouter): void {
+    const {peerAddress} = this.options.identity;
+    registerKeyHomeCalls(router, peerAddress, this.keyHome);
+  }
+
+  /** Figures for the status path. */
+  report(): KeyHomesReport {
+    const lists: Record<string, {epoch: number; homes: number}> = {};
+    for (const service of this.options.state.listServices()) {
+      const newest = this.epochs.findNewest(service);
+      if (!newest) continue;
+      lists[service] = {epoch: newest.epoch, homes: newest.homes.length};
+    }
+    return {rememberedKeys: this.claims.size, lists};
+  }
+
+  private get ownEntry() {
+    const {nodeId, incarnation, peerAddress} = this.options.identity;
+    return {nodeId, incarnation, peerAddress};
+  }
+
+  /** Runs a claimed request here when there is room, else elsewhere. */
+  private async runRequest(
+    request: ServiceRequest,
+    signal: AbortSignal,
+  ): Promise<ServiceAnswer> {
+    const {gate, runThroughEntry} = this.options;
+    if (this.hasRoom(request.service)) {
+      try {
+        return await gate.runAttempt(request, undefined, signal);
+      } catch (error) {
+        const isRetried =
+          error instanceof RefusalError &&
+          error.verdict === Verdict.NOT_RUN &&
+          isResendable(request) &&
+          !signal.aborted;
+        if (!isRetried) throw error;
+      }
+    }
+    return runThroughEntry(request, signal);
+  }
+
+  /** During a move the entry chooses the version. */
+  private hasRoom(service: string): boolean {
+    const {gate, state} = this.options;
+    if (state.findMove(service)?.stage === 'running') return false;
+    const load = gate.findLoad(service);
+    if (load?.state !== WorkerState.READY) return false;
+    return load.inFlight < load.limit;
+  }
+}
--- /dev/null
+++ b/src/transport/key-home-service.ts
@@ -0,0 +1,125 @@
+/**
+ * Questions between key homes over Connect. Each call goes out on a connection
+ * of its own: a kept one may have gone silent, and a call without a reply
+ * leaves a key in doubt.
+ */
+import type {ConnectRouter} from '@connectrpc/connect';
+import {createClient} from '@connectrpc/connect';
+import {createConnectTransport} from '@connectrpc/connect-node';
+import {AttemptService} from '../protocol/attempts_pb.js';
+import type {KeyClaim} from '../protocol/attempts_pb.js';
+import type {
+  ClaimCopy,
+  HandOver,
+  KeptAnswer,
+  SealQuestion,
+  SealReply,
+} from '../protocol/key-messages.js';
+import {readSealOutcome} from '../protocol/key-messages.js';
+import {buildAnswer, readAnswer} from './attempt-service.js';
+
+/** Time beyond the wait in which an earlier home must have replied. */
+const REPLY_MARGIN_MS = 500;
+const HAND_OVER_LIMIT_MS = 5000;
+
+/** What the service hands calls of other nodes to. */
+export interface KeyHomeHandlers {
+  handleSeal(question: SealQuestion): Promise<SealReply>;
+  /** Resolves with the number of claims taken. */
+  handleHandOver(handOver: HandOver): number;
+}
+
+/** Registers the calls between key homes. */
+export function registerKeyHomeCalls(
+  router: ConnectRouter,
+  peerAddress: string,
+  handlers: KeyHomeHandlers,
+): void {
+  const {sealKey, handOverKeys} = AttemptService.method;
+  router.rpc(sealKey, async ({service, key, epoch, waitMs, ...named}) => {
+    const {nodeId, incarnation} = named;
+    const home = {nodeId, incarnation, peerAddress};
+    const question = {service, key, epoch, home, waitMs};
+    const {answer, ...reply} = await handlers.handleSeal(question);
+    return {...reply, ...(answer ? {answer: buildAnswer(answer)} : {})};
+  });
+  router.rpc(handOverKeys, ({fromNodeId, nodeId, incarnation, claims}) => {
+    const to = {nodeId, incarnation, peerAddress};
+    const copies = claims.map(readClaim);
+    return {
+      accepted: handlers.handleHandOver({fromNodeId, to, claims: copies}),
+    };
+  });
+}
+
+/**
+ * Asks an earlier home to seal a key.
+ *
+ * @throws ConnectError when no reply came.
+ */
+export async function askSealKey(question: SealQuestion): Promise<SealReply> {
+  const {service, key, epoch, home, waitMs} = question;
+  const client = openClient(home.peerAddress, waitMs + REPLY_MARGIN_MS);
+  const reply = await client.sealKey({
+    service,
+    key,
+    epoch,
+    nodeId: home.nodeId,
+    incarnation: home.incarnation,
+    waitMs,
+  });
+  return {
+    outcome: readSealOutcome(reply.outcome),
+    fingerprint: reply.fingerprint,
+    ...(reply.answer ? {answer: readKeptAnswer(reply.answer)} : {}),
+    firstOpenEpoch: reply.firstOpenEpoch,
+  };
+}
+
+/**
+ * Copies claims to another home and resolves with how many it took.
+ *
+ * @throws ConnectError when no reply came.
+ */
+export async function sendHandOver(handOver: HandOver): Promise<number> {
+  const {fromNodeId, to, claims} = handOver;
+  const client = openClient(to.peerAddress, HAND_OVER_LIMIT_MS);
+  const {accepted} = await client.handOverKeys({
+    fromNodeId,
+    nodeId: to.nodeId,
+    incarnation: to.incarnation,
+    claims: claims.map(({answer, ...claim}) => ({
+      ...claim,
+      ...(answer ? {answer: buildAnswer(answer)} : {}),
+    })),
+  });
+  return accepted;
+}
+
+function openClient(peerAddress: string, limitMs: number) {
+  const transport = createConnectTransport({
+    baseUrl: `http://${peerAddress}`,
+    httpVersion: '1.1',
+    useBinaryFormat: true,
+    nodeOptions: {agent: false},
+    defaultTimeoutMs: limitMs,
+  });
+  return createClient(AttemptService, transport);
+}
+
+function readClaim(claim: KeyClaim): ClaimCopy {
+  const {service, key, fingerprint, state, answer, ageMs} = claim;
+  return {
+    service,
+    key,
+    fingerprint,
+    state: state === 'finished' ? 'finished' : 'in-doubt',
+    ...(answer ? {answer: readKeptAnswer(answer)} : {}),
+    ageMs,
+  };
+}
+
+function readKeptAnswer(answer: Parameters<typeof readAnswer>[0]): KeptAnswer {
+  const {status, headers, body} = readAnswer(answer);
+  return {status, headers, body: {held: body.held}};
+}
