Start a whole deployment with one command, under a seeded load

Cause: nothing drove the thin path with several callers at once, so nobody could see a wrong, doubled or cut answer, or what the nodes add. Ruled out: closed-loop load (waits for answers, so it hides queueing); counting doubled runs from the answers alone (only the upstreams know).

--- /dev/null
+++ b/src/dev/start.ts
@@ -0,0 +1,78 @@
+/**
+ * `npm start`: a whole deployment on loopback, with a line of figures or, with
+ * `--seconds`, under a seeded load whose figures it prints.
+ */
+import {Command, InvalidArgumentError} from 'commander';
+import {isHarmless, runDeploymentLoad} from '../measure/deployment-load.js';
+import {readDeploymentFile} from '../measure/deployment-file.js';
+import {startDeployment} from '../measure/deployment-launch.js';
+import {describeDeployment, watchFigures} from '../measure/live-figures.js';
+import {VERSION} from '../protocol/version.js';
+
+const EXIT_HARM = 1;
+const EXIT_NOT_STARTED = 2;
+const CLEAR_LINE = '\r\u001b[K';
+
+interface StartOptions {
+  readonly file: string;
+  readonly seconds?: number;
+  readonly seed: string;
+  readonly json: boolean;
+}
+
+const program = new Command('npm start --')
+  .description('Runs a whole deployment with stand-ins on loopback')
+  .version(VERSION)
+  .option('-f, --file <file>', 'deployment file', 'examples/kona.toml')
+  .option('--seconds <n>', 'run a load for so long, then stop', readSeconds)
+  .option('--seed <seed>', 'seed of the load', '1')
+  .option('--json', 'print only one JSON object of figures', false)
+  .action(run);
+
+try {
+  await program.parseAsync();
+} catch (error) {
+  process.stderr.write(`${String(error)}\n`);
+  process.exit(EXIT_NOT_STARTED);
+}
+
+async function run(options: StartOptions): Promise<void> {
+  const stopping = new AbortController();
+  const stop = (): void => stopping.abort();
+  process.on('SIGINT', stop);
+  process.on('SIGTERM', stop);
+  const write = (text: string): void => {
+    if (!options.json) process.stdout.write(text);
+  };
+  const file = readDeploymentFile(options.file);
+  write(`Starting ${file.deployment.name} ...\n`);
+  const launched = await startDeployment(file);
+  try {
+    write(`${describeDeployment(launched.deployment)}\n`);
+    const {signal} = stopping;
+    const {seconds, seed} = options;
+    if (seconds === undefined) {
+      await watchFigures(
+        launched.deployment,
+        line => write(`${CLEAR_LINE}${line}`),
+        signal,
+      );
+      write('\n');
+    } else {
+      const {deployment} = launched;
+      const load = {seed, seconds, signal};
+      const figures = await runDeploymentLoad(file, deployment, load);
+      if (!isHarmless(figures)) process.exitCode = EXIT_HARM;
+      process.stdout.write(`${JSON.stringify(figures)}\n`);
+    }
+  } finally {
+    await launched.stop();
+  }
+  process.exit();
+}
+
+function readSeconds(text: string): number {
+  const seconds = Number(text);
+  if (!(seconds > 0)) throw new InvalidArgumentError('allowed: above 0');
+  return seconds;
+}
--- /dev/null
+++ b/src/measure/call-body.ts
@@ -0,0 +1,78 @@
+/**
+ * Bodies of calls. An upload is made of blocks that are sent one by one, so a
+ * run of many uploads of several MB holds only one block in memory; its digest
+ * is computed once per size.
+ */
+import {createHash} from 'node:crypto';
+import seedrandom from 'seedrandom';
+import type {ScheduledCall} from './load-plan.js';
+
+const BLOCK_BYTES = 64 * 1024;
+const DEFAULT_UPLOAD_BYTES = 3 * 1024 * 1024;
+const BYTE_VALUES = 256;
+
+/** A body with what its receiver must have seen. */
+export interface CallBody {
+  readonly length: number;
+  readonly digest: string;
+  readonly content: Buffer | (() => AsyncIterable<Buffer>);
+}
+
+const uploads = new Map<number, CallBody>();
+let block: Buffer | undefined;
+
+/** Body of a call; undefined for a lookup. */
+export function buildCallBody(call: ScheduledCall): CallBody | undefined {
+  switch (call.stream.kind) {
+    case 'lookup':
+      return undefined;
+    case 'booking':
+      return buildBooking(call);
+    case 'upload':
+      return findUpload(call.stream.uploadBytes ?? DEFAULT_UPLOAD_BYTES);
+  }
+}
+
+function buildBooking(call: ScheduledCall): CallBody {
+  const content = Buffer.from(JSON.stringify({booking: call.key}));
+  return {
+    length: content.length,
+    digest: createHash('sha256').update(content).digest('hex'),
+    content,
+  };
+}
+
+function findUpload(length: number): CallBody {
+  let upload = uploads.get(length);
+  if (!upload) {
+    const hash = createHash('sha256');
+    for (const part of listParts(length)) hash.update(part);
+    upload = {
+      length,
+      digest: hash.digest('hex'),
+      content: () => sendParts(length),
+    };
+    uploads.set(length, upload);
+  }
+  return upload;
+}
+
+async function* sendParts(length: number): AsyncIterable<Buffer> {
+  yield* listParts(length);
+}
+
+function* listParts(length: number): Iterable<Buffer> {
+  block ??= buildBlock();
+  for (let offset = 0; offset < length; offset += BLOCK_BYTES) {
+    yield block.subarray(0, Math.min(BLOCK_BYTES, length - offset));
+  }
+}
+
+function buildBlock(): Buffer {
+  const random = seedrandom('upload');
+  const bytes = Buffer.alloc(BLOCK_BYTES);
+  for (let index = 0; index < BLOCK_BYTES; index++) {
+    bytes[index] = Math.floor(random() * BYTE_VALUES);
+  }
+  return bytes;
+}
--- a/src/measure/deployment-file.ts
+++ b/src/measure/deployment-file.ts
@@ -2,8 +2,22 @@
  * Schema of a deployment file such as examples/kona.toml: which workers stand
  * in which data centres, and the configuration that operators publish first.
  */
+import {readFileSync} from 'node:fs';
+import {parse as parseToml} from 'smol-toml';
 import {z} from 'zod';
+import type {ConfigurationInput} from '../protocol/configuration.js';
 import {configurationSchema, nameSchema} from '../protocol/configuration.js';
+import {readTomlFile, toCamelKeys} from '../protocol/settings.js';
+
+/** Calls that a load run sends to a service, from each of several callers. */
+const callsSchema = z.strictObject({
+  kind: z.enum(['lookup', 'booking', 'upload']),
+  path: z.string().startsWith('/'),
+  callers: z.int().min(1).max(1000).default(1),
+  /** Of all callers together. */
+  ratePerSecond: z.number().positive().max(100_000),
+  uploadBytes: z.int().min(1).optional(),
+});
 
 const serviceSchema = z.strictObject({
   workers: z.int().min(1).max(1000),
@@ -11,6 +25,7 @@
   version: z.string().min(1).default('v1'),
   /** Mean service time of the stand-in in milliseconds. */
   serviceTimeMs: z.number().min(0).max(60_000).default(4),
+  calls: z.array(callsSchema).default([]),
 });
 
 /** A deployment on one machine, for trials and measurements. */
@@ -35,3 +50,21 @@
   });
 
 export type DeploymentFile = z.output<typeof deploymentSchema>;
+
+/** A deployment file whose configuration keeps its texts with units. */
+export interface DeploymentInput {
+  readonly deployment: DeploymentFile['deployment'];
+  readonly configuration: ConfigurationInput;
+}
+
+/**
+ * Reads a deployment file.
+ *
+ * @throws SettingsError naming file, key and what is allowed.
+ */
+export function readDeploymentFile(file: string): DeploymentInput {
+  const {deployment} = readTomlFile(file, deploymentSchema);
+  const raw = toCamelKeys(parseToml(readFileSync(file, 'utf8')));
+  const {configuration} = raw as {configuration: ConfigurationInput};
+  return {deployment, configuration};
+}
--- /dev/null
+++ b/src/measure/deployment-launch.ts
@@ -0,0 +1,110 @@
+/**
+ * Starts a deployment file as processes on loopback: the platform log stand-in,
+ * and per worker one upstream stand-in and one node.
+ */
+import type {BalancingPolicy} from '../protocol/configuration.js';
+import type {DeploymentFile, DeploymentInput} from './deployment-file.js';
+import type {HostSpec} from './local-deployment.js';
+import {LocalDeployment} from './local-deployment.js';
+import type {LogProcess} from './upstream-process.js';
+import {startLogProcess, startUpstreamProcess} from './upstream-process.js';
+
+/** What a run changes of a deployment file. */
+export interface LaunchOptions {
+  /** Balancing policy of every profile. */
+  readonly balancing?: BalancingPolicy;
+  /** Behaviour of upstreams by host id, over what the file says. */
+  readonly controls?: Readonly<Record<string, Record<string, unknown>>>;
+  /** Services to start; all when absent. */
+  readonly services?: readonly string[];
+  /** Number of workers by service, in place of the file's. */
+  readonly workers?: Readonly<Record<string, number>>;
+}
+
+/** A running deployment with its platform log. */
+export interface LaunchedDeployment {
+  readonly log: LogProcess;
+  readonly deployment: LocalDeployment;
+  stop(): Promise<void>;
+}
+
+/** Starts all processes of a deployment. */
+export async function startDeployment(
+  file: DeploymentInput,
+  options: LaunchOptions = {},
+): Promise<LaunchedDeployment> {
+  const log = await startLogProcess();
+  try {
+    const deployment = await LocalDeployment.start({
+      name: file.deployment.name,
+      logAddress: log.address,
+      configuration: setBalancing(file.configuration, options.balancing),
+      hosts: buildHosts(file.deployment, options),
+      startUpstream: startUpstreamProcess,
+    });
+    const stop = async (): Promise<void> => {
+      await deployment.stop();
+      await log.stop();
+    };
+    return {log, deployment, stop};
+  } catch (error) {
+    await log.stop();
+    throw error;
+  }
+}
+
+/** Starts a deployment, runs a task on it, and stops it in any case. */
+export async function runOnDeployment<T>(
+  file: DeploymentInput,
+  options: LaunchOptions,
+  run: (launched: LaunchedDeployment) => Promise<T>,
+): Promise<T> {
+  const launched = await startDeployment(file, options);
+  try {
+    return await run(launched);
+  } finally {
+    await launched.stop();
+  }
+}
+
+/** Hosts of a deployment, spread over its data centres. */
+export function buildHosts(
+  deployment: DeploymentFile['deployment'],
+  options: LaunchOptions = {},
+): HostSpec[] {
+  const {dataCentres} = deployment;
+  const hosts: HostSpec[] = [];
+  for (const [service, spec] of Object.entries(deployment.services)) {
+    if (options.services && !options.services.includes(service)) continue;
+    const count = options.workers?.[service] ?? spec.workers;
+    for (let index = 0; index < count; index++) {
+      const id = `${service}-${index}`;
+      hosts.push({
+        id,
+        service,
+        dataCentre: dataCentres[index % dataCentres.length]!,
+        version: spec.version,
+        slots: spec.slots,
+        control: {
+          serviceTimeMs: spec.serviceTimeMs,
+          ...options.controls?.[id],
+        },
+      });
+    }
+  }
+  return hosts;
+}
+
+function setBalancing(
+  configuration: DeploymentInput['configuration'],
+  balancing: BalancingPolicy | undefined,
+): DeploymentInput['configuration'] {
+  if (balancing === undefined) return configuration;
+  const profiles = Object.fromEntries(
+    Object.entries(configuration.profiles).map(([name, profile]) => [
+      name,
+      {...profile, balancing},
+    ]),
+  );
+  return {...configuration, profiles};
+}
--- /dev/null
+++ b/src/measure/deployment-load.ts
@@ -0,0 +1,182 @@
+/**
+ * The load of a deployment file: its calls through all nodes, and beside them
+ * a small share of the idempotent ones straight to the upstreams, which shows
+ * in one run what the nodes add.
+ */
+import type {DeploymentFile, DeploymentInput} from './deployment-file.js';
+import type {Quantiles} from './latency.js';
+import type {LoadReport} from './load-generator.js';
+import {runLoad} from './load-generator.js';
+import type {CallStream, Target} from './load-plan.js';
+import type {Host, LocalDeployment} from './local-deployment.js';
+import type {MachineLoad} from './machine.js';
+import {readMachineLoad} from './machine.js';
+import type {RunFaults} from './run-check.js';
+import {checkRuns, readUpstreamCounts} from './run-check.js';
+
+const SECOND_MS = 1000;
+/** Rate of the straight calls as a share of those through the nodes. */
+const STRAIGHT_SHARE = 0.1;
+const WARM_UP_SHARE = 0.1;
+
+type Service = DeploymentFile['deployment']['services'][string];
+
+/** How to run the load. */
+export interface DeploymentLoadOptions {
+  readonly seed: string;
+  readonly seconds: number;
+  readonly signal?: AbortSignal;
+}
+
+/** Latency that the nodes add, at two quantiles. */
+export interface AddedLatency {
+  readonly p50Ms: number;
+  readonly p99Ms: number;
+}
+
+/** Figures of one load run of a deployment. */
+export interface DeploymentFigures
+  extends Omit<LoadReport, 'bookings'>, RunFaults {
+  readonly deployment: string;
+  readonly seed: string;
+  readonly seconds: number;
+  /** By kind of call. */
+  readonly addedLatency: Readonly<Record<string, AddedLatency>>;
+  readonly probesPerUpstreamPerSecond: number;
+  readonly machine: MachineLoad;
+}
+
+/** Runs the load of a deployment file and reports its figures. */
+export async function runDeploymentLoad(
+  file: DeploymentInput,
+  deployment: LocalDeployment,
+  options: DeploymentLoadOptions,
+): Promise<DeploymentFigures> {
+  const {seed, seconds, signal} = options;
+  const durationMs = seconds * SECOND_MS;
+  const timing = {durationMs, warmUpMs: durationMs * WARM_UP_SHARE};
+  const machine = readMachineLoad();
+  const before = await readUpstreamCounts(deployment);
+  const [{bookings, ...report}, straight] = await Promise.all([
+    runLoad({...timing, seed, streams: buildStreams(file, deployment)}, signal),
+    runLoad(
+      {
+        ...timing,
+        seed: `${seed}-straight`,
+        streams: buildStraightStreams(file, deployment),
+      },
+      signal,
+    ),
+  ]);
+  const after = await readUpstreamCounts(deployment);
+  const countProbes = (counts: typeof after): number =>
+    [...counts.values()].reduce((sum, {probes}) => sum + probes, 0);
+  const probes = countProbes(after) - countProbes(before);
+  return {
+    deployment: file.deployment.name,
+    seed,
+    seconds,
+    ...report,
+    ...checkRuns(after.values(), bookings),
+    addedLatency: compareWithStraight(report, straight),
+    probesPerUpstreamPerSecond: probes / after.size / seconds,
+    machine,
+  };
+}
+
+/** Whether figures show no harm: nothing wrong, doubled or truncated. */
+export function isHarmless(figures: DeploymentFigures): boolean {
+  const {wrong, truncated, doubled, untrueRefusals, neverRan} = figures;
+  const harm = wrong + truncated + doubled + untrueRefusals + neverRan;
+  return harm === 0 && figures.right > 0;
+}
+
+/** Targets that reach a service through each of the given nodes. */
+export function buildNodeTargets(
+  hosts: readonly Host[],
+  service: string,
+): Target[] {
+  return hosts.map(host => ({
+    address: host.callerAddress,
+    prefix: `/${service}`,
+  }));
+}
+
+/** Targets that reach the upstreams of a service past all nodes. */
+export function buildUpstreamTargets(
+  hosts: readonly Host[],
+  service: string,
+): Target[] {
+  return hosts
+    .filter(host => host.spec.service === service)
+    .map(host => ({address: host.upstream!.address, prefix: ''}));
+}
+
+function buildStreams(
+  file: DeploymentInput,
+  {hosts}: LocalDeployment,
+): CallStream[] {
+  return Object.entries(file.deployment.services).flatMap(([name, service]) =>
+    buildServiceStreams(name, service, buildNodeTargets(hosts, name)),
+  );
+}
+
+function buildStraightStreams(
+  file: DeploymentInput,
+  {hosts}: LocalDeployment,
+): CallStream[] {
+  return Object.entries(file.deployment.services).flatMap(([name, service]) =>
+    buildServiceStreams(name, service, buildUpstreamTargets(hosts, name))
+      .filter(stream => stream.kind !== 'booking')
+      .map(stream => ({
+        ...stream,
+        ratePerSecond: stream.ratePerSecond * STRAIGHT_SHARE,
+      })),
+  );
+}
+
+function buildServiceStreams(
+  name: string,
+  service: Service,
+  targets: readonly Target[],
+): CallStream[] {
+  return service.calls.flatMap(calls =>
+    Array.from({length: calls.callers}, (item, index) => ({
+      name: `${name} ${calls.kind}`,
+      caller: `caller-${index}`,
+      kind: calls.kind,
+      path: calls.path,
+      ratePerSecond: calls.ratePerSecond / calls.callers,
+      uploadBytes: calls.uploadBytes,
+      targets,
+    })),
+  );
+}
+
+function compareWithStraight(
+  report: Pick<LoadReport, 'streams'>,
+  straight: LoadReport,
+): Record<string, AddedLatency> {
+  const added: Record<string, AddedLatency> = {};
+  for (const [name, {latency}] of Object.entries(straight.streams)) {
+    const through = report.streams[name]?.latency;
+    if (through) added[name] = computeAddedLatency(through, latency);
+  }
+  return added;
+}
+
+/** Difference of quantiles between calls through nodes and straight ones. */
+export function computeAddedLatency(
+  through: Quantiles,
+  straight: Quantiles,
+): AddedLatency {
+  return {
+    p50Ms: toRoundedMs(through.p50Ms - straight.p50Ms),
+    p99Ms: toRoundedMs(through.p99Ms - straight.p99Ms),
+  };
+}
+
+/** Rounds to microseconds. */
+export function toRoundedMs(ms: number): number {
+  return Math.round(ms * 1000) / 1000;
+}
--- /dev/null
+++ b/src/measure/latency.ts
@@ -0,0 +1,64 @@
+/**
+ * Latency histograms. Values are kept in microseconds with three significant
+ * digits, so that quantiles far out in the tail stay exact and recording a
+ * value costs no allocation.
+ */
+import type {Histogram} from 'hdr-histogram-js';
+import {build as buildHistogram} from 'hdr-histogram-js';
+
+const US_PER_MS = 1000;
+const HIGHEST_US = 120_000_000;
+const SIGNIFICANT_DIGITS = 3;
+
+/** Quantiles of a histogram in milliseconds. */
+export interface Quantiles {
+  readonly count: number;
+  readonly meanMs: number;
+  readonly p50Ms: number;
+  readonly p90Ms: number;
+  readonly p99Ms: number;
+  readonly p999Ms: number;
+  readonly maxMs: number;
+}
+
+/** Latencies of one kind of call. */
+export class LatencyHistogram {
+  private readonly histogram: Histogram = buildHistogram({
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: HIGHEST_US,
+    numberOfSignificantValueDigits: SIGNIFICANT_DIGITS,
+  });
+
+  /** Adds one value. */
+  record(latencyMs: number): void {
+    const us = Math.round(Math.max(0, latencyMs) * US_PER_MS);
+    this.histogram.recordValue(Math.min(us, HIGHEST_US));
+  }
+
+  /** Adds all values of another histogram. */
+  merge(other: LatencyHistogram): void {
+    this.histogram.add(other.histogram);
+  }
+
+  /** Quantiles of what was recorded; all zero when nothing was. */
+  report(): Quantiles {
+    const {histogram} = this;
+    const find = (percentile: number): number =>
+      histogram.totalCount === 0
+        ? 0
+        : histogram.getValueAtPercentile(percentile) / US_PER_MS;
+    return {
+      count: histogram.totalCount,
+      meanMs: histogram.totalCount === 0 ? 0 : toMs(histogram.mean),
+      p50Ms: find(50),
+      p90Ms: find(90),
+      p99Ms: find(99),
+      p999Ms: find(99.9),
+      maxMs: find(100),
+    };
+  }
+}
+
+function toMs(us: number): number {
+  return Math.round(us) / US_PER_MS;
+}
--- /dev/null
+++ b/src/measure/machine.ts
@@ -0,0 +1,52 @@
+/**
+ * Figures of the machine and of processes, read from /proc, so that a process
+ * under measurement spends nothing on being measured.
+ */
+import {readFileSync} from 'node:fs';
+import {cpus, loadavg} from 'node:os';
+
+/** Unit of processor time in /proc; fixed at 100 a second on Linux. */
+const TICKS_PER_SECOND = 100;
+const PAGE_BYTES = 4096;
+const USER_TICKS_FIELD = 11;
+const SYSTEM_TICKS_FIELD = 12;
+const RESIDENT_PAGES_FIELD = 21;
+
+/** Figures of one process. */
+export interface ProcessFigures {
+  readonly cpuSeconds: number;
+  readonly residentBytes: number;
+}
+
+/** Load of the machine, to be given with every figure taken on it. */
+export interface MachineLoad {
+  readonly cores: number;
+  /** Load averages over 1, 5 and 15 minutes. */
+  readonly loadAverage: readonly number[];
+}
+
+/** Reads the processor time and memory of a process. */
+export function readProcess(pid: number): ProcessFigures {
+  const stat = readFileSync(`/proc/${pid}/stat`, 'utf8');
+  // The name in parentheses may hold spaces; the fields follow it.
+  const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
+  const ticks =
+    Number(fields[USER_TICKS_FIELD]) + Number(fields[SYSTEM_TICKS_FIELD]);
+  return {
+    cpuSeconds: ticks / TICKS_PER_SECOND,
+    residentBytes: Number(fields[RESIDENT_PAGES_FIELD]) * PAGE_BYTES,
+  };
+}
+
+/** Sums the processor time of several processes. */
+export function readCpuSeconds(pids: readonly number[]): number {
+  return pids.reduce((sum, pid) => sum + readProcess(pid).cpuSeconds, 0);
+}
+
+/** Reads the load of the machine. */
+export function readMachineLoad(): MachineLoad {
+  return {
+    cores: cpus().length,
+    loadAverage: loadavg().map(value => Math.round(value * 100) / 100),
+  };
+}
--- /dev/null
+++ b/src/measure/run-check.ts
@@ -0,0 +1,63 @@
+/**
+ * Compares what the upstreams ran with what the callers were told. Only the
+ * upstreams' own counts can show that a booking ran twice, or that one refused
+ * as not run did run.
+ */
+import {z} from 'zod';
+import type {LocalDeployment} from './local-deployment.js';
+import type {BookingRecord} from './load-generator.js';
+
+const figuresSchema = z.object({
+  requests: z.number(),
+  probes: z.number(),
+  maxInFlight: z.number(),
+  coldOverloads: z.number(),
+  cancelled: z.number(),
+  runs: z.record(z.string(), z.number()),
+});
+
+/** What one upstream counted. */
+export type UpstreamCounts = z.output<typeof figuresSchema>;
+
+/** Faults that only the upstreams' counts show. */
+export interface RunFaults {
+  /** Keys that ran more than once. */
+  readonly doubled: number;
+  /** Keys refused as not run that ran. */
+  readonly untrueRefusals: number;
+  /** Keys answered that no upstream ran. */
+  readonly neverRan: number;
+}
+
+/** Reads the counts of all running upstreams, by host id. */
+export async function readUpstreamCounts(
+  deployment: LocalDeployment,
+): Promise<Map<string, UpstreamCounts>> {
+  const entries = await Promise.all(
+    deployment.hosts.map(async ({spec, upstream}) => {
+      const figures = figuresSchema.parse(await upstream?.readFigures());
+      return [spec.id, figures] as const;
+    }),
+  );
+  return new Map(entries);
+}
+
+/** Finds bookings that ran otherwise than their callers were told. */
+export function checkRuns(
+  upstreams: Iterable<Pick<UpstreamCounts, 'runs'>>,
+  bookings: BookingRecord,
+): RunFaults {
+  const runs = new Map<string, number>();
+  for (const upstream of upstreams) {
+    for (const [key, count] of Object.entries(upstream.runs)) {
+      runs.set(key, (runs.get(key) ?? 0) + count);
+    }
+  }
+  const count = (keys: Iterable<string>, check: (ran: number) => boolean) =>
+    [...keys].filter(key => check(runs.get(key) ?? 0)).length;
+  return {
+    doubled: count(runs.keys(), ran => ran > 1),
+    untrueRefusals: count(bookings.notRun, ran => ran > 0),
+    neverRan: count(bookings.answered, ran => ran === 0),
+  };
+}
