Measure policies and added latency with sequoiaspool-measure

Cause: decisions on balancing, retries and the path had no figures to stand on. Ruled out: calling policies in-process (leaves out sockets and the event loop). Change: a table of scenarios; each runs our policy and the baselines in one run on real processes. slow-worker, no-fault, cold-start, all-failing and added-latency so far.

--- /dev/null
+++ b/src/bin/measure.ts
@@ -0,0 +1,61 @@
+/**
+ * sequoiaspool-measure: runs one scenario on a deployment of real processes
+ * and prints its figures as one JSON object, the last line.
+ */
+import {Command, InvalidArgumentError} from 'commander';
+import {readDeploymentFile} from '../measure/deployment-file.js';
+import {runScenario, SCENARIOS} from '../measure/scenarios/scenario-table.js';
+import {VERSION} from '../protocol/version.js';
+
+const EXIT_USAGE = 2;
+
+interface MeasureOptions {
+  readonly list: boolean;
+  readonly file: string;
+  readonly seed: string;
+  readonly seconds: number;
+  readonly rate?: number;
+}
+
+const program = new Command('sequoiaspool-measure')
+  .description('Runs an experiment and prints its figures as JSON')
+  .version(VERSION)
+  .argument('[scenario]', 'name of the scenario')
+  .option('-l, --list', 'name the scenarios', false)
+  .option('-f, --file <file>', 'deployment file', 'examples/kona.toml')
+  .option('--seed <seed>', 'seed of the load', '1')
+  .option('--seconds <n>', 'length of each measured run', readPositive, 5)
+  .option('--rate <n>', 'calls per second in all', readPositive)
+  .action(run);
+
+try {
+  await program.parseAsync();
+} catch (error) {
+  process.stderr.write(`${String(error)}\n`);
+  process.exit(EXIT_USAGE);
+}
+
+async function run(
+  name: string | undefined,
+  options: MeasureOptions,
+): Promise<void> {
+  if (options.list || name === undefined) {
+    for (const [scenario, {description}] of Object.entries(SCENARIOS)) {
+      process.stdout.write(`${scenario.padEnd(24)} ${description}\n`);
+    }
+    return;
+  }
+  const report = await runScenario(name, {
+    seed: options.seed,
+    seconds: options.seconds,
+    ratePerSecond: options.rate,
+    file: readDeploymentFile(options.file),
+  });
+  process.stdout.write(`${JSON.stringify(report)}\n`);
+}
+
+function readPositive(text: string): number {
+  const value = Number(text);
+  if (!(value > 0)) throw new InvalidArgumentError('allowed: above 0');
+  return value;
+}
--- /dev/null
+++ b/src/measure/scenarios/failing.ts
@@ -0,0 +1,90 @@
+/**
+ * Scenarios on failing and cold workers: whether retries multiply the load,
+ * and whether a cold worker gets more than it bears.
+ */
+import {runOnDeployment} from '../deployment-launch.js';
+import type {Scenario} from './scenario.js';
+import {
+  buildLookups,
+  findMainService,
+  runPolicies,
+  runStreams,
+} from './scenario.js';
+
+const DEFAULT_RATE = 300;
+const ATTEMPTS_LIMIT = 1.2;
+const COLD_CONCURRENCY = 1;
+
+/** Every worker answers 500 at once. */
+export const allFailingScenario: Scenario = {
+  description: 'every worker fails at once; attempts per call',
+  run: async options => {
+    const service = findMainService(options);
+    const rate = options.ratePerSecond ?? DEFAULT_RATE;
+    const variants = await runPolicies(balancing => {
+      const launch = {balancing, services: [service]};
+      return runOnDeployment(options.file, launch, async launched => {
+        await setAll(launched.deployment.hosts, {isFailingFast: true});
+        const streams = buildLookups(launched, service, rate);
+        return runStreams(launched, options, streams);
+      });
+    });
+    const {attemptsPerCall} = variants.adaptive;
+    return {
+      variants,
+      summary: {attemptsPerCall},
+      target: `attempts per call below ${ATTEMPTS_LIMIT}`,
+      isTargetMet: attemptsPerCall < ATTEMPTS_LIMIT,
+    };
+  },
+};
+
+/** One worker turns cold without notice and bears one request at a time. */
+export const coldStartScenario: Scenario = {
+  description: 'one worker turns cold without notice; requests beyond it',
+  run: async options => {
+    const service = findMainService(options);
+    const rate = options.ratePerSecond ?? DEFAULT_RATE;
+    const variants = await runPolicies(balancing => {
+      const launch = {balancing, services: [service]};
+      return runOnDeployment(options.file, launch, async launched => {
+        const streams = buildLookups(launched, service, rate);
+        const worker = launched.deployment.hosts[0]!.upstream!;
+        const warm = await runStreams(launched, options, streams);
+        await worker.setControl({coldConcurrency: COLD_CONCURRENCY});
+        const turnedCold = await runStreams(launched, options, streams);
+        await worker.setControl({coldConcurrency: 0});
+        const warmAgain = await runStreams(launched, options, streams);
+        await worker.setControl({
+          coldConcurrency: COLD_CONCURRENCY,
+          state: 'cold',
+        });
+        const announcedCold = await runStreams(launched, options, streams);
+        return {warm, turnedCold, warmAgain, announcedCold};
+      });
+    });
+    const {warm, turnedCold, announcedCold} = variants.adaptive;
+    return {
+      variants,
+      summary: {
+        overloadsUnannounced: turnedCold.coldOverloads,
+        overloadsAnnounced: announcedCold.coldOverloads,
+        errorsToCallers: turnedCold.upstreamErrors,
+        p99RatioUnannounced: turnedCold.p99Ms / warm.p99Ms,
+        p99RatioAnnounced: announcedCold.p99Ms / warm.p99Ms,
+      },
+      target: 'no request beyond what an announced cold worker bears',
+      isTargetMet: announcedCold.coldOverloads === 0,
+    };
+  },
+};
+
+async function setAll(
+  hosts: ReadonlyArray<{
+    upstream:
+      {setControl(control: Record<string, unknown>): Promise<void>} | undefined;
+  }>,
+  control: Record<string, unknown>,
+): Promise<void> {
+  await Promise.all(hosts.map(host => host.upstream?.setControl(control)));
+}
--- /dev/null
+++ b/src/measure/scenarios/scenario-table.ts
@@ -0,0 +1,37 @@
+/**
+ * All scenarios by name, and the run of one of them.
+ */
+import {readMachineLoad} from '../machine.js';
+import {addedLatencyScenario} from './added-latency.js';
+import {noFaultScenario, slowWorkerScenario} from './balancing.js';
+import {allFailingScenario, coldStartScenario} from './failing.js';
+import type {Scenario, ScenarioOptions, ScenarioReport} from './scenario.js';
+
+/** Scenarios by the name used on the command line. */
+export const SCENARIOS: Readonly<Record<string, Scenario>> = {
+  'slow-worker': slowWorkerScenario,
+  'no-fault': noFaultScenario,
+  'cold-start': coldStartScenario,
+  'all-failing': allFailingScenario,
+  'added-latency': addedLatencyScenario,
+};
+
+/** Runs one scenario and adds what a reader needs to repeat it. */
+export async function runScenario(
+  name: string,
+  options: ScenarioOptions,
+): Promise<ScenarioReport> {
+  const scenario = SCENARIOS[name];
+  if (!scenario) throw new Error(`no scenario ${name}`);
+  const before = readMachineLoad();
+  const findings = await scenario.run(options);
+  return {
+    scenario: name,
+    deployment: options.file.deployment.name,
+    seed: options.seed,
+    seconds: options.seconds,
+    ratePerSecond: options.ratePerSecond,
+    machine: {before, after: readMachineLoad()},
+    ...findings,
+  };
+}
