Warm the workers before the fault matrix

Cause: with the new admission a new worker counts as cold, so the first four cases saw 503 worker-cold, which they are not about. Change: bursts of lookups until all are answered, before the first case. Conclusion: cold start has tests of its own.

--- a/src/test/fault-matrix_test.ts
+++ b/src/test/fault-matrix_test.ts
@@ -4,6 +4,7 @@
  * bookings without a key must run at most once, and `not-run` must be true.
  */
 import {afterAll, beforeAll, beforeEach, describe, expect, it} from 'vitest';
+import {waitFor} from '../measure/wait-for.js';
 import type {Fixture} from './deployment-fixture.js';
 import {startFixture} from './deployment-fixture.js';
 import type {FaultProxy} from './stand-ins/fault-proxy.js';
@@ -11,6 +12,8 @@
 
 /** Requests sent under each fault; about half meet it. */
 const REQUESTS_PER_CASE = 12;
+/** Bursts of requests in a row that must be answered before the first case. */
+const WARM_BURSTS = 3;
 const TIME_LIMIT_MS = 3000;
 /** Long enough for a fault to strike while a request runs. */
 const SERVICE_TIME_MS = 60;
@@ -113,6 +116,7 @@
   });
   // The entry has no worker of its own, so that every request crosses a link.
   await fixture.upstreams.get(ENTRY)!.stop();
+  await sendWarmUp();
 });
 
 afterAll(async () => {
@@ -142,6 +146,21 @@
   readonly answeredId: unknown;
 }
 
+/** A new worker counts as cold; the matrix is about warm ones. */
+async function sendWarmUp(): Promise<void> {
+  await waitFor('bursts of lookups to be answered', async () => {
+    const bursts = WARM_BURSTS * REQUESTS_PER_CASE;
+    const outcomes: Outcome[] = [];
+    while (outcomes.length < bursts) {
+      const burst = Array.from({length: REQUESTS_PER_CASE}, () =>
+        sendRequest('GET', '/tickets/1'),
+      );
+      outcomes.push(...(await Promise.all(burst)));
+    }
+    return outcomes.every(({status}) => status === 200);
+  });
+}
+
 let requestCount = 0;
 
 async function sendRequest(method: string, path: string): Promise<Outcome> {
