Quarantine requests that crash workers

Ruled out: counting crashes alone (requests beside it in both are refused too); convicting by two crashes at once (a mass crash would refuse popular lookups); isolating each suspect on an otherwise idle worker (costs slots and is not needed to name one request). Change: crash-table.ts holds crashes and answers since; crash-quarantine.ts finds crashes at the gate, holds the word of a loss until the others know it and runs suspects one at a time; crash-service.ts spreads records by PushCrashes, over the square root of the nodes when there are many. What a gate keeps for one worker moved to local-worker.ts. The fixture hands crashes to tests.

--- a/src/coordination/gate.ts
+++ b/src/coordination/gate.ts
@@ -13,41 +13,19 @@
 import type {WorkerLoad} from '../protocol/worker-load.js';
 import type {WorkerState} from '../protocol/worker-load.js';
 import type {StateStore} from '../state/state-store.js';
-import {Admission} from './admission.js';
+import type {Slot} from './admission.js';
 import {SlotOutcome} from './concurrency-limit.js';
-import {Prober} from './prober.js';
+import type {CrashQuarantine, CrashRun} from './crash-quarantine.js';
+import type {WorkerConnection} from './local-worker.js';
+import {LocalWorker} from './local-worker.js';
 
 const SERVER_ERROR = 500;
 
-/** Sends work to one worker; the transport implements it. */
-export interface WorkerConnection {
-  sendRequest(
-    request: ServiceRequest,
-    signal: AbortSignal,
-  ): Promise<AttemptAnswer>;
-  /**
-   * Resolves with the HTTP status of the worker's health path.
-   *
-   * @throws AttemptError; `unreachable` when no connection came about.
-   */
-  sendProbe(path: string, signal: AbortSignal): Promise<number>;
-  close(): Promise<void>;
-}
-
 /** Opens connections to a worker that announced itself. */
 export type OpenWorkerConnection = (
   announcement: Announcement,
 ) => WorkerConnection;
 
-/** One worker of this host. */
-interface LocalWorker {
-  announcement: Announcement;
-  readonly connection: WorkerConnection;
-  readonly admission: Admission;
-  readonly prober: Prober;
-  expiryTimer: NodeJS.Timeout | undefined;
-}
-
 interface GateEvents {
   /** The set of workers or the state of one changed. */
   workersChanged: undefined;
@@ -63,6 +41,7 @@
     private readonly openConnection: OpenWorkerConnection,
     private readonly state: StateStore,
     private readonly dataCentre: string,
+    private readonly quarantine: CrashQuarantine,
   ) {
     this.wasOut = state.isDataCentreOut(dataCentre);
     state.events.on('changed', () => this.updateDataCentre());
@@ -102,7 +81,7 @@
       announcement.state as WorkerState,
       profile.limits,
     );
-    this.watchExpiry(worker);
+    worker.watchExpiry(() => this.removeWorker(worker));
     void this.events.emit('workersChanged');
   }
 
@@ -120,9 +99,15 @@
   ): Promise<AttemptAnswer> {
     const worker = this.findWorker(request, version);
     try {
-      const slot = await worker.admission.admit(request, signal);
-      handleAdmitted();
-      return await this.runInSlot(worker, request, signal, slot);
+      const run = await this.startRun(worker, request);
+      try {
+        const slot = await worker.admission.admit(request, signal);
+        handleAdmitted();
+        return await this.runInSlot(worker, request, signal, slot, run);
+      } catch (error) {
+        run.end();
+        throw error;
+      }
     } catch (error) {
       throw addLoad(error, worker.admission.load);
     }
@@ -132,11 +117,7 @@
   async close(): Promise<void> {
     const workers = [...this.workers.values()];
     this.workers.clear();
-    for (const worker of workers) {
-      clearTimeout(worker.expiryTimer);
-      worker.prober.stop();
-    }
-    await Promise.all(workers.map(worker => worker.connection.close()));
+    await Promise.all(workers.map(worker => worker.close()));
   }
 
   /** Workers of a data centre that comes back are cold. */
@@ -163,24 +144,43 @@
     return worker;
   }
 
+  private startRun(
+    worker: LocalWorker,
+    request: ServiceRequest,
+  ): Promise<CrashRun> {
+    const queueWait = this.state.findProfile(request.service)?.limits.queueWait;
+    return worker.crashWatch.startRun(request, queueWait ?? 0);
+  }
+
   private async runInSlot(
     worker: LocalWorker,
     request: ServiceRequest,
     signal: AbortSignal,
-    slot: {release(outcome: SlotOutcome): void},
+    slot: Slot,
+    run: CrashRun,
   ): Promise<AttemptAnswer> {
     let answer: AttemptAnswer;
     try {
       answer = await worker.connection.sendRequest(request, signal);
     } catch (error) {
       slot.release(signal.aborted ? SlotOutcome.CANCELLED : toOutcome(error));
+      if (!signal.aborted) await recordLoss(worker, run, error);
       throw error;
     }
     const outcome =
       answer.status >= SERVER_ERROR ? SlotOutcome.FAILURE : SlotOutcome.SUCCESS;
+    const end = (): void => {
+      slot.release(outcome);
+      run.end();
+    };
     const {rest} = answer.body;
-    if (rest) rest.once('close', () => slot.release(outcome));
-    else slot.release(outcome);
+    if (rest) {
+      rest.once('end', () => worker.crashWatch.recordAnswer(run));
+      rest.once('close', end);
+    } else {
+      worker.crashWatch.recordAnswer(run);
+      end();
+    }
     return {
       ...answer,
       load: worker.admission.load,
@@ -190,42 +190,23 @@
 
   private addWorker(announcement: Announcement, profile: Profile): LocalWorker {
     const {service} = announcement;
-    const connection = this.openConnection(announcement);
-    const admission = new Admission(announcement.slots, profile.limits);
-    const prober = new Prober({
-      sendProbe: (path, signal) => connection.sendProbe(path, signal),
-      admission,
+    const worker = new LocalWorker({
+      announcement,
+      connection: this.openConnection(announcement),
+      limits: profile.limits,
+      quarantine: this.quarantine,
       findBudget: () => this.state.findProfile(service)?.probes,
     });
-    prober.start();
-    const worker: LocalWorker = {
-      announcement,
-      connection,
-      admission,
-      prober,
-      expiryTimer: undefined,
-    };
     this.workers.set(service, worker);
     return worker;
   }
 
   private removeWorker(worker: LocalWorker): void {
-    clearTimeout(worker.expiryTimer);
-    worker.prober.stop();
     const {service} = worker.announcement;
     if (this.workers.get(service) === worker) this.workers.delete(service);
-    void worker.connection.close();
+    void worker.close();
     void this.events.emit('workersChanged');
   }
-
-  private watchExpiry(worker: LocalWorker): void {
-    clearTimeout(worker.expiryTimer);
-    worker.expiryTimer = setTimeout(
-      () => this.removeWorker(worker),
-      worker.announcement.ttlMs,
-    );
-    worker.expiryTimer.unref();
-  }
 }
 
 const OUTCOME_OF_REASON: Readonly<Partial<Record<Reason, SlotOutcome>>> = {
@@ -239,6 +220,28 @@
   return OUTCOME_OF_REASON[reason] ?? SlotOutcome.FAILURE;
 }
 
+/** Reasons of lost connections, and whether several at once show a crash. */
+const IS_COUNTED_LOSS: Readonly<Partial<Record<Reason, boolean>>> = {
+  'connection-lost': true,
+  'truncated-answer': false,
+};
+
+/** Holds a lost connection's error until a crash is known and told. */
+async function recordLoss(
+  worker: LocalWorker,
+  run: CrashRun,
+  error: unknown,
+): Promise<void> {
+  if (!(error instanceof RefusalError)) return;
+  if (error.reason === Reason.UNREACHABLE) {
+    await worker.crashWatch.recordRefusal();
+    return;
+  }
+  const isCounted = IS_COUNTED_LOSS[error.reason];
+  if (isCounted === undefined) return;
+  await worker.crashWatch.recordLoss(run, isCounted);
+}
+
 function addLoad(error: unknown, load: WorkerLoad): unknown {
   if (!(error instanceof RefusalError)) return error;
   return new AttemptError(
--- a/src/coordination/prober.ts
+++ b/src/coordination/prober.ts
@@ -20,6 +20,10 @@
   /** Resolves with the HTTP status; rejects when no answer came. */
   readonly sendProbe: (path: string, signal: AbortSignal) => Promise<number>;
   readonly admission: Admission;
+  /** Whether requests left a doubt that a probe would settle. */
+  readonly hasDoubt: () => boolean;
+  /** Called when the worker accepted no connection. */
+  readonly handleUnreachable: () => Promise<void>;
   /** The budget in force; undefined while the service is not configured. */
   readonly findBudget: () => Profile['probes'] | undefined;
   readonly now?: () => number;
@@ -51,8 +55,13 @@
 
   /** Sends a probe when one is needed and the budget allows it. */
   async run(): Promise<void> {
+    if (this.isNeeded()) await this.probeNow();
+  }
+
+  /** Sends a probe at once when the budget allows it. */
+  async probeNow(): Promise<void> {
     const budget = this.options.findBudget();
-    if (!budget || this.isProbing || !this.isNeeded()) return;
+    if (!budget || this.isProbing) return;
     const {ratePerSecond, burst} = budget;
     if (!this.bucket.take(ratePerSecond, burst, this.now())) return;
     this.lastProbeAt = this.now();
@@ -65,10 +74,10 @@
   }
 
   private isNeeded(): boolean {
-    const {admission} = this.options;
+    const {admission, hasDoubt} = this.options;
     const {state} = admission.load;
     if (state === WorkerState.DRAINING) return false;
-    if (state === WorkerState.FAILING) return true;
+    if (state === WorkerState.FAILING || hasDoubt()) return true;
     const shownAt = Math.max(admission.lastOutcomeAt, this.lastProbeAt);
     return this.now() - shownAt > IDLE_MS;
   }
@@ -78,7 +87,7 @@
    * only that the worker accepts connections.
    */
   private async probe(budget: Profile['probes']): Promise<void> {
-    const {admission, sendProbe} = this.options;
+    const {admission, sendProbe, handleUnreachable} = this.options;
     const startedAt = this.now();
     try {
       await sendProbe(budget.path, AbortSignal.timeout(budget.timeLimit));
@@ -88,7 +97,10 @@
         error instanceof RefusalError && error.reason === Reason.UNREACHABLE;
       // A request that ended meanwhile knows better.
       const isNews = admission.lastOutcomeAt < startedAt;
-      if (isUnreachable && isNews) admission.recordUnreachable();
+      if (isUnreachable && isNews) {
+        admission.recordUnreachable();
+        await handleUnreachable();
+      }
     }
   }
 }
--- a/src/node-process.ts
+++ b/src/node-process.ts
@@ -5,6 +5,7 @@
 import {randomUUID} from 'node:crypto';
 import type {Server} from 'node:http';
 import type {ConnectRouter} from '@connectrpc/connect';
+import {CrashQuarantine} from './coordination/crash-quarantine.js';
 import {Entry} from './coordination/entry.js';
 import {Gate} from './coordination/gate.js';
 import {Membership} from './coordination/membership.js';
@@ -16,10 +17,12 @@
 import {Reason, RefusalError} from './protocol/reasons.js';
 import type {NodeSettings} from './protocol/settings.js';
 import {formatFaults} from './protocol/settings.js';
+import {CrashTable} from './state/crash-table.js';
 import {StateStore} from './state/state-store.js';
 import {WorkerTable} from './state/worker-table.js';
 import type {OwnRoute} from './transport/caller-listener.js';
 import {createCallerServer} from './transport/caller-listener.js';
+import {CrashSpread} from './transport/crash-service.js';
 import {GateClient} from './transport/gate-client.js';
 import {createLogger} from './transport/logger.js';
 import {Metrics} from './transport/metrics.js';
@@ -36,6 +39,12 @@
   private readonly state;
   private readonly workers = new WorkerTable();
   private readonly peers = new PeerClients();
+  private readonly crashTable = new CrashTable();
+  private readonly crashSpread = new CrashSpread({
+    peers: this.peers,
+    listPeerAddresses: () => this.listPeerAddresses(),
+    handleRecord: record => this.crashTable.add(record),
+  });
   private readonly gateClient;
   private readonly gate;
   private readonly entry;
@@ -66,6 +75,9 @@
         ),
       this.state,
       node.dataCentre,
+      new CrashQuarantine(this.crashTable, records =>
+        this.crashSpread.spread(records),
+      ),
     );
     this.entry = new Entry({
       nodeId: node.id,
@@ -161,7 +173,15 @@
     return this.gate.runAttempt(request, version, signal, handleAdmitted);
   }
 
+  private listPeerAddresses(): string[] {
+    return this.workers
+      .listNodes()
+      .filter(({nodeId}) => nodeId !== this.identity.nodeId)
+      .map(({peerAddress}) => peerAddress);
+  }
+
   private registerServices(router: ConnectRouter): void {
+    this.crashSpread.registerService(router);
     router.service(MembershipService, {
       exchangeMembers: request => ({
         members: this.membership.handleExchange(request.members),
--- a/src/test/deployment-fixture.ts
+++ b/src/test/deployment-fixture.ts
@@ -16,6 +16,8 @@
   readonly dataCentres?: readonly string[];
   readonly slots?: number;
   readonly control?: Partial<UpstreamControl>;
+  /** Called with the host id when a request crashes its worker. */
+  readonly handleCrash?: (hostId: string) => void;
   readonly configuration?: ConfigurationInput;
   readonly nodeSettings?: Readonly<Record<string, Record<string, unknown>>>;
 }
@@ -60,7 +62,10 @@
     hosts,
     nodeSettings: options.nodeSettings,
     startUpstream: async start => {
-      const upstream = new UpstreamStandIn(start);
+      const upstream = new UpstreamStandIn({
+        ...start,
+        handleCrash: () => options.handleCrash?.(start.seed),
+      });
       upstreams.set(start.seed, upstream);
       await upstream.start();
       return {
--- a/src/test/load-loops.ts
+++ b/src/test/load-loops.ts
@@ -13,6 +13,8 @@
   readonly concurrency: number;
   readonly requests: number;
   readonly path?: string;
+  /** Different paths, one after another; as many as requests by default. */
+  readonly paths?: number;
   readonly service?: string;
   /** Hosts whose nodes take the requests; all by default. */
   readonly hosts?: readonly string[];
@@ -34,7 +36,8 @@
       sent += 1;
       const address = addresses[sent % addresses.length]!;
       const {service = 'kona-desk', path = '/tickets'} = spec;
-      const url = `http://${address}/${service}${path}/${sent}`;
+      const number = sent % (spec.paths ?? Infinity);
+      const url = `http://${address}/${service}${path}/${number}`;
       const headers = {'x-client-id': spec.caller};
       const response = await request(url, {dispatcher, headers});
       await response.body.dump();
