--- a/src/coordination/entry.ts
+++ b/src/coordination/entry.ts
@@ -12,7 +12,7 @@
 } from '../protocol/service-request.js';
 import type {Explanations} from '../state/explanations.js';
 import type {StateStore} from '../state/state-store.js';
-import type {WorkerTable} from '../state/worker-table.js';
+import type {WorkerRow, WorkerTable} from '../state/worker-table.js';
 import {Call} from './call.js';
 import {QuantileWindow} from './quantile-window.js';
 import {RetryBudget, TokenBudget} from './retry-budget.js';
@@ -31,8 +31,11 @@
   readonly count: (name: string) => void;
   /** Whether requests of this fingerprint crash workers. */
   readonly isQuarantined: (fingerprint: string) => boolean;
-  /** Whether a worker of this version may be chosen now, by moves. */
-  readonly selectVersion: (service: string) => string | undefined;
+  /** The workers of a service that one attempt may go to, by moves. */
+  readonly selectWorkers: (
+    service: string,
+    rows: readonly WorkerRow[],
+  ) => WorkerRow[];
 }
 
 /** What an entry keeps of one service. */
--- /dev/null
+++ b/src/coordination/move-judgement.ts
@@ -0,0 +1,148 @@
+/**
+ * Judges a new version by what gates saw of it, route by route, against the
+ * old version under the same traffic. One bad route makes the version bad; a
+ * route that the old version serves and the new one has not answered yet
+ * leaves it unproven.
+ */
+import type {Profile} from '../protocol/configuration.js';
+import type {RouteFigures} from '../state/version-evidence.js';
+
+/** What the evidence amounts to. */
+export const Judgement = {
+  BAD: 'bad',
+  GOOD: 'good',
+  UNPROVEN: 'unproven',
+} as const;
+
+export type Judgement = (typeof Judgement)[keyof typeof Judgement];
+
+/** A judgement with the evidence in words. */
+export interface JudgedVersion {
+  readonly judgement: Judgement;
+  readonly evidence: string;
+}
+
+/** Failures of a route below which chance is not ruled out. */
+const MIN_FAILURES = 3;
+/** Durations of a route that a comparison needs. */
+const MIN_DURATIONS = 8;
+/** Slowdown below this many milliseconds is noise of the machine. */
+const MIN_SLOWDOWN_MS = 5;
+const COMPARED_QUANTILE = 0.9;
+
+/** Adds up the figures of several gates by route. */
+export function mergeFigures(
+  parts: ReadonlyArray<readonly RouteFigures[]>,
+): RouteFigures[] {
+  const merged = new Map<string, RouteFigures>();
+  for (const figures of parts.flat()) {
+    const known = merged.get(figures.route);
+    merged.set(figures.route, known ? addFigures(known, figures) : figures);
+  }
+  return [...merged.values()];
+}
+
+function addFigures(one: RouteFigures, other: RouteFigures): RouteFigures {
+  return {
+    route: one.route,
+    answers: one.answers + other.answers,
+    failures: one.failures + other.failures,
+    recentAnswers: one.recentAnswers + other.recentAnswers,
+    recentFailures: one.recentFailures + other.recentFailures,
+    recentDurationsMs: [...one.recentDurationsMs, ...other.recentDurationsMs],
+  };
+}
+
+/** Judges the new version against the old one. */
+export function checkVersion(
+  newFigures: readonly RouteFigures[],
+  oldFigures: readonly RouteFigures[],
+  settings: Profile['moves'],
+): JudgedVersion {
+  const oldByRoute = new Map(oldFigures.map(seen => [seen.route, seen]));
+  for (const seen of newFigures) {
+    const fault =
+      findFailures(seen, oldByRoute.get(seen.route), settings) ??
+      findSlowdown(seen, oldByRoute.get(seen.route), settings);
+    if (fault !== undefined) {
+      return {judgement: Judgement.BAD, evidence: fault};
+    }
+  }
+  return checkProof(newFigures, oldFigures, settings);
+}
+
+function findFailures(
+  seen: RouteFigures,
+  old: RouteFigures | undefined,
+  settings: Profile['moves'],
+): string | undefined {
+  if (seen.recentFailures < MIN_FAILURES) return undefined;
+  const share = seen.recentFailures / seen.recentAnswers;
+  const usual = old && old.answers > 0 ? old.failures / old.answers : 0;
+  if (share <= usual + settings.failureMarginPercent / 100) return undefined;
+  return `route ${seen.route}: ${seen.recentFailures} of ${seen.recentAnswers} recent answers failed, old version ${formatPercent(usual)}`;
+}
+
+function findSlowdown(
+  seen: RouteFigures,
+  old: RouteFigures | undefined,
+  settings: Profile['moves'],
+): string | undefined {
+  const hasEnough =
+    seen.recentDurationsMs.length >= MIN_DURATIONS &&
+    (old?.recentDurationsMs.length ?? 0) >= MIN_DURATIONS;
+  if (!old || !hasEnough) return undefined;
+  const newMs = computeQuantile(seen.recentDurationsMs, COMPARED_QUANTILE);
+  const oldMs = computeQuantile(old.recentDurationsMs, COMPARED_QUANTILE);
+  const isSlow =
+    newMs > oldMs * settings.slowdownFactor && newMs - oldMs > MIN_SLOWDOWN_MS;
+  if (!isSlow) return undefined;
+  return `route ${seen.route}: p90 ${newMs.toFixed(1)} ms, old version ${oldMs.toFixed(1)} ms`;
+}
+
+function checkProof(
+  newFigures: readonly RouteFigures[],
+  oldFigures: readonly RouteFigures[],
+  settings: Profile['moves'],
+): JudgedVersion {
+  const answers = new Map(
+    newFigures.map(seen => [seen.route, seen.answers - seen.failures]),
+  );
+  const wanted = new Set([
+    ...oldFigures.map(seen => seen.route),
+    ...answers.keys(),
+  ]);
+  const missing = [...wanted].filter(
+    route => (answers.get(route) ?? 0) < settings.evidenceAnswers,
+  );
+  const counts = [...answers]
+    .map(([route, count]) => `${route} ${count}`)
+    .join(', ');
+  if (wanted.size === 0) {
+    return {judgement: Judgement.UNPROVEN, evidence: 'no traffic yet'};
+  }
+  if (missing.length > 0) {
+    return {
+      judgement: Judgement.UNPROVEN,
+      evidence: `too few good answers on ${missing.join(', ')} (${counts})`,
+    };
+  }
+  return {judgement: Judgement.GOOD, evidence: `good answers: ${counts}`};
+}
+
+/** A quantile of a few values, by sorting. */
+export function computeQuantile(
+  values: readonly number[],
+  quantile: number,
+): number {
+  const sorted = [...values].sort((one, other) => one - other);
+  const index = Math.min(
+    sorted.length - 1,
+    Math.floor(quantile * sorted.length),
+  );
+  return sorted[index] ?? 0;
+}
+
+function formatPercent(share: number): string {
+  return `${(share * 100).toFixed(1)}%`;
+}
