Prove version moves: good ones done by their time, bad ones taken back

Cause: a version that failed at once was never judged: its admission let so few requests through that three failures never fell into one recent window. Ruled out: a longer window alone, which would dilute late failures.

--- a/src/coordination/move-judgement.ts
+++ b/src/coordination/move-judgement.ts
@@ -71,16 +71,27 @@
   return checkProof(newFigures, oldFigures, settings);
 }
 
+/**
+ * Recent figures show what begins late; those since the step show a worker
+ * that fails so plainly that hardly any request reaches it.
+ */
 function findFailures(
   seen: RouteFigures,
   old: RouteFigures | undefined,
   settings: Profile['moves'],
 ): string | undefined {
-  if (seen.recentFailures < MIN_FAILURES) return undefined;
-  const share = seen.recentFailures / seen.recentAnswers;
   const usual = old && old.answers > 0 ? old.failures / old.answers : 0;
-  if (share <= usual + settings.failureMarginPercent / 100) return undefined;
-  return `route ${seen.route}: ${seen.recentFailures} of ${seen.recentAnswers} recent answers failed, old version ${formatPercent(usual)}`;
+  const limit = usual + settings.failureMarginPercent / 100;
+  const spans = [
+    {failures: seen.recentFailures, answers: seen.recentAnswers},
+    {failures: seen.failures, answers: seen.answers},
+  ];
+  const bad = spans.find(
+    ({failures, answers}) =>
+      failures >= MIN_FAILURES && failures / answers > limit,
+  );
+  if (!bad) return undefined;
+  return `route ${seen.route}: ${bad.failures} of ${bad.answers} answers failed, old version ${formatPercent(usual)}`;
 }
 
 function findSlowdown(
--- a/src/node-process.ts
+++ b/src/node-process.ts
@@ -296,6 +296,7 @@
             ...this.identity,
             counters: this.metrics.report(),
             state: this.sharedState.report(),
+            moves: this.state.current.moves,
             nodes: this.workers.listNodes(),
             members: listMemberRows(this.membership),
           },
--- a/src/test/deployment-fixture.ts
+++ b/src/test/deployment-fixture.ts
@@ -16,6 +16,8 @@
   readonly workers?: number;
   readonly dataCentres?: readonly string[];
   readonly slots?: number;
+  /** Versions of the workers, taken in turn; `v1` when absent. */
+  readonly versions?: readonly string[];
   readonly control?: Partial<UpstreamControl>;
   /** Called with the host id when a request crashes its worker. */
   readonly handleCrash?: (hostId: string) => void;
@@ -60,13 +62,14 @@
   options: FixtureOptions = {},
 ): Promise<Fixture> {
   const dataCentres = options.dataCentres ?? ['arusha'];
+  const versions = options.versions ?? ['v1'];
   const hosts: HostSpec[] = [];
   for (let index = 0; index < (options.workers ?? 3); index++) {
     hosts.push({
       id: `desk-${index}`,
       service: 'kona-desk',
       dataCentre: dataCentres[index % dataCentres.length]!,
-      version: 'v1',
+      version: versions[index % versions.length]!,
       slots: options.slots ?? 6,
       control: options.control ?? {},
       ...(options.hasPeerProxies
--- /dev/null
+++ b/src/test/move-judgement_test.ts
@@ -0,0 +1,132 @@
+/**
+ * What evidence makes a version bad, good or unproven.
+ */
+import {describe, expect, it} from 'vitest';
+import {checkVersion, mergeFigures} from '../coordination/move-judgement.js';
+import {configurationSchema} from '../protocol/configuration.js';
+import type {RouteFigures} from '../state/version-evidence.js';
+
+const settings = configurationSchema.parse({
+  profiles: {desk: {}},
+  services: {},
+}).profiles['desk']!.moves;
+
+function buildFigures(
+  route: string,
+  answers: number,
+  failures: number,
+  durationMs: number,
+): RouteFigures {
+  return {
+    route,
+    answers,
+    failures,
+    recentAnswers: answers,
+    recentFailures: failures,
+    recentDurationsMs: Array.from({length: answers}, () => durationMs),
+  };
+}
+
+const cases = [
+  {
+    name: 'as good as the old version',
+    seen: [buildFigures('tickets', 40, 0, 5)],
+    old: [buildFigures('tickets', 400, 0, 5)],
+    judgement: 'good',
+  },
+  {
+    name: 'too few answers',
+    seen: [buildFigures('tickets', 5, 0, 5)],
+    old: [buildFigures('tickets', 400, 0, 5)],
+    judgement: 'unproven',
+  },
+  {
+    name: 'no traffic at all',
+    seen: [],
+    old: [],
+    judgement: 'unproven',
+  },
+  {
+    name: 'a route that only the old version has answered',
+    seen: [buildFigures('tickets', 40, 0, 5)],
+    old: [buildFigures('tickets', 400, 0, 5), buildFigures('pay', 9, 0, 5)],
+    judgement: 'unproven',
+  },
+  {
+    name: 'failing',
+    seen: [buildFigures('tickets', 10, 4, 5)],
+    old: [buildFigures('tickets', 400, 0, 5)],
+    judgement: 'bad',
+  },
+  {
+    name: 'failing on one route only',
+    seen: [buildFigures('tickets', 400, 0, 5), buildFigures('pay', 5, 3, 5)],
+    old: [buildFigures('tickets', 400, 0, 5), buildFigures('pay', 9, 0, 5)],
+    judgement: 'bad',
+  },
+  {
+    name: 'failing no more than the old version',
+    seen: [buildFigures('tickets', 100, 10, 5)],
+    old: [buildFigures('tickets', 400, 40, 5)],
+    judgement: 'good',
+  },
+  {
+    name: 'two failures may be chance',
+    seen: [buildFigures('tickets', 40, 2, 5)],
+    old: [buildFigures('tickets', 400, 0, 5)],
+    judgement: 'good',
+  },
+  {
+    name: 'slow',
+    seen: [buildFigures('tickets', 40, 0, 50)],
+    old: [buildFigures('tickets', 400, 0, 5)],
+    judgement: 'bad',
+  },
+  {
+    name: 'slower by less than the noise of a machine',
+    seen: [buildFigures('tickets', 40, 0, 3)],
+    old: [buildFigures('tickets', 400, 0, 1)],
+    judgement: 'good',
+  },
+  {
+    name: 'failing whenever one of its rare requests runs',
+    seen: [
+      {
+        ...buildFigures('tickets', 3, 3, 5),
+        recentAnswers: 1,
+        recentFailures: 1,
+      },
+    ],
+    old: [buildFigures('tickets', 400, 0, 5)],
+    judgement: 'bad',
+  },
+  {
+    name: 'failing now after many good answers',
+    seen: [
+      {
+        ...buildFigures('tickets', 10_000, 5, 5),
+        recentAnswers: 20,
+        recentFailures: 5,
+      },
+    ],
+    old: [buildFigures('tickets', 400, 0, 5)],
+    judgement: 'bad',
+  },
+];
+
+describe('evidence about a version', () => {
+  it.each(cases)('$name: $judgement', ({seen, old, judgement}) => {
+    expect(checkVersion(seen, old, settings).judgement).toBe(judgement);
+  });
+
+  it('is added up over gates by route', () => {
+    const merged = mergeFigures([
+      [buildFigures('tickets', 3, 1, 5), buildFigures('pay', 1, 0, 5)],
+      [buildFigures('tickets', 4, 1, 5)],
+    ]);
+    expect(merged.map(({route, answers}) => [route, answers])).toEqual([
+      ['tickets', 7],
+      ['pay', 1],
+    ]);
+  });
+});
