--- a/src/bin/ctl.ts
+++ b/src/bin/ctl.ts
@@ -10,6 +10,7 @@
 import {reportMove, startMove, takeMoveBack} from '../ctl/move.js';
 import {JsonOutput, TextOutput} from '../ctl/output.js';
 import {publishFile} from '../ctl/publish.js';
+import {recoverState} from '../ctl/recover.js';
 import {describeRequest, reportStatus} from '../ctl/status.js';
 import {LogUnavailableError} from '../protocol/platform-log.js';
 import {SettingsError} from '../protocol/settings.js';
@@ -118,6 +119,10 @@
     runCommand(client => takeMoveBack(client, service, options.why)),
   );
 
+program
+  .command('recover')
+  .description('go on after records expired that no node had read')
+  .action(() => runCommand(recoverState));
 program
   .command('status')
   .description('show the state and how far each node has come')
--- a/src/ctl/control-client.ts
+++ b/src/ctl/control-client.ts
@@ -105,6 +105,12 @@
     return false;
   }
 
+  /** Reads which offsets the log still keeps. */
+  async readLogBounds(): Promise<{firstOffset: number; nextOffset: number}> {
+    const {firstOffset, nextOffset} = await this.log.read(0, 0);
+    return {firstOffset, nextOffset};
+  }
+
   /**
    * Appends a record and waits until it is in force at every live node.
    *
