Tell bystanders of a crash apart when they come again beside it

Cause: a refused connection within the window of a crash could record it before all its losses had come, or wait for its own probe; the test of bystanders passed with the naive rule. Ruled out: 'no-worker' for the crashing request in a first form of the test is the entry's retry of `quarantined`; the test asks for one attempt. Change: a loss group closes once; a refusal meanwhile makes it a crash.

--- a/src/coordination/crash-quarantine.ts
+++ b/src/coordination/crash-quarantine.ts
@@ -85,6 +85,8 @@
   readonly fingerprints: Set<string>;
   readonly suspects: Set<string>;
   losses: number;
+  /** Whether the time for more losses of the same crash is over. */
+  isClosed: boolean;
   /** Settled when the losses are known to be a crash or not. */
   readonly settled: Promise<void>;
 }
@@ -92,6 +94,7 @@
 /** Watches one worker for crashes and runs suspects one at a time. */
 export class CrashWatch {
   private group: LossGroup | undefined;
+  private refusedAt = -Infinity;
   private isSuspectRunning = false;
   private readonly turns: Array<() => void> = [];
 
@@ -153,20 +156,22 @@
 
   /** Takes note that the worker refuses connections. */
   async recordRefusal(): Promise<void> {
+    this.refusedAt = performance.now();
     const {group} = this;
     if (!group || !this.hasOpenLoss()) return;
-    await this.recordCrash(group);
+    // More losses of the same crash may still come.
+    if (group.isClosed) await this.recordCrash(group);
   }
 
   private findGroup(): LossGroup {
-    const now = performance.now();
     const {group: last} = this;
-    if (last && now - last.at <= CRASH_WINDOW_MS) return last;
+    if (last && !last.isClosed) return last;
     const group: LossGroup = {
-      at: now,
+      at: performance.now(),
       fingerprints: new Set(),
       suspects: new Set(),
       losses: 0,
+      isClosed: false,
       settled: waitMs(CRASH_WINDOW_MS).then(() => this.checkGroup(group)),
     };
     this.group = group;
@@ -174,8 +179,13 @@
   }
 
   private async checkGroup(group: LossGroup): Promise<void> {
-    if (group.losses >= CRASH_LOSSES) await this.recordCrash(group);
-    else await Promise.race([this.probeWorker(), waitMs(SPREAD_LIMIT_MS)]);
+    group.isClosed = true;
+    const isRefusing = this.refusedAt > group.at - CRASH_WINDOW_MS;
+    if (isRefusing || group.losses >= CRASH_LOSSES) {
+      await this.recordCrash(group);
+      return;
+    }
+    await Promise.race([this.probeWorker(), waitMs(SPREAD_LIMIT_MS)]);
   }
 
   private async recordCrash(group: LossGroup): Promise<void> {
