--- a/src/node-process.ts
+++ b/src/node-process.ts
@@ -5,29 +5,44 @@
 import {randomUUID} from 'node:crypto';
 import type {Server} from 'node:http';
 import type {ConnectRouter} from '@connectrpc/connect';
+import {AttemptRunner} from './coordination/attempt-runner.js';
+import {AttemptSender, SealError} from './coordination/attempt-sender.js';
 import {CrashQuarantine} from './coordination/crash-quarantine.js';
 import {Entry} from './coordination/entry.js';
 import {Gate} from './coordination/gate.js';
-import {Membership} from './coordination/membership.js';
+import type {Membership} from './coordination/membership.js';
+import {createNodeMembership, listMemberRows} from './node-membership.js';
+import {NodeMoves} from './node-moves.js';
+import {NodeStop} from './node-stop.js';
 import {announcementSchema} from './protocol/announcement.js';
 import type {Attempt, AttemptAnswer} from './protocol/attempt.js';
-import {MembershipService} from './protocol/membership_pb.js';
+import {AttemptError} from './protocol/attempt.js';
+import {AttemptService} from './protocol/attempts_pb.js';
 import type {NodeIdentity} from './protocol/node-identity.js';
 import {createIncarnation, parseAddress} from './protocol/node-identity.js';
 import {Reason, RefusalError} from './protocol/reasons.js';
+import type {ServiceRequest} from './protocol/service-request.js';
 import type {NodeSettings} from './protocol/settings.js';
 import {formatFaults} from './protocol/settings.js';
+import {SharedState} from './shared-state.js';
+import type {SealOutcome} from './state/attempt-registry.js';
+import {AttemptRegistry} from './state/attempt-registry.js';
 import {CrashTable} from './state/crash-table.js';
-import {StateStore} from './state/state-store.js';
+import {Explanations} from './state/explanations.js';
 import {WorkerTable} from './state/worker-table.js';
+import {
+  AskError,
+  askSealAttempt,
+  createSealHandler,
+} from './transport/attempt-service.js';
 import type {OwnRoute} from './transport/caller-listener.js';
 import {createCallerServer} from './transport/caller-listener.js';
 import {CrashSpread} from './transport/crash-service.js';
 import {GateClient} from './transport/gate-client.js';
 import {createLogger} from './transport/logger.js';
+import {registerMembershipService} from './transport/membership-service.js';
 import {Metrics} from './transport/metrics.js';
 import {PeerClients} from './transport/peer-client.js';
-import type {ReceivedAttempt} from './transport/peer-listener.js';
 import {createPeerServer} from './transport/peer-listener.js';
 import {UpstreamClient} from './transport/upstream-client.js';
 
@@ -36,24 +51,26 @@
   private readonly identity: NodeIdentity;
   private readonly logger;
   private readonly metrics;
+  private readonly sharedState: SharedState;
   private readonly state;
   private readonly workers = new WorkerTable();
-  private readonly peers = new PeerClients();
+  private readonly peers;
   private readonly crashTable = new CrashTable();
-  private readonly crashSpread = new CrashSpread({
-    peers: this.peers,
-    listPeerAddresses: () => this.listPeerAddresses(),
-    handleRecord: record => this.crashTable.add(record),
-  });
+  private readonly crashSpread;
+  private readonly moves: NodeMoves;
   private readonly gateClient;
   private readonly gate;
+  private readonly explanations = new Explanations();
+  private readonly attempts = new AttemptRegistry();
+  private readonly attemptRunner;
+  private readonly attemptSender;
   private readonly entry;
-  private readonly membership;
+  private readonly membership: Membership;
   private readonly callerServer: Server;
   private readonly peerServer: Server;
-  private isStopping = false;
+  private readonly planned: NodeStop;
 
-  constructor(settings: NodeSettings) {
+  constructor(private readonly settings: NodeSettings) {
     const {node} = settings;
     this.identity = {
       nodeId: node.id,
@@ -64,41 +81,80 @@
     };
     this.logger = createLogger(node.id, settings.logging);
     this.metrics = new Metrics(node.id, settings.metrics);
-    this.state = new StateStore(settings.configuration);
+    this.peers = new PeerClients(settings.connections.localAddress);
+    this.sharedState = new SharedState({
+      identity: this.identity,
+      settings,
+      workers: this.workers,
+      peers: this.peers,
+      logger: this.logger,
+      metrics: this.metrics,
+    });
+    this.state = this.sharedState.store;
+    this.crashSpread = new CrashSpread({
+      peers: this.peers,
+      listPeerAddresses: () => this.listPeerAddresses(),
+      handleRecord: record => this.crashTable.add(record),
+    });
+    this.moves = new NodeMoves({
+      identity: this.identity,
+      sharedState: this.sharedState,
+      workers: this.workers,
+      peers: this.peers,
+      logger: this.logger,
+      metrics: this.metrics,
+      findGate: () => this.gate,
+    });
     this.gateClient = new GateClient(node.id, settings.connections);
     this.gate = new Gate(
-      announcement =>
-        new UpstreamClient(
-          announcement.address,
-          announcement.slots,
-          settings.connections.connectTimeout,
-        ),
+      this.moves.observe(
+        announcement =>
+          new UpstreamClient(
+            announcement.address,
+            announcement.slots,
+            settings.connections.connectTimeout,
+          ),
+      ),
       this.state,
       node.dataCentre,
       new CrashQuarantine(this.crashTable, records =>
         this.crashSpread.spread(records),
       ),
     );
+    this.attemptRunner = new AttemptRunner(
+      this.identity.incarnation,
+      this.attempts,
+      (request, version, signal, handleAdmitted) =>
+        this.runOnWorker(request, version, signal, handleAdmitted),
+    );
+    this.attemptSender = new AttemptSender(
+      (attempt, signal, handleSilence) =>
+        this.gateClient.sendAttempt(attempt, signal, handleSilence),
+      askSeal,
+      name => this.metrics.count(`attempts.${name}`),
+    );
     this.entry = new Entry({
-      nodeId: node.id,
       dataCentre: node.dataCentre,
       state: this.state,
       workers: this.workers,
+      explanations: this.explanations,
       sendAttempt: (attempt, signal) => this.sendAttempt(attempt, signal),
       random: Math.random,
       createAttemptId: randomUUID,
+      count: name => this.metrics.count(name),
+      isQuarantined: fingerprint => this.crashTable.isQuarantined(fingerprint),
+      selectWorkers: (service, rows) =>
+        this.moves.versions.selectWorkers(service, rows),
     });
-    this.membership = new Membership({
+    this.membership = createNodeMembership({
       identity: this.identity,
-      settings: settings.membership,
+      settings,
       workers: this.workers,
-      random: Math.random,
-      calls: {
-        exchangeMembers: async (peerAddress, members) => {
-          const client = this.peers.find(MembershipService, peerAddress);
-          return (await client.exchangeMembers({members})).members;
-        },
-      },
+      state: this.state,
+      peers: this.peers,
+      gateClient: this.gateClient,
+      metrics: this.metrics,
+      logger: this.logger,
     });
     this.callerServer = createCallerServer({
       ownRoutes: this.buildOwnRoutes(),
@@ -113,23 +169,42 @@
           verdict: refusal.verdict,
         });
       },
-      isStopping: () => this.isStopping,
+      isStopping: () => this.planned.isStopping,
     });
     this.peerServer = createPeerServer({
-      handleAttempt: (attempt, signal, handleAdmitted) =>
-        this.handleAttempt(attempt, signal, handleAdmitted),
+      handleAttempt: async (attempt, signal, handleAdmitted) => {
+        if (this.planned.isRefusingAttempts) {
+          throw new RefusalError(Reason.NODE_STOPPING);
+        }
+        return this.attemptRunner.run(attempt, signal, handleAdmitted);
+      },
       registerServices: router => this.registerServices(router),
     });
+    this.planned = new NodeStop({
+      settings: settings.stop,
+      membership: this.membership,
+      callerServer: this.callerServer,
+      peerServer: this.peerServer,
+      closeClients: () => this.closeClients(),
+      handleStep: (step, isComplete) =>
+        this.logger.write('info', step, {isComplete}),
+    });
   }
 
   /** Listens, joins the other nodes and begins to work. */
   async start(): Promise<void> {
-    await startListening(this.peerServer, this.identity.peerAddress);
+    const {node} = this.settings;
+    await startListening(
+      this.peerServer,
+      node.peerListenAddress ?? node.peerAddress,
+    );
     await startListening(this.callerServer, this.identity.callerAddress);
     this.gate.events.on('workersChanged', () =>
       this.membership.updateWorkers(this.gate.listWorkers()),
     );
     this.membership.start();
+    this.sharedState.start();
+    this.moves.versions.start();
     this.logger.write('info', 'started', {
       callerAddress: this.identity.callerAddress,
       peerAddress: this.identity.peerAddress,
@@ -138,15 +213,17 @@
 
   /** Stops without cutting a request. */
   async stop(): Promise<void> {
-    this.isStopping = true;
-    await this.membership.leave();
-    this.membership.stop();
-    await Promise.all([close(this.callerServer), close(this.peerServer)]);
+    await this.planned.run();
+    this.logger.write('info', 'stopped');
+  }
+
+  private async closeClients(): Promise<void> {
+    this.moves.versions.stop();
+    await this.sharedState.stop();
     await this.gateClient.close();
     await this.gate.close();
     this.peers.close();
     await this.metrics.close();
-    this.logger.write('info', 'stopped');
   }
 
   private async sendAttempt(
@@ -154,22 +231,22 @@
     signal: AbortSignal,
   ): Promise<AttemptAnswer> {
     if (attempt.target.nodeId === this.identity.nodeId) {
-      return this.gate.runAttempt(attempt.request, attempt.version, signal);
+      return this.runOnWorker(attempt.request, attempt.version, signal);
     }
-    return this.gateClient.sendAttempt(attempt, signal, () => {
-      this.metrics.count('connections.silent');
-    });
+    return this.attemptSender.sendAttempt(attempt, signal);
   }
 
-  private async handleAttempt(
-    attempt: ReceivedAttempt,
+  /** Runs a request on the local worker unless its version was found bad. */
+  private async runOnWorker(
+    request: ServiceRequest,
+    version: string | undefined,
     signal: AbortSignal,
-    handleAdmitted: () => void,
+    handleAdmitted?: () => void,
   ): Promise<AttemptAnswer> {
-    if (attempt.incarnation !== this.identity.incarnation) {
-      throw new RefusalError(Reason.WRONG_INCARNATION);
-    }
-    const {request, version} = attempt;
+    const isBad =
+      version !== undefined &&
+      !this.moves.versions.isAllowed(request.service, version);
+    if (isBad) throw new AttemptError(Reason.WRONG_VERSION, 'not-run', version);
     return this.gate.runAttempt(request, version, signal, handleAdmitted);
   }
 
@@ -181,12 +258,18 @@
   }
 
   private registerServices(router: ConnectRouter): void {
+    this.sharedState.registerServices(router);
+    this.moves.registerServices(router);
     this.crashSpread.registerService(router);
-    router.service(MembershipService, {
-      exchangeMembers: request => ({
-        members: this.membership.handleExchange(request.members),
-      }),
-    });
+    registerMembershipService(router, this.membership, (name, amount) =>
+      this.metrics.count(name, amount),
+    );
+    router.rpc(
+      AttemptService.method.sealAttempt,
+      createSealHandler(this.identity.incarnation, (id, waitMs) =>
+        this.attempts.seal(id, waitMs),
+      ),
+    );
   }
 
   private buildOwnRoutes(): OwnRoute[] {
@@ -200,7 +283,7 @@
         method: 'get',
         path: '/-/ready',
         handle: () =>
-          this.isStopping
+          this.planned.isStopping
             ? {status: 503, body: {status: 'stopping'}}
             : {status: 200, body: {status: 'ready'}},
       },
@@ -212,10 +295,22 @@
           body: {
             ...this.identity,
             counters: this.metrics.report(),
+            state: this.sharedState.report(),
             nodes: this.workers.listNodes(),
+            members: listMemberRows(this.membership),
           },
         }),
       },
+      {
+        method: 'get',
+        path: '/-/explain/:requestId',
+        handle: ({params}) => {
+          const found = this.explanations.find(params['requestId'] ?? '');
+          return found
+            ? {status: 200, body: found}
+            : {status: 404, body: {error: 'request not known here'}};
+        },
+      },
       {
         method: 'post',
         path: '/-/announce',
@@ -236,13 +331,19 @@
   }
 }
 
+async function askSeal(attempt: Attempt, waitMs: number) {
+  try {
+    const {outcome, answer} = await askSealAttempt(attempt, waitMs);
+    return {outcome: outcome as SealOutcome, ...(answer ? {answer} : {})};
+  } catch (error) {
+    if (!(error instanceof AskError)) throw error;
+    throw new SealError(error.isRefused, error.message);
+  }
+}
+
 function startListening(server: Server, address: string): Promise<void> {
   return new Promise((resolve, reject) => {
     server.once('error', reject);
     server.listen(parseAddress(address), () => resolve());
   });
 }
-
-function close(server: Server): Promise<void> {
-  return new Promise(resolve => server.close(() => resolve()));
-}
--- a/src/protocol/configuration.ts
+++ b/src/protocol/configuration.ts
@@ -62,11 +62,11 @@
 });
 
 const hedgingSchema = z.strictObject({
-  enabled: z.boolean().default(false),
+  enabled: z.boolean().default(true),
   /** Second tries as a share of the idempotent calls at one entry. */
   budgetPercent: z.number().min(0).max(50).default(2),
   /** The second try starts when the first is slower than this quantile. */
-  quantile: z.number().min(0.5).max(0.999).default(0.95),
+  quantile: z.number().min(0.5).max(0.999).default(0.99),
 });
 
 const probesSchema = z.strictObject({
@@ -103,6 +103,8 @@
 export const profileSchema = z
   .strictObject({
     balancing: z.enum(BALANCING_POLICIES).default('adaptive'),
+    /** What a worker in another data centre must be faster by. */
+    farCost: buildDurationSchema(0, SECOND_MS).prefault('3ms'),
     timeLimit: buildDurationSchema(1, HOUR_MS).prefault('2s'),
     maxTimeLimit: buildDurationSchema(1, HOUR_MS).prefault('30s'),
     routes: z.array(routeSchema).default([]),
--- a/src/transport/upstream-client.ts
+++ b/src/transport/upstream-client.ts
@@ -3,12 +3,15 @@
  * kept connections; others get a connection of their own, because a kept one
  * may be closed by the worker at the very moment of sending, which would leave
  * doubt about a request that must not run twice.
+ *
+ * A worker does not acknowledge requests, so a connection that went silent
+ * looks like a slow worker; hedging at the entry covers both.
  */
 import {Client, Pool} from 'undici';
 import type {AttemptAnswer} from '../protocol/attempt.js';
 import {AttemptError} from '../protocol/attempt.js';
 import * as headerNames from '../protocol/headers.js';
-import {Reason} from '../protocol/reasons.js';
+import {Reason, RefusalError} from '../protocol/reasons.js';
 import type {Headers, ServiceRequest} from '../protocol/service-request.js';
 import {readHeldBody} from '../protocol/service-request.js';
 import {readVerdict, Verdict} from '../protocol/verdict.js';
@@ -165,6 +168,10 @@
 function buildUpstreamError(error: unknown): AttemptError {
   const sent = !(error instanceof ExchangeError) || error.sent;
   const detail = `worker: ${String(error)}`;
+  if (error instanceof ExchangeError && error.cause instanceof RefusalError) {
+    const verdict = error.sent ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN;
+    return new AttemptError(error.cause.reason, verdict, detail);
+  }
   return sent
     ? new AttemptError(Reason.CONNECTION_LOST, Verdict.MAY_HAVE_RUN, detail)
     : new AttemptError(Reason.UNREACHABLE, Verdict.NOT_RUN, detail);
