--- a/src/coordination/membership.ts
+++ b/src/coordination/membership.ts
@@ -293,6 +293,8 @@
     elapsedMs: number,
   ): void {
     this.observeVersion(peerAddress, reply.stateVersion);
+    // A node that has applied less than the peer is not as fresh as the peer.
+    if (reply.stateVersion > this.options.findStateVersion()) return;
     const ageMs = reply.logFreshnessMs + elapsedMs;
     if (Number.isFinite(ageMs)) this.options.recordLogConfirmation(ageMs);
   }
--- a/src/node-process.ts
+++ b/src/node-process.ts
@@ -20,10 +20,10 @@
 import {Reason, RefusalError} from './protocol/reasons.js';
 import type {NodeSettings} from './protocol/settings.js';
 import {formatFaults} from './protocol/settings.js';
+import {SharedState} from './shared-state.js';
 import type {SealOutcome} from './state/attempt-registry.js';
 import {AttemptRegistry} from './state/attempt-registry.js';
 import {Explanations} from './state/explanations.js';
-import {StateStore} from './state/state-store.js';
 import {WorkerTable} from './state/worker-table.js';
 import {
   AskError,
@@ -45,6 +45,7 @@
   private readonly identity: NodeIdentity;
   private readonly logger;
   private readonly metrics;
+  private readonly sharedState: SharedState;
   private readonly state;
   private readonly workers = new WorkerTable();
   private readonly peers;
@@ -71,8 +72,16 @@
     };
     this.logger = createLogger(node.id, settings.logging);
     this.metrics = new Metrics(node.id, settings.metrics);
-    this.state = new StateStore(settings.configuration);
     this.peers = new PeerClients(settings.connections.localAddress);
+    this.sharedState = new SharedState({
+      identity: this.identity,
+      settings,
+      workers: this.workers,
+      peers: this.peers,
+      logger: this.logger,
+      metrics: this.metrics,
+    });
+    this.state = this.sharedState.store;
     this.gateClient = new GateClient(node.id, settings.connections);
     this.gate = new Gate(
       announcement =>
@@ -165,6 +174,7 @@
       this.membership.updateWorkers(this.gate.listWorkers()),
     );
     this.membership.start();
+    this.sharedState.start();
     this.logger.write('info', 'started', {
       callerAddress: this.identity.callerAddress,
       peerAddress: this.identity.peerAddress,
@@ -178,6 +188,7 @@
   }
 
   private async closeClients(): Promise<void> {
+    await this.sharedState.stop();
     await this.gateClient.close();
     await this.gate.close();
     this.peers.close();
@@ -195,6 +206,7 @@
   }
 
   private registerServices(router: ConnectRouter): void {
+    this.sharedState.registerServices(router);
     registerMembershipService(router, this.membership, (name, amount) =>
       this.metrics.count(name, amount),
     );
@@ -228,6 +240,7 @@
           body: {
             ...this.identity,
             counters: this.metrics.report(),
+            state: this.sharedState.report(),
             nodes: this.workers.listNodes(),
             members: listMemberRows(this.membership),
           },
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -8,8 +8,10 @@
 import {z} from 'zod';
 import {configurationSchema, nameSchema} from './configuration.js';
 import {buildDurationSchema} from './quantities.js';
+import {listAllowedKeys} from './schema-keys.js';
 
 const MINUTE_MS = 60_000;
+const HOUR_MS = 60 * MINUTE_MS;
 
 /** An address by IP number, such as `127.0.0.1:7001`. */
 export const addressSchema = z
@@ -41,7 +43,21 @@
     name: nameSchema,
     /** Longest wait for one answer of the log. */
     timeLimit: buildDurationSchema(10, MINUTE_MS).prefault('2s'),
+    /** Longest wait of one read for a new record. */
+    pollWait: buildDurationSchema(10, MINUTE_MS).prefault('2s'),
+    /** Time between snapshots; well below the log's retention. */
+    snapshotInterval: buildDurationSchema(50, 24 * HOUR_MS).prefault('10m'),
   }),
+  relay: z
+    .strictObject({
+      /** Peers to which a node pushes each new record. */
+      fanout: z.int().min(1).max(20).default(3),
+      /** Mean time between pulls from a random peer. */
+      pullInterval: buildDurationSchema(50, MINUTE_MS).prefault('1s'),
+      /** Longest wait for one answer of a peer. */
+      timeLimit: buildDurationSchema(10, MINUTE_MS).prefault('1s'),
+    })
+    .prefault({}),
   membership: z
     .strictObject({
       /** Peer addresses of some nodes, to find the others. */
@@ -130,17 +146,31 @@
 }
 
 /** Formats the faults that a schema found, each with its key. */
-export function formatFaults(error: z.ZodError): string[] {
+export function formatFaults(error: z.ZodError, schema?: z.ZodType): string[] {
   return error.issues.map(issue => {
     const path = formatKeyPath(issue.path);
     if (issue.code === 'unrecognized_keys') {
       const keys = issue.keys.map(key => formatKeyPath([key])).join(', ');
-      return `${path ? `${path}: ` : ''}unknown key ${keys}`;
+      const allowed = schema && listAllowedKeys(schema, issue.path);
+      const names = allowed?.map(key => formatKeyPath([key])).join(', ');
+      const hint = names === undefined ? '' : `; allowed: ${names}`;
+      return `${path ? `${path}: ` : ''}unknown key ${keys}${hint}`;
+    }
+    if (issue.code === 'invalid_type') {
+      const isMissing = issue.message.endsWith('received undefined');
+      const fault = isMissing ? 'missing' : 'wrong type';
+      return `${path}: ${fault}; allowed: ${formatType(issue.expected)}`;
     }
     return `${path}: ${issue.message}`;
   });
 }
 
+function formatType(expected: string): string {
+  if (expected === 'object' || expected === 'record') return 'a table';
+  if (expected === 'int') return 'a whole number';
+  return `${expected === 'array' ? 'an' : 'a'} ${expected}`;
+}
+
 /**
  * Parses TOML text by a schema.
  *
@@ -161,7 +191,7 @@
   }
   const result = schema.safeParse(raw);
   if (!result.success)
-    throw new SettingsError(file, formatFaults(result.error));
+    throw new SettingsError(file, formatFaults(result.error, schema));
   return result.data;
 }
 
