--- a/src/coordination/membership.ts
+++ b/src/coordination/membership.ts
@@ -106,12 +106,14 @@
     updateWorkerTable(options.workers, this.view.self);
   }
 
-  /** Joins the other nodes and begins to probe. */
-  start(): void {
-    for (const address of this.listLostAddresses()) {
-      void this.exchange.run(address);
-    }
+  /**
+   * Begins to probe and joins the other nodes; resolves when each seed has
+   * answered or been given up.
+   */
+  async join(): Promise<void> {
     this.scheduleNextPeriod();
+    const addresses = this.listLostAddresses();
+    await Promise.all(addresses.map(address => this.exchange.run(address)));
   }
 
   /** Stops probing. */
--- a/src/measure/local-deployment.ts
+++ b/src/measure/local-deployment.ts
@@ -121,6 +121,11 @@
   readonly nodeId: string;
   readonly incarnation: number;
   readonly counters: Record<string, number>;
+  readonly process: {
+    readonly cpuSeconds: number;
+    readonly rssBytes: number;
+    readonly peerCallBytes: number;
+  };
   readonly nodes: ReadonlyArray<{
     readonly nodeId: string;
     readonly incarnation: number;
--- a/src/node-process.ts
+++ b/src/node-process.ts
@@ -11,7 +11,7 @@
 import {Gate} from './coordination/gate.js';
 import type {Membership} from './coordination/membership.js';
 import {createNodeMembership, listMemberRows} from './node-membership.js';
-import {NodeStop} from './node-stop.js';
+import {describeReadiness, NodeStop} from './node-stop.js';
 import {announcementSchema} from './protocol/announcement.js';
 import type {Attempt, AttemptAnswer} from './protocol/attempt.js';
 import {AttemptService} from './protocol/attempts_pb.js';
@@ -38,6 +38,7 @@
 import {Metrics} from './transport/metrics.js';
 import {PeerClients} from './transport/peer-client.js';
 import {createPeerServer} from './transport/peer-listener.js';
+import {reportProcess} from './transport/process-report.js';
 import {UpstreamClient} from './transport/upstream-client.js';
 
 /** A running node. */
@@ -60,6 +61,7 @@
   private readonly callerServer: Server;
   private readonly peerServer: Server;
   private readonly planned: NodeStop;
+  private hasJoined = false;
 
   constructor(private readonly settings: NodeSettings) {
     const {node} = settings;
@@ -173,8 +175,9 @@
     this.gate.events.on('workersChanged', () =>
       this.membership.updateWorkers(this.gate.listWorkers()),
     );
-    this.membership.start();
     this.sharedState.start();
+    await this.membership.join();
+    this.hasJoined = true;
     this.logger.write('info', 'started', {
       callerAddress: this.identity.callerAddress,
       peerAddress: this.identity.peerAddress,
@@ -228,9 +231,7 @@
         method: 'get',
         path: '/-/ready',
         handle: () =>
-          this.planned.isStopping
-            ? {status: 503, body: {status: 'stopping'}}
-            : {status: 200, body: {status: 'ready'}},
+          describeReadiness(this.planned.isStopping, this.hasJoined),
       },
       {
         method: 'get',
@@ -240,6 +241,7 @@
           body: {
             ...this.identity,
             counters: this.metrics.report(),
+            process: reportProcess(this.peers),
             state: this.sharedState.report(),
             nodes: this.workers.listNodes(),
             members: listMemberRows(this.membership),
--- a/src/node-stop.ts
+++ b/src/node-stop.ts
@@ -6,6 +6,7 @@
 import type {Server} from 'node:http';
 import type {Membership} from './coordination/membership.js';
 import type {NodeSettings} from './protocol/settings.js';
+import type {OwnAnswer} from './transport/caller-listener.js';
 import {ConnectionCloser} from './transport/connection-closer.js';
 import {drainServer, waitForNoConnections} from './transport/server-drain.js';
 
@@ -100,6 +101,16 @@
   }
 }
 
+/** Answer of the readiness path: a node takes callers between join and stop. */
+export function describeReadiness(
+  isStopping: boolean,
+  hasJoined: boolean,
+): OwnAnswer {
+  if (isStopping) return {status: 503, body: {status: 'stopping'}};
+  if (!hasJoined) return {status: 503, body: {status: 'joining'}};
+  return {status: 200, body: {status: 'ready'}};
+}
+
 /** Waits for a task; false when it failed or time ran out. */
 async function waitAtMost(
   task: Promise<void>,
