--- a/src/measure/local-deployment.ts
+++ b/src/measure/local-deployment.ts
@@ -57,13 +57,10 @@
   readonly configuration: ConfigurationInput;
   readonly hosts: readonly HostSpec[];
   readonly startUpstream: StartUpstream;
-  /**
-   * Puts something between a node's peer listener and the others; resolves
-   * with the address that they use. Direct when absent.
-   */
+  /** Puts a proxy before a node's peer address; resolves with its address. */
   readonly openPeerProxy?: (
     hostId: string,
-    listenAddress: string,
+    peerListenAddress: string,
   ) => Promise<string>;
   /** Added to each node's settings, by section, in camel case. */
   readonly nodeSettings?: Readonly<Record<string, Record<string, unknown>>>;
@@ -156,15 +153,16 @@
     const takeAddress = (): string => `127.0.0.1:${ports.pop()}`;
     const hosts: Host[] = [];
     for (const host of spec.hosts) {
-      const listenAddress = takeAddress();
+      const peerListenAddress = takeAddress();
       const peerAddress =
-        (await spec.openPeerProxy?.(host.id, listenAddress)) ?? listenAddress;
+        (await spec.openPeerProxy?.(host.id, peerListenAddress)) ??
+        peerListenAddress;
       hosts.push(
         new Host(
           host,
           takeAddress(),
           peerAddress,
-          listenAddress,
+          peerListenAddress,
           ports.pop()!,
           join(folder, `${host.id}.toml`),
         ),
--- a/src/test/planned-stop_test.ts
+++ b/src/test/planned-stop_test.ts
@@ -8,7 +8,7 @@
 import {waitFor} from '../measure/wait-for.js';
 import type {Host} from '../measure/local-deployment.js';
 import type {Fixture} from './deployment-fixture.js';
-import {startFixture} from './deployment-fixture.js';
+import {startFixture, WARM_CONFIGURATION} from './deployment-fixture.js';
 import {CallLoad} from './stand-ins/call-load.js';
 
 const SEED = 'planned-stop-1';
@@ -22,6 +22,7 @@
 beforeEach(async () => {
   fixture = await startFixture({
     workers: 4,
+    configuration: WARM_CONFIGURATION,
     // A busy machine is not to be taken for a silent connection here.
     nodeSettings: {connections: {acknowledgeTimeout: '5s'}},
   });
--- a/src/test/stand-ins/upstream.ts
+++ b/src/test/stand-ins/upstream.ts
@@ -47,6 +47,8 @@
   isCutting: boolean;
   /** Answers the health path with this status. */
   healthStatus: number;
+  /** Leaves the health path without an answer. */
+  isHealthSilent: boolean;
   /** Mean service time in milliseconds. */
   serviceTimeMs: number;
   /** Stops announcing itself, without a word. */
@@ -133,6 +135,7 @@
       isSilent: false,
       isCutting: false,
       healthStatus: 200,
+      isHealthSilent: false,
       serviceTimeMs: 4,
       isQuiet: false,
       state: 'ready',
@@ -191,6 +194,7 @@
     }
     if (message.headers[PROBE] !== undefined || path === '/health') {
       this.figures.probes += 1;
+      if (this.control.isHealthSilent) return;
       sendJson(response, this.control.healthStatus, {
         state: this.control.state,
       });
