--- a/src/test/planned-stop_test.ts
+++ b/src/test/planned-stop_test.ts
@@ -3,15 +3,18 @@
  * their way on open connections, not under load, not node after node.
  */
 import type {IncomingMessage} from 'node:http';
-import {Agent, get} from 'node:http';
+import {Agent, get, request} from 'node:http';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 import {waitFor} from '../measure/wait-for.js';
 import type {Host} from '../measure/local-deployment.js';
 import type {Fixture} from './deployment-fixture.js';
 import {startFixture, WARM_CONFIGURATION} from './deployment-fixture.js';
+import {readWholeBody} from './stand-ins/json-http.js';
 import {CallLoad} from './stand-ins/call-load.js';
 
 const SEED = 'planned-stop-1';
+/** More than a node holds in memory, so that it streams. */
+const UPLOAD_PART_BYTES = 200_000;
 const CALLER_COUNT = 24;
 /** Calls before, between and after the stops. */
 const CALLS_PER_PHASE = 400;
@@ -137,6 +140,29 @@
     expect(await host!.node!.exited).toBe(0);
   });
 
+  it('takes an upload to its end that was under way', async () => {
+    const [host] = fixture.deployment.hosts;
+    const url = `http://${host!.callerAddress}/kona-desk/photos/1`;
+    const upload = request(url, {method: 'PUT'});
+    const answered = new Promise<IncomingMessage>((resolve, reject) => {
+      upload.on('error', reject).on('response', resolve);
+    });
+    upload.write(Buffer.alloc(UPLOAD_PART_BYTES));
+    await waitFor('the upload to reach a worker', () =>
+      [...fixture.upstreams.values()].some(({figures}) => figures.requests > 0),
+    );
+    startStop(host!);
+    await waitUntilStopping(host!);
+    upload.end(Buffer.alloc(UPLOAD_PART_BYTES));
+    const answer = await answered;
+    expect(answer.statusCode).toBe(200);
+    const body = JSON.parse((await readWholeBody(answer)).toString()) as {
+      length: number;
+    };
+    expect(body.length).toBe(2 * UPLOAD_PART_BYTES);
+    expect(await host!.node!.exited).toBe(0);
+  });
+
   it('refuses attempts of other nodes with a true not-run', async () => {
     const [host] = fixture.deployment.hosts;
     const {incarnation} = await host!.readStatus();
