--- a/src/node-process.ts
+++ b/src/node-process.ts
@@ -13,7 +13,7 @@
 import type {Membership} from './coordination/membership.js';
 import {createNodeMembership, listMemberRows} from './node-membership.js';
 import {NodeMoves} from './node-moves.js';
-import {NodeStop} from './node-stop.js';
+import {describeReadiness, NodeStop} from './node-stop.js';
 import {announcementSchema} from './protocol/announcement.js';
 import type {Attempt, AttemptAnswer} from './protocol/attempt.js';
 import {AttemptError} from './protocol/attempt.js';
@@ -44,6 +44,7 @@
 import {Metrics} from './transport/metrics.js';
 import {PeerClients} from './transport/peer-client.js';
 import {createPeerServer} from './transport/peer-listener.js';
+import {reportProcess} from './transport/process-report.js';
 import {UpstreamClient} from './transport/upstream-client.js';
 
 /** A running node. */
@@ -69,6 +70,7 @@
   private readonly callerServer: Server;
   private readonly peerServer: Server;
   private readonly planned: NodeStop;
+  private hasJoined = false;
 
   constructor(private readonly settings: NodeSettings) {
     const {node} = settings;
@@ -205,9 +207,10 @@
     this.membership.events.on('versionSeen', ({peerAddress}) =>
       this.sharedState.fetchNewer(peerAddress),
     );
-    this.membership.start();
     this.sharedState.start();
     this.moves.versions.start();
+    await this.membership.join();
+    this.hasJoined = true;
     this.logger.write('info', 'started', {
       callerAddress: this.identity.callerAddress,
       peerAddress: this.identity.peerAddress,
@@ -286,9 +289,7 @@
         method: 'get',
         path: '/-/ready',
         handle: () =>
-          this.planned.isStopping
-            ? {status: 503, body: {status: 'stopping'}}
-            : {status: 200, body: {status: 'ready'}},
+          describeReadiness(this.planned.isStopping, this.hasJoined),
       },
       {
         method: 'get',
@@ -298,6 +299,7 @@
           body: {
             ...this.identity,
             counters: this.metrics.report(),
+            process: reportProcess(this.peers),
             state: this.sharedState.report(),
             moves: this.state.current.moves,
             nodes: this.workers.listNodes(),
