Wire key homes into the node, with state merged

Cause: with the log client there, home lists can be appended and followed. Ruled out: an answer that leaves a large resent body unread. Change: merge of state; requests with a key go to their home, attempts with an epoch to the home's rule, and a stop hands keys over before listeners close. AttemptService methods are registered one by one, so that two modules can serve them. Conclusion: loss of a home waits for membership that notices losses.

--- a/src/node-process.ts
+++ b/src/node-process.ts
@@ -10,6 +10,7 @@
 import {Entry} from './coordination/entry.js';
 import {Gate} from './coordination/gate.js';
 import {Membership} from './coordination/membership.js';
+import {KeyHomes} from './key-homes.js';
 import {announcementSchema} from './protocol/announcement.js';
 import type {Attempt, AttemptAnswer} from './protocol/attempt.js';
 import {AttemptService} from './protocol/attempts_pb.js';
@@ -22,7 +23,7 @@
 import type {SealOutcome} from './state/attempt-registry.js';
 import {AttemptRegistry} from './state/attempt-registry.js';
 import {Explanations} from './state/explanations.js';
-import {StateStore} from './state/state-store.js';
+import {SharedState} from './shared-state.js';
 import {WorkerTable} from './state/worker-table.js';
 import {
   AskError,
@@ -43,6 +44,7 @@
   private readonly identity: NodeIdentity;
   private readonly logger;
   private readonly metrics;
+  private readonly sharedState: SharedState;
   private readonly state;
   private readonly workers = new WorkerTable();
   private readonly peers = new PeerClients();
@@ -53,6 +55,7 @@
   private readonly attemptRunner;
   private readonly attemptSender;
   private readonly entry;
+  private readonly keyHomes;
   private readonly membership;
   private readonly callerServer: Server;
   private readonly peerServer: Server;
@@ -69,7 +72,15 @@
     };
     this.logger = createLogger(node.id, settings.logging);
     this.metrics = new Metrics(node.id, settings.metrics);
-    this.state = new StateStore(settings.configuration);
+    this.sharedState = new SharedState({
+      identity: this.identity,
+      settings,
+      workers: this.workers,
+      peers: this.peers,
+      logger: this.logger,
+      metrics: this.metrics,
+    });
+    this.state = this.sharedState.store;
     this.gateClient = new GateClient(node.id, settings.connections);
     this.gate = new Gate(
       announcement =>
@@ -105,6 +116,18 @@
       isQuarantined: () => false,
       selectVersion: () => undefined,
     });
+    this.keyHomes = new KeyHomes({
+      identity: this.identity,
+      state: this.state,
+      workers: this.workers,
+      gate: this.gate,
+      appendRecord: this.sharedState.appendRecord,
+      runThroughEntry: (request, signal) =>
+        this.entry.handleRequest(request, signal),
+      sendToHome: (attempt, signal, handleSilence) =>
+        this.gateClient.sendAttempt(attempt, signal, handleSilence),
+      count: name => this.metrics.count(name),
+    });
     this.membership = new Membership({
       identity: this.identity,
       settings: settings.membership,
@@ -121,7 +144,9 @@
       ownRoutes: this.buildOwnRoutes(),
       findProfile: service => this.state.findProfile(service),
       handleRequest: (request, signal) =>
-        this.entry.handleRequest(request, signal),
+        this.keyHomes.hasKey(request)
+          ? this.keyHomes.handleRequest(request, signal)
+          : this.entry.handleRequest(request, signal),
       handleRefusal: (refusal, requestId) => {
         this.metrics.count(`refusals.${refusal.reason}`);
         this.logger.write('debug', 'refused', {
@@ -134,7 +159,9 @@
     });
     this.peerServer = createPeerServer({
       handleAttempt: (attempt, signal, handleAdmitted) =>
-        this.attemptRunner.run(attempt, signal, handleAdmitted),
+        attempt.keyHomeEpoch === undefined
+          ? this.attemptRunner.run(attempt, signal, handleAdmitted)
+          : this.keyHomes.handleAttempt(attempt, signal, handleAdmitted),
       registerServices: router => this.registerServices(router),
     });
   }
@@ -151,6 +178,8 @@
       this.membership.updateWorkers(this.gate.listWorkers()),
     );
     this.membership.start();
+    this.sharedState.start();
+    this.keyHomes.start();
     this.logger.write('info', 'started', {
       callerAddress: this.identity.callerAddress,
       peerAddress: this.identity.peerAddress,
@@ -161,7 +190,10 @@
   async stop(): Promise<void> {
     this.isStopping = true;
     await this.membership.leave();
+    const {drainTimeout} = this.settings.stop;
+    await this.keyHomes.leave(AbortSignal.timeout(drainTimeout));
     this.membership.stop();
+    await this.sharedState.stop();
     await Promise.all([close(this.callerServer), close(this.peerServer)]);
     await this.gateClient.close();
     await this.gate.close();
@@ -181,16 +213,19 @@
   }
 
   private registerServices(router: ConnectRouter): void {
+    this.sharedState.registerServices(router);
+    this.keyHomes.registerServices(router);
     router.service(MembershipService, {
       exchangeMembers: request => ({
         members: this.membership.handleExchange(request.members),
       }),
     });
-    router.service(AttemptService, {
-      sealAttempt: createSealHandler(this.identity.incarnation, (id, waitMs) =>
+    router.rpc(
+      AttemptService.method.sealAttempt,
+      createSealHandler(this.identity.incarnation, (id, waitMs) =>
         this.attempts.seal(id, waitMs),
       ),
-    });
+    );
   }
 
   private buildOwnRoutes(): OwnRoute[] {
@@ -216,6 +251,8 @@
           body: {
             ...this.identity,
             counters: this.metrics.report(),
+            state: this.sharedState.report(),
+            keyHomes: this.keyHomes.report(),
             nodes: this.workers.listNodes(),
           },
         }),
