--- a/src/coordination/home-lists.ts
+++ b/src/coordination/home-lists.ts
@@ -14,11 +14,10 @@
 import {computeRank} from './home-choice.js';
 import {isSameHome} from './home-epochs.js';
 import type {NextHomeList} from './key-leave.js';
+import {MAX_HOMES} from './key-leave.js';
 import type {AppendRecord} from './record-publisher.js';
 import {AppendOutcome, LogUnavailableError} from './record-publisher.js';
 
-/** Homes of one service at most; more would only make lists longer. */
-const MAX_HOMES = 128;
 const CHECK_INTERVAL_MS = 500;
 /** A pause between checks that shows that this process was frozen. */
 const FROZEN_MS = 5 * CHECK_INTERVAL_MS;
@@ -29,7 +28,7 @@
 /** The same when most homes are away, which may be this node's own loss. */
 const MASS_LOSS_DELAY_MS = 15_000;
 /** Time between two lists when the newer only adds homes. */
-const MIN_ADD_INTERVAL_MS = 5000;
+const MIN_ADD_INTERVAL_MS = 2000;
 /** Time between two lists when the newer drops homes. */
 const MIN_DROP_INTERVAL_MS = 1000;
 /** Each node waits for this long for each node that goes before it. */
@@ -183,7 +182,7 @@
   }
 
   /** Processes that may be homes now. */
-  private listCandidates(service: string): KeyHome[] {
+  listCandidates(service: string): KeyHome[] {
     const {workers, state} = this.options;
     return workers
       .listWorkers(service)
@@ -262,6 +261,10 @@
     )
     .slice(0, Math.max(0, MAX_HOMES - kept.length));
   const homes = [...kept, ...added];
+  // The first list waits for nodes that start together, since each later list
+  // makes homes ask each other.
+  const wanted = Math.min(MAX_HOMES, candidates.length);
+  if (!newest && added.length < wanted) return undefined;
   if (homes.length === 0 || lost.length + added.length === 0) return undefined;
   const minIntervalMs =
     lost.length > 0 ? MIN_DROP_INTERVAL_MS : MIN_ADD_INTERVAL_MS;
--- a/src/coordination/key-home.ts
+++ b/src/coordination/key-home.ts
@@ -38,6 +38,9 @@
 
 /** A claimed run goes on at least this long, whatever its caller's deadline. */
 const MIN_RUN_MS = 1000;
+/** How long a doubt waits for a list that may settle it. */
+const LIST_WAIT_MS = 300;
+const LIST_POLL_MS = 25;
 
 /** Runs a request on some worker; retries only what has certainly not run. */
 export type RunRequest = (
@@ -56,6 +59,8 @@
   readonly claims: KeyClaims;
   readonly calls: KeyHomeCalls;
   readonly runRequest: RunRequest;
+  /** Time that a doubt waits for a newer list. */
+  readonly listWaitMs?: number;
 }
 
 /** The key home of one node. */
@@ -195,6 +200,8 @@
       epochs,
     );
     if (summary.outcome === SealOutcome.IN_DOUBT) {
+      // A list that is on its way may say that the home handed its keys over.
+      if (await this.waitForList(service, epoch)) return false;
       throw new RefusalError(
         Reason.KEY_IN_DOUBT,
         Verdict.MAY_HAVE_RUN,
@@ -221,6 +228,17 @@
     return summary.outcome === SealOutcome.SEALED;
   }
 
+  /** Waits a little for a newer list; resolves with whether one came. */
+  private async waitForList(service: string, epoch: number): Promise<boolean> {
+    const {epochs, listWaitMs = LIST_WAIT_MS} = this.options;
+    const until = performance.now() + listWaitMs;
+    for (;;) {
+      if (epochs.findNewest(service)?.epoch !== epoch) return true;
+      if (performance.now() >= until) return false;
+      await waitMs(LIST_POLL_MS);
+    }
+  }
+
   /**
    * One turn: checks again what may have changed while the earlier homes were
    * asked, and claims the key.
--- a/src/key-homes.ts
+++ b/src/key-homes.ts
@@ -21,6 +21,7 @@
   ServiceRequest,
 } from './protocol/service-request.js';
 import {isResendable} from './protocol/service-request.js';
+import type {NodeSettings} from './protocol/settings.js';
 import {Verdict} from './protocol/verdict.js';
 import {WorkerState} from './protocol/worker-load.js';
 import {KeyClaims} from './state/key-claims.js';
@@ -103,14 +104,18 @@
     this.keeper.start();
   }
 
+  /** Stops the upkeep of the lists; keys are handled until the leave. */
+  stop(): void {
+    this.keeper.stop();
+  }
+
   /**
    * Hands the keys of this node over to the other homes, before its listeners
    * close. Without the log or the other homes it ends without having done so,
    * and its keys are in doubt as after a loss.
    */
-  async leave(signal: AbortSignal): Promise<void> {
+  async leave(limits: NodeSettings['stop']): Promise<void> {
     const {state} = this.options;
-    this.keeper.stop();
     try {
       await leaveHomes({
         identity: this.ownEntry,
@@ -118,8 +123,9 @@
         claims: this.claims,
         calls: this.calls,
         listServices: () => state.listServices(),
+        listCandidates: service => this.keeper.listCandidates(service),
         appendList: list => this.keeper.appendList(list),
-        signal,
+        signal: AbortSignal.timeout(limits.drainTimeout / 2),
       });
     } catch {
       this.options.count('keys.leave-failed');
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -8,6 +8,7 @@
 import {z} from 'zod';
 import {configurationSchema, nameSchema} from './configuration.js';
 import {buildDurationSchema} from './quantities.js';
+import {listAllowedKeys} from './schema-keys.js';
 
 const MINUTE_MS = 60_000;
 const HOUR_MS = 60 * MINUTE_MS;
@@ -69,6 +70,8 @@
     .prefault({}),
   connections: z
     .strictObject({
+      /** IP number to connect to other nodes from; the system's choice without. */
+      localAddress: z.ipv4().optional(),
       /** Connections to one other node at most. */
       maxPerNode: z.int().min(1).max(10_000).default(64),
       connectTimeout: buildDurationSchema(10, MINUTE_MS).prefault('250ms'),
@@ -82,8 +85,11 @@
     .strictObject({
       /** Longest wait for running work at a planned stop. */
       drainTimeout: buildDurationSchema(0, 10 * MINUTE_MS).prefault('30s'),
-      /** How long idle connections stay open for requests already sent. */
-      lingerTime: buildDurationSchema(0, MINUTE_MS).prefault('500ms'),
+      /**
+       * How long idle connections stay open for requests already sent. Callers
+       * are told not to use connections that were idle for longer.
+       */
+      lingerTime: buildDurationSchema(0, MINUTE_MS).prefault('5s'),
     })
     .prefault({}),
   metrics: z
@@ -140,17 +146,31 @@
 }
 
 /** Formats the faults that a schema found, each with its key. */
-export function formatFaults(error: z.ZodError): string[] {
+export function formatFaults(error: z.ZodError, schema?: z.ZodType): string[] {
   return error.issues.map(issue => {
     const path = formatKeyPath(issue.path);
     if (issue.code === 'unrecognized_keys') {
       const keys = issue.keys.map(key => formatKeyPath([key])).join(', ');
-      return `${path ? `${path}: ` : ''}unknown key ${keys}`;
+      const allowed = schema && listAllowedKeys(schema, issue.path);
+      const names = allowed?.map(key => formatKeyPath([key])).join(', ');
+      const hint = names === undefined ? '' : `; allowed: ${names}`;
+      return `${path ? `${path}: ` : ''}unknown key ${keys}${hint}`;
+    }
+    if (issue.code === 'invalid_type') {
+      const isMissing = issue.message.endsWith('received undefined');
+      const fault = isMissing ? 'missing' : 'wrong type';
+      return `${path}: ${fault}; allowed: ${formatType(issue.expected)}`;
     }
     return `${path}: ${issue.message}`;
   });
 }
 
+function formatType(expected: string): string {
+  if (expected === 'object' || expected === 'record') return 'a table';
+  if (expected === 'int') return 'a whole number';
+  return `${expected === 'array' ? 'an' : 'a'} ${expected}`;
+}
+
 /**
  * Parses TOML text by a schema.
  *
@@ -171,7 +191,7 @@
   }
   const result = schema.safeParse(raw);
   if (!result.success)
-    throw new SettingsError(file, formatFaults(result.error));
+    throw new SettingsError(file, formatFaults(result.error, schema));
   return result.data;
 }
 
--- a/src/test/key-home-faults_test.ts
+++ b/src/test/key-home-faults_test.ts
@@ -8,11 +8,14 @@
 import {
   countRuns,
   findKeyOf,
+  readHomes,
   sendBooking,
   sendBookings,
   startWithHomes,
+  waitForHomes,
 } from './key-bookings.js';
 
+const HOSTS = ['desk-0', 'desk-1', 'desk-2'];
 const NEW_BOOKINGS = 300;
 
 describe('with faults', () => {
@@ -44,6 +47,38 @@
     expect(countRuns(fixture, 'stale')).toBe(1);
   });
 
+  it('keys of a killed home never run twice, others go on', async () => {
+    fixture = await startWithHomes();
+    const key = findKeyOf('desk-0', 'killed');
+    expect((await sendBooking(fixture, 'desk-1', key)).status).toBe(200);
+    const host = fixture.deployment.findHost('desk-0');
+    const before = (await readHomes(fixture, 'desk-1'))!.epoch;
+    await host.node!.kill();
+    const others = ['desk-1', 'desk-2'];
+    const during = await sendBookings(fixture, others, 'during', 50);
+    await waitForHomes(fixture, 2, epoch => epoch > before);
+    const resent = await sendBooking(fixture, 'desk-1', key);
+    expect(resent).toMatchObject({
+      verdict: 'may-have-run',
+      reason: 'key-in-doubt',
+    });
+    const after = await sendBookings(fixture, others, 'after', NEW_BOOKINGS);
+    console.log(
+      `new bookings while the home is lost ${JSON.stringify(during)}, ` +
+        `after the list without it ${JSON.stringify(after)}`,
+    );
+    expect(during.wrong + after.wrong).toBe(0);
+    expect(after.ran).toBeGreaterThan(NEW_BOOKINGS / 2);
+    await host.startNode();
+    await waitForHomes(fixture, 3);
+    const again = await sendBooking(fixture, 'desk-2', key);
+    expect(again.verdict).toBe('may-have-run');
+    const back = await sendBookings(fixture, HOSTS, 'back', NEW_BOOKINGS);
+    console.log(`after the restart: ${JSON.stringify(back)}`);
+    expect(back.wrong).toBe(0);
+    expect(countRuns(fixture, key)).toBe(1);
+  });
+
   it('a frozen home leaves doubt, and knows its keys when it wakes', async () => {
     fixture = await startWithHomes();
     const key = findKeyOf('desk-2', 'frozen');
--- a/src/transport/upstream-client.ts
+++ b/src/transport/upstream-client.ts
@@ -3,6 +3,9 @@
  * kept connections; others get a connection of their own, because a kept one
  * may be closed by the worker at the very moment of sending, which would leave
  * doubt about a request that must not run twice.
+ *
+ * A worker does not acknowledge requests, so a connection that went silent
+ * looks like a slow worker; hedging at the entry covers both.
  */
 import {Client, Pool} from 'undici';
 import type {AttemptAnswer} from '../protocol/attempt.js';
@@ -60,7 +63,7 @@
   /**
    * Asks the worker's health path. Resolves with the HTTP status.
    *
-   * @throws ExchangeError when no answer came.
+   * @throws AttemptError when no answer came.
    */
   async sendProbe(path: string, signal: AbortSignal): Promise<number> {
     const client = this.openClient();
@@ -77,6 +80,8 @@
       );
       response.body.on('error', () => {}).resume();
       return response.status;
+    } catch (error) {
+      throw buildUpstreamError(error);
     } finally {
       void client.close();
     }
