--- a/src/coordination/key-entry.ts
+++ b/src/coordination/key-entry.ts
@@ -76,7 +76,10 @@
       Math.max(0, request.deadline - performance.now()),
     );
     try {
-      return await this.sendUntilClear(request, abort.signal);
+      const answer = await this.sendUntilClear(request, abort.signal);
+      // An unread body would be taken for the caller's next request.
+      if (isResendable(request)) request.body.rest?.resume();
+      return answer;
     } finally {
       clearTimeout(timer);
       signal.removeEventListener('abort', handleGone);
