Measure fairness, probes, log outages, binaries and idle slopes

Cause: the size to come is worked out from slopes, and none was measured. Ruled out: counters inside the node for bytes and processor time; /proc gives both and costs the measured process nothing. Change: scenarios unfair-caller, probe-cost, log-outage, binaries and slopes, and a least-squares line through the points of several node counts.

--- a/src/measure/machine.ts
+++ b/src/measure/machine.ts
@@ -50,3 +50,22 @@
     loadAverage: loadavg().map(value => Math.round(value * 100) / 100),
   };
 }
+
+/** Reads and writes of a process, sockets included, since its start. */
+export interface InputOutputFigures {
+  /** Bytes read and written. */
+  readonly bytes: number;
+  /** Calls of read and write that moved them. */
+  readonly calls: number;
+}
+
+/** Reads what a process has read and written. */
+export function readInputOutput(pid: number): InputOutputFigures {
+  const text = readFileSync(`/proc/${pid}/io`, 'utf8');
+  const find = (name: string): number =>
+    Number(new RegExp(`^${name}: (\\d+)$`, 'm').exec(text)?.[1] ?? 0);
+  return {
+    bytes: find('rchar') + find('wchar'),
+    calls: find('syscr') + find('syscw'),
+  };
+}
--- /dev/null
+++ b/src/measure/scenarios/fairness.ts
@@ -0,0 +1,96 @@
+/**
+ * Scenario on fairness between callers: one caller sends ten times its share,
+ * beyond what the workers bear, and the others should not notice.
+ */
+import {buildNodeTargets} from '../deployment-load.js';
+import type {LaunchedDeployment} from '../deployment-launch.js';
+import {runOnDeployment} from '../deployment-launch.js';
+import type {CallStream} from '../load-plan.js';
+import type {Scenario} from './scenario.js';
+import {
+  computeRatio,
+  findMainService,
+  runPolicies,
+  runStreams,
+} from './scenario.js';
+
+const WORKERS = 3;
+const CALLERS = 8;
+const EXCESS_FACTOR = 10;
+const P99_LIMIT = 1.5;
+/** Longer than usual, so that a modest rate fills the workers. */
+const SERVICE_TIME_MS = 24;
+/** Share of the workers' capacity that all callers use at their own share. */
+const FAIR_LOAD = 0.5;
+
+/** One caller at ten times its share. */
+export const unfairCallerScenario: Scenario = {
+  description: "one caller at ten times its share; the others' p99",
+  run: async options => {
+    const service = findMainService(options);
+    const {slots} = options.file.deployment.services[service]!;
+    const capacity = (WORKERS * slots * 1000) / SERVICE_TIME_MS;
+    const total = options.ratePerSecond ?? capacity * FAIR_LOAD;
+    const share = total / CALLERS;
+    const controls = Object.fromEntries(
+      Array.from({length: WORKERS}, (item, index) => [
+        `${service}-${index}`,
+        {serviceTimeMs: SERVICE_TIME_MS},
+      ]),
+    );
+    const variants = await runPolicies(balancing => {
+      const workers = {[service]: WORKERS};
+      const launch = {balancing, services: [service], workers, controls};
+      return runOnDeployment(options.file, launch, async launched => {
+        const buildFor = (factor: number): CallStream[] =>
+          buildCallers(launched, service, share, factor);
+        const fair = await runStreams(launched, options, buildFor(1));
+        const unfair = await runStreams(
+          launched,
+          options,
+          buildFor(EXCESS_FACTOR),
+        );
+        return {
+          fair,
+          unfair,
+          othersP99Ratio: computeRatio(
+            unfair.streams['others']!.p99Ms,
+            fair.streams['others']!.p99Ms,
+          ),
+          othersRefusals: unfair.refusalsByStream['others']!,
+        };
+      });
+    });
+    const {othersP99Ratio, othersRefusals} = variants.adaptive;
+    const isRefused = Object.keys(othersRefusals).length > 0;
+    return {
+      variants,
+      summary: {othersP99Ratio, othersRefusals},
+      target: `others' p99 ratio at most ${P99_LIMIT} and none of them refused`,
+      isTargetMet: othersP99Ratio <= P99_LIMIT && !isRefused,
+      plot: {
+        title: 'p99 of the other callers while one sends ten times its share',
+        unit: 'ms',
+        points: Object.entries(variants).flatMap(([name, {fair, unfair}]) => [
+          {group: 'all fair', name, value: fair.streams['others']!.p99Ms},
+          {group: 'one unfair', name, value: unfair.streams['others']!.p99Ms},
+        ]),
+      },
+    };
+  },
+};
+
+function buildCallers(
+  {deployment}: LaunchedDeployment,
+  service: string,
+  share: number,
+  firstFactor: number,
+): CallStream[] {
+  return Array.from({length: CALLERS}, (item, index) => ({
+    name: index === 0 ? 'one' : 'others',
+    caller: `caller-${index}`,
+    kind: 'lookup' as const,
+    ratePerSecond: index === 0 ? share * firstFactor : share,
+    targets: buildNodeTargets(deployment.hosts, service),
+  }));
+}
--- /dev/null
+++ b/src/measure/scenarios/node-cost.ts
@@ -0,0 +1,195 @@
+/**
+ * Scenarios on what a node itself costs: its binary, its probes, and how its
+ * idle traffic, processor time and memory grow with the number of nodes.
+ */
+import {readdirSync, statSync} from 'node:fs';
+import {join, resolve} from 'node:path';
+import {ChildProgram} from '../child-program.js';
+import type {LaunchedDeployment} from '../deployment-launch.js';
+import {runOnDeployment} from '../deployment-launch.js';
+import type {Line} from '../linear-fit.js';
+import {computeLine, computeMean} from '../linear-fit.js';
+import {readInputOutput, readProcess} from '../machine.js';
+import type {Scenario, ScenarioOptions} from './scenario.js';
+import {buildLookups, findMainService, runStreams} from './scenario.js';
+
+const PROBE_NODE_COUNTS = [3, 8, 16];
+/** Each node stands beside an upstream process; all fit this machine. */
+const SLOPE_NODE_COUNTS = [3, 6, 12, 24];
+const PROBE_LOAD_RATE = 50;
+const FUTURE_NODES = 2100;
+const SETTLE_MS = 2000;
+const START_ROUNDS = 5;
+const BINARIES = resolve('dist/bin');
+const SECOND_MS = 1000;
+
+/** Probes that one upstream gets, against the number of nodes. */
+export const probeCostScenario: Scenario = {
+  description: 'probes per upstream per second with 3, 8 and 16 nodes',
+  run: async options => {
+    const service = findMainService(options);
+    const variants: Record<string, {idle: number; loaded: number}> = {};
+    for (const count of PROBE_NODE_COUNTS) {
+      variants[`${count} nodes`] = await runOnNodes(
+        options,
+        count,
+        async launched => {
+          const idle = await runStreams(launched, options, []);
+          const streams = buildLookups(launched, service, PROBE_LOAD_RATE);
+          const loaded = await runStreams(launched, options, streams);
+          return {
+            idle: idle.probesPerUpstreamPerSecond,
+            loaded: loaded.probesPerUpstreamPerSecond,
+          };
+        },
+      );
+    }
+    const rates = Object.values(variants).flatMap(({idle, loaded}) => [
+      idle,
+      loaded,
+    ]);
+    const highest = Math.max(...rates);
+    return {
+      variants,
+      summary: {highestProbesPerUpstreamPerSecond: highest},
+      target: 'at most the budget of the profile, 1 per second by default',
+      isTargetMet: highest <= 1 + 2 / options.seconds,
+    };
+  },
+};
+
+/** Figures of one idle node. */
+interface IdleCost {
+  readonly cpuPercent: number;
+  readonly residentMiB: number;
+  readonly bytesPerSecond: number;
+  readonly messagesPerSecond: number;
+}
+
+/** Growth of the cost of idle nodes with their number. */
+export const slopesScenario: Scenario = {
+  description: 'idle cost per node against the number of nodes',
+  run: async options => {
+    const variants: Record<string, IdleCost> = {};
+    for (const count of SLOPE_NODE_COUNTS) {
+      variants[count] = await runOnNodes(options, count, launched =>
+        measureIdleCost(launched, options.seconds),
+      );
+    }
+    const names = Object.keys(variants['3']!) as Array<keyof IdleCost>;
+    const lines = names.map(name => [
+      name,
+      describeLine(
+        computeLine(SLOPE_NODE_COUNTS.map(x => ({x, y: variants[x]![name]}))),
+      ),
+    ]);
+    return {
+      variants,
+      summary: {perNode: Object.fromEntries(lines) as object},
+      target:
+        `at ${FUTURE_NODES} nodes 1.2 % of a core, 256 MB and ` +
+        '6 KB/s of control per node',
+      plot: {
+        title: 'Control bytes per second and node, idle',
+        unit: 'bytes/s',
+        points: SLOPE_NODE_COUNTS.map(count => ({
+          group: `${count}`,
+          name: 'nodes',
+          value: variants[count]!.bytesPerSecond,
+        })),
+      },
+    };
+  },
+};
+
+/** Size, start time and idle memory of the binaries. */
+export const binariesScenario: Scenario = {
+  description: 'size, start time and idle memory of the binaries',
+  run: async options => {
+    const files = readdirSync(BINARIES).filter(name => name.endsWith('.js'));
+    const variants: Record<string, object> = {};
+    for (const file of files) {
+      variants[file] = {
+        sizeBytes: statSync(join(BINARIES, file)).size,
+        versionMs: await measureVersionCall(join(BINARIES, file)),
+      };
+    }
+    const node = await runOnNodes(options, 1, async ({deployment}) => {
+      const host = deployment.hosts[0]!;
+      await wait(SETTLE_MS);
+      const {residentBytes} = readProcess(host.node!.pid);
+      await host.node!.kill();
+      const startedAt = performance.now();
+      await host.startNode();
+      const readyMs = Math.round(performance.now() - startedAt);
+      return {readyMs, residentMiB: toMiB(residentBytes)};
+    });
+    return {variants: {...variants, 'running node': node}, summary: node};
+  },
+};
+
+function runOnNodes<T>(
+  options: ScenarioOptions,
+  count: number,
+  run: (launched: LaunchedDeployment) => Promise<T>,
+): Promise<T> {
+  const service = findMainService(options);
+  const launch = {services: [service], workers: {[service]: count}};
+  return runOnDeployment(options.file, launch, run);
+}
+
+async function measureIdleCost(
+  {deployment}: LaunchedDeployment,
+  seconds: number,
+): Promise<IdleCost> {
+  await wait(SETTLE_MS);
+  const pids = deployment.hosts.map(host => host.node!.pid);
+  const read = () =>
+    pids.map(pid => ({...readProcess(pid), ...readInputOutput(pid)}));
+  const before = read();
+  await wait(seconds * SECOND_MS);
+  const after = read();
+  const computeRate = (name: 'cpuSeconds' | 'bytes' | 'calls'): number =>
+    computeMean(
+      after.map((each, index) => (each[name] - before[index]![name]) / seconds),
+    );
+  return {
+    cpuPercent: toHundredths(computeRate('cpuSeconds') * 100),
+    residentMiB: toMiB(computeMean(after.map(each => each.residentBytes))),
+    bytesPerSecond: toHundredths(computeRate('bytes')),
+    messagesPerSecond: toHundredths(computeRate('calls')),
+  };
+}
+
+async function measureVersionCall(file: string): Promise<number> {
+  const times: number[] = [];
+  for (let round = 0; round < START_ROUNDS; round++) {
+    const startedAt = performance.now();
+    await new ChildProgram(file, ['--version']).exited;
+    times.push(performance.now() - startedAt);
+  }
+  return Math.round(Math.min(...times));
+}
+
+function describeLine(line: Line): object {
+  return {
+    intercept: toHundredths(line.intercept),
+    slopePerNode: Number(line.slope.toPrecision(4)),
+    maxResidual: toHundredths(line.maxResidual),
+    [`at${FUTURE_NODES}`]: toHundredths(
+      line.intercept + line.slope * FUTURE_NODES,
+    ),
+  };
+}
+
+function toMiB(bytes: number): number {
+  return toHundredths(bytes / 1024 ** 2);
+}
+
+function toHundredths(value: number): number {
+  return Math.round(value * 100) / 100;
+}
+
+function wait(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
--- a/src/measure/scenarios/scenario-table.ts
+++ b/src/measure/scenarios/scenario-table.ts
@@ -5,15 +5,27 @@
 import {addedLatencyScenario} from './added-latency.js';
 import {noFaultScenario, slowWorkerScenario} from './balancing.js';
 import {allFailingScenario, coldStartScenario} from './failing.js';
+import {unfairCallerScenario} from './fairness.js';
+import {logOutageScenario} from './log-outage.js';
+import {
+  binariesScenario,
+  probeCostScenario,
+  slopesScenario,
+} from './node-cost.js';
 import type {Scenario, ScenarioOptions, ScenarioReport} from './scenario.js';
 
 /** Scenarios by the name used on the command line. */
 export const SCENARIOS: Readonly<Record<string, Scenario>> = {
   'slow-worker': slowWorkerScenario,
   'no-fault': noFaultScenario,
+  'unfair-caller': unfairCallerScenario,
   'cold-start': coldStartScenario,
   'all-failing': allFailingScenario,
   'added-latency': addedLatencyScenario,
+  'probe-cost': probeCostScenario,
+  'log-outage': logOutageScenario,
+  binaries: binariesScenario,
+  slopes: slopesScenario,
 };
 
 /** Runs one scenario and adds what a reader needs to repeat it. */
