--- a/src/coordination/gate.ts
+++ b/src/coordination/gate.ts
@@ -13,7 +13,9 @@
 import type {WorkerLoad} from '../protocol/worker-load.js';
 import type {WorkerState} from '../protocol/worker-load.js';
 import type {StateStore} from '../state/state-store.js';
-import {Admission, SlotOutcome} from './admission.js';
+import {Admission} from './admission.js';
+import {SlotOutcome} from './concurrency-limit.js';
+import {Prober} from './prober.js';
 
 const SERVER_ERROR = 500;
 
@@ -23,6 +25,11 @@
     request: ServiceRequest,
     signal: AbortSignal,
   ): Promise<AttemptAnswer>;
+  /**
+   * Resolves with the HTTP status of the worker's health path.
+   *
+   * @throws AttemptError; `unreachable` when no connection came about.
+   */
   sendProbe(path: string, signal: AbortSignal): Promise<number>;
   close(): Promise<void>;
 }
@@ -37,6 +44,7 @@
   announcement: Announcement;
   readonly connection: WorkerConnection;
   readonly admission: Admission;
+  readonly prober: Prober;
   expiryTimer: NodeJS.Timeout | undefined;
 }
 
@@ -49,12 +57,16 @@
 export class Gate {
   readonly events = new Emittery<GateEvents>();
   private readonly workers = new Map<string, LocalWorker>();
+  private wasOut: boolean;
 
   constructor(
     private readonly openConnection: OpenWorkerConnection,
     private readonly state: StateStore,
     private readonly dataCentre: string,
-  ) {}
+  ) {
+    this.wasOut = state.isDataCentreOut(dataCentre);
+    state.events.on('changed', () => this.updateDataCentre());
+  }
 
   /** Announcements of the workers that are here now. */
   listWorkers(): Announcement[] {
@@ -120,10 +132,22 @@
   async close(): Promise<void> {
     const workers = [...this.workers.values()];
     this.workers.clear();
-    for (const worker of workers) clearTimeout(worker.expiryTimer);
+    for (const worker of workers) {
+      clearTimeout(worker.expiryTimer);
+      worker.prober.stop();
+    }
     await Promise.all(workers.map(worker => worker.connection.close()));
   }
 
+  /** Workers of a data centre that comes back are cold. */
+  private updateDataCentre(): void {
+    const isOut = this.state.isDataCentreOut(this.dataCentre);
+    const isBack = this.wasOut && !isOut;
+    this.wasOut = isOut;
+    if (!isBack) return;
+    for (const {admission} of this.workers.values()) admission.resetToCold();
+  }
+
   private findWorker(
     request: ServiceRequest,
     version: string | undefined,
@@ -165,18 +189,29 @@
   }
 
   private addWorker(announcement: Announcement, profile: Profile): LocalWorker {
+    const {service} = announcement;
+    const connection = this.openConnection(announcement);
+    const admission = new Admission(announcement.slots, profile.limits);
+    const prober = new Prober({
+      sendProbe: (path, signal) => connection.sendProbe(path, signal),
+      admission,
+      findBudget: () => this.state.findProfile(service)?.probes,
+    });
+    prober.start();
     const worker: LocalWorker = {
       announcement,
-      connection: this.openConnection(announcement),
-      admission: new Admission(announcement.slots, profile.limits),
+      connection,
+      admission,
+      prober,
       expiryTimer: undefined,
     };
-    this.workers.set(announcement.service, worker);
+    this.workers.set(service, worker);
     return worker;
   }
 
   private removeWorker(worker: LocalWorker): void {
     clearTimeout(worker.expiryTimer);
+    worker.prober.stop();
     const {service} = worker.announcement;
     if (this.workers.get(service) === worker) this.workers.delete(service);
     void worker.connection.close();
@@ -195,7 +230,7 @@
 
 const OUTCOME_OF_REASON: Readonly<Partial<Record<Reason, SlotOutcome>>> = {
   'worker-shed': SlotOutcome.SHED,
-  unreachable: SlotOutcome.CONNECTION_LOST,
+  unreachable: SlotOutcome.UNREACHABLE,
   'connection-lost': SlotOutcome.CONNECTION_LOST,
 };
 
--- a/src/node-process.ts
+++ b/src/node-process.ts
@@ -9,20 +9,21 @@
 import {AttemptSender, SealError} from './coordination/attempt-sender.js';
 import {Entry} from './coordination/entry.js';
 import {Gate} from './coordination/gate.js';
-import {Membership} from './coordination/membership.js';
+import type {Membership} from './coordination/membership.js';
+import {createNodeMembership, listMemberRows} from './node-membership.js';
+import {NodeStop} from './node-stop.js';
 import {announcementSchema} from './protocol/announcement.js';
 import type {Attempt, AttemptAnswer} from './protocol/attempt.js';
 import {AttemptService} from './protocol/attempts_pb.js';
-import {MembershipService} from './protocol/membership_pb.js';
 import type {NodeIdentity} from './protocol/node-identity.js';
 import {createIncarnation, parseAddress} from './protocol/node-identity.js';
 import {Reason, RefusalError} from './protocol/reasons.js';
 import type {NodeSettings} from './protocol/settings.js';
 import {formatFaults} from './protocol/settings.js';
+import {SharedState} from './shared-state.js';
 import type {SealOutcome} from './state/attempt-registry.js';
 import {AttemptRegistry} from './state/attempt-registry.js';
 import {Explanations} from './state/explanations.js';
-import {StateStore} from './state/state-store.js';
 import {WorkerTable} from './state/worker-table.js';
 import {
   AskError,
@@ -33,6 +34,7 @@
 import {createCallerServer} from './transport/caller-listener.js';
 import {GateClient} from './transport/gate-client.js';
 import {createLogger} from './transport/logger.js';
+import {registerMembershipService} from './transport/membership-service.js';
 import {Metrics} from './transport/metrics.js';
 import {PeerClients} from './transport/peer-client.js';
 import {createPeerServer} from './transport/peer-listener.js';
@@ -43,9 +45,10 @@
   private readonly identity: NodeIdentity;
   private readonly logger;
   private readonly metrics;
+  private readonly sharedState: SharedState;
   private readonly state;
   private readonly workers = new WorkerTable();
-  private readonly peers = new PeerClients();
+  private readonly peers;
   private readonly gateClient;
   private readonly gate;
   private readonly explanations = new Explanations();
@@ -53,10 +56,10 @@
   private readonly attemptRunner;
   private readonly attemptSender;
   private readonly entry;
-  private readonly membership;
+  private readonly membership: Membership;
   private readonly callerServer: Server;
   private readonly peerServer: Server;
-  private isStopping = false;
+  private readonly planned: NodeStop;
 
   constructor(private readonly settings: NodeSettings) {
     const {node} = settings;
@@ -69,7 +72,16 @@
     };
     this.logger = createLogger(node.id, settings.logging);
     this.metrics = new Metrics(node.id, settings.metrics);
-    this.state = new StateStore(settings.configuration);
+    this.peers = new PeerClients(settings.connections.localAddress);
+    this.sharedState = new SharedState({
+      identity: this.identity,
+      settings,
+      workers: this.workers,
+      peers: this.peers,
+      logger: this.logger,
+      metrics: this.metrics,
+    });
+    this.state = this.sharedState.store;
     this.gateClient = new GateClient(node.id, settings.connections);
     this.gate = new Gate(
       announcement =>
@@ -105,17 +117,15 @@
       isQuarantined: () => false,
       selectVersion: () => undefined,
     });
-    this.membership = new Membership({
+    this.membership = createNodeMembership({
       identity: this.identity,
-      settings: settings.membership,
+      settings,
       workers: this.workers,
-      random: Math.random,
-      calls: {
-        exchangeMembers: async (peerAddress, members) => {
-          const client = this.peers.find(MembershipService, peerAddress);
-          return (await client.exchangeMembers({members})).members;
-        },
-      },
+      state: this.state,
+      peers: this.peers,
+      gateClient: this.gateClient,
+      metrics: this.metrics,
+      logger: this.logger,
     });
     this.callerServer = createCallerServer({
       ownRoutes: this.buildOwnRoutes(),
@@ -130,13 +140,26 @@
           verdict: refusal.verdict,
         });
       },
-      isStopping: () => this.isStopping,
+      isStopping: () => this.planned.isStopping,
     });
     this.peerServer = createPeerServer({
-      handleAttempt: (attempt, signal, handleAdmitted) =>
-        this.attemptRunner.run(attempt, signal, handleAdmitted),
+      handleAttempt: async (attempt, signal, handleAdmitted) => {
+        if (this.planned.isRefusingAttempts) {
+          throw new RefusalError(Reason.NODE_STOPPING);
+        }
+        return this.attemptRunner.run(attempt, signal, handleAdmitted);
+      },
       registerServices: router => this.registerServices(router),
     });
+    this.planned = new NodeStop({
+      settings: settings.stop,
+      membership: this.membership,
+      callerServer: this.callerServer,
+      peerServer: this.peerServer,
+      closeClients: () => this.closeClients(),
+      handleStep: (step, isComplete) =>
+        this.logger.write('info', step, {isComplete}),
+    });
   }
 
   /** Listens, joins the other nodes and begins to work. */
@@ -151,6 +174,7 @@
       this.membership.updateWorkers(this.gate.listWorkers()),
     );
     this.membership.start();
+    this.sharedState.start();
     this.logger.write('info', 'started', {
       callerAddress: this.identity.callerAddress,
       peerAddress: this.identity.peerAddress,
@@ -159,15 +183,16 @@
 
   /** Stops without cutting a request. */
   async stop(): Promise<void> {
-    this.isStopping = true;
-    await this.membership.leave();
-    this.membership.stop();
-    await Promise.all([close(this.callerServer), close(this.peerServer)]);
+    await this.planned.run();
+    this.logger.write('info', 'stopped');
+  }
+
+  private async closeClients(): Promise<void> {
+    await this.sharedState.stop();
     await this.gateClient.close();
     await this.gate.close();
     this.peers.close();
     await this.metrics.close();
-    this.logger.write('info', 'stopped');
   }
 
   private async sendAttempt(
@@ -181,11 +206,10 @@
   }
 
   private registerServices(router: ConnectRouter): void {
-    router.service(MembershipService, {
-      exchangeMembers: request => ({
-        members: this.membership.handleExchange(request.members),
-      }),
-    });
+    this.sharedState.registerServices(router);
+    registerMembershipService(router, this.membership, (name, amount) =>
+      this.metrics.count(name, amount),
+    );
     router.service(AttemptService, {
       sealAttempt: createSealHandler(this.identity.incarnation, (id, waitMs) =>
         this.attempts.seal(id, waitMs),
@@ -204,7 +228,7 @@
         method: 'get',
         path: '/-/ready',
         handle: () =>
-          this.isStopping
+          this.planned.isStopping
             ? {status: 503, body: {status: 'stopping'}}
             : {status: 200, body: {status: 'ready'}},
       },
@@ -216,7 +240,9 @@
           body: {
             ...this.identity,
             counters: this.metrics.report(),
+            state: this.sharedState.report(),
             nodes: this.workers.listNodes(),
+            members: listMemberRows(this.membership),
           },
         }),
       },
@@ -266,7 +292,3 @@
     server.listen(parseAddress(address), () => resolve());
   });
 }
-
-function close(server: Server): Promise<void> {
-  return new Promise(resolve => server.close(() => resolve()));
-}
--- a/src/test/deployment-fixture.ts
+++ b/src/test/deployment-fixture.ts
@@ -5,6 +5,7 @@
 import type {ConfigurationInput} from '../protocol/configuration.js';
 import type {HostSpec} from '../measure/local-deployment.js';
 import {LocalDeployment} from '../measure/local-deployment.js';
+import {FaultProxy} from './stand-ins/fault-proxy.js';
 import {PlatformLogStandIn} from './stand-ins/platform-log.js';
 import type {UpstreamControl} from './stand-ins/upstream.js';
 import {UpstreamStandIn} from './stand-ins/upstream.js';
@@ -18,6 +19,13 @@
   readonly control?: Partial<UpstreamControl>;
   readonly configuration?: ConfigurationInput;
   readonly nodeSettings?: Readonly<Record<string, Record<string, unknown>>>;
+  /**
+   * Whether a fault proxy stands before each node's peer address. Nodes then
+   * connect to each other from addresses of their own, see `computeLocalAddress`.
+   */
+  readonly hasPeerProxies?: boolean;
+  /** Whether a fault proxy stands before each upstream. */
+  readonly hasUpstreamProxies?: boolean;
 }
 
 /** A deployment with its stand-ins. */
@@ -26,9 +34,20 @@
   readonly deployment: LocalDeployment;
   /** Upstream stand-ins by host id; replaced when one is started again. */
   readonly upstreams: ReadonlyMap<string, UpstreamStandIn>;
+  /** Fault proxies before peer listeners, by host id. */
+  readonly peerProxies: ReadonlyMap<string, FaultProxy>;
+  /** Fault proxies before upstreams, by host id. */
+  readonly upstreamProxies: ReadonlyMap<string, FaultProxy>;
   stop(): Promise<void>;
 }
 
+/** Address that the node of a host connects from when there are proxies. */
+export function computeLocalAddress(hostIndex: number): string {
+  return `127.0.0.${FIRST_LOCAL_NUMBER + hostIndex}`;
+}
+
+const FIRST_LOCAL_NUMBER = 11;
+
 export const DEFAULT_CONFIGURATION: ConfigurationInput = {
   profiles: {desk: {}},
   services: {'kona-desk': {profile: 'desk'}},
@@ -48,19 +67,46 @@
       version: 'v1',
       slots: options.slots ?? 6,
       control: options.control ?? {},
+      ...(options.hasPeerProxies
+        ? {localAddress: computeLocalAddress(index)}
+        : {}),
     });
   }
   const log = new PlatformLogStandIn();
   await log.start();
   const upstreams = new Map<string, UpstreamStandIn>();
+  const peerProxies = new Map<string, FaultProxy>();
+  const upstreamProxies = new Map<string, FaultProxy>();
+  const openProxy = async (
+    proxies: Map<string, FaultProxy>,
+    hostId: string,
+    address: string,
+  ): Promise<string> => {
+    const proxy = new FaultProxy(address);
+    proxies.set(hostId, proxy);
+    return proxy.start();
+  };
   const deployment = await LocalDeployment.start({
     name: 'kona',
     logAddress: log.address,
     configuration: options.configuration ?? DEFAULT_CONFIGURATION,
     hosts,
     nodeSettings: options.nodeSettings,
+    ...(options.hasPeerProxies
+      ? {
+          openPeerProxy: (hostId, address) =>
+            openProxy(peerProxies, hostId, address),
+        }
+      : {}),
     startUpstream: async start => {
-      const upstream = new UpstreamStandIn(start);
+      const announcedAddress = options.hasUpstreamProxies
+        ? await openProxy(
+            upstreamProxies,
+            start.seed,
+            `127.0.0.1:${start.port}`,
+          )
+        : undefined;
+      const upstream = new UpstreamStandIn({...start, announcedAddress});
       upstreams.set(start.seed, upstream);
       await upstream.start();
       return {
@@ -78,8 +124,12 @@
     log,
     deployment,
     upstreams,
+    peerProxies,
+    upstreamProxies,
     stop: async () => {
       await deployment.stop();
+      const proxies = [...peerProxies.values(), ...upstreamProxies.values()];
+      await Promise.all(proxies.map(proxy => proxy.stop()));
       await log.stop();
     },
   };
