Measure data centre moves and publishing, and plot scenarios as SVG

Cause: service while a data centre leaves and returns and the time until a configuration is in force had no figures; a table of numbers hides shapes. Before / after: before, no figures.

--- a/scripts/build.js
+++ b/scripts/build.js
@@ -23,7 +23,8 @@
   sourcemap: false,
   logLevel: 'warning',
   // An optional native socket of the metrics client; UDP is used instead.
-  external: ['unix-dgram'],
+  // The plotting libraries are loaded by the experiment tool when asked for.
+  external: ['unix-dgram', 'vega', 'vega-lite'],
   banner: {js: banner},
 };
 
--- a/src/bin/measure.ts
+++ b/src/bin/measure.ts
@@ -4,6 +4,7 @@
  */
 import {Command, InvalidArgumentError} from 'commander';
 import {readDeploymentFile} from '../measure/deployment-file.js';
+import {writePlot} from '../measure/plot.js';
 import {runScenario, SCENARIOS} from '../measure/scenarios/scenario-table.js';
 import {VERSION} from '../protocol/version.js';
 
@@ -15,6 +16,7 @@
   readonly seed: string;
   readonly seconds: number;
   readonly rate?: number;
+  readonly plot?: string;
 }
 
 const program = new Command('sequoiaspool-measure')
@@ -26,6 +28,7 @@
   .option('--seed <seed>', 'seed of the load', '1')
   .option('--seconds <n>', 'length of each measured run', readPositive, 5)
   .option('--rate <n>', 'calls per second in all', readPositive)
+  .option('--plot <file>', 'also draw the main figures as SVG')
   .action(run);
 
 try {
@@ -51,6 +54,10 @@
     ratePerSecond: options.rate,
     file: readDeploymentFile(options.file),
   });
+  if (options.plot !== undefined) {
+    if (!report.plot) throw new Error(`${name} has nothing to plot`);
+    await writePlot(options.plot, report.plot);
+  }
   process.stdout.write(`${JSON.stringify(report)}\n`);
 }
 
--- a/src/measure/live-figures.ts
+++ b/src/measure/live-figures.ts
@@ -21,6 +21,9 @@
   const entry = first!.callerAddress;
   const service = first!.spec.service;
   const upload = deployment.hosts.at(-1)!.spec.service;
+  const {logAddress, name} = deployment.spec;
+  const log = `--log ${logAddress} --log-name ${name}`;
+  const control = `node dist/bin/ctl.js ${log} --node ${entry}`;
   const lines = [
     `${deployment.hosts.length} workers, each with its node:`,
     ...deployment.hosts.map(
@@ -35,8 +38,9 @@
     `  head -c 3000000 /dev/urandom | curl -i -T - http://${entry}/${upload}/photos/1`,
     '',
     'Operate it:',
-    `  node dist/bin/ctl.js --node ${entry} status`,
-    `  node dist/bin/ctl.js --node ${entry} --help`,
+    `  ${control} status`,
+    `  ${control} data-centre out ${first!.spec.dataCentre}`,
+    '  node dist/bin/ctl.js --help',
     '',
     'Stop with Ctrl-C.',
   ];
--- a/src/measure/scenarios/scenario-table.ts
+++ b/src/measure/scenarios/scenario-table.ts
@@ -12,6 +12,7 @@
   probeCostScenario,
   slopesScenario,
 } from './node-cost.js';
+import {dataCentreScenario, inForceScenario} from './operations.js';
 import type {Scenario, ScenarioOptions, ScenarioReport} from './scenario.js';
 
 /** Scenarios by the name used on the command line. */
@@ -24,6 +25,8 @@
   'added-latency': addedLatencyScenario,
   'probe-cost': probeCostScenario,
   'log-outage': logOutageScenario,
+  'data-centre-out-and-back': dataCentreScenario,
+  'in-force': inForceScenario,
   binaries: binariesScenario,
   slopes: slopesScenario,
 };
--- a/src/test/measure_test.ts
+++ b/src/test/measure_test.ts
@@ -5,12 +5,17 @@
 import {spawn} from 'node:child_process';
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import {mkdtempSync, readFileSync, rmSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 import type {LoadReport} from '../measure/load-generator.js';
 import {runLoad} from '../measure/load-generator.js';
 import type {CallKind, CallStream} from '../measure/load-plan.js';
 import {buildSchedule} from '../measure/load-plan.js';
+import {computeLine} from '../measure/linear-fit.js';
 import {checkRuns} from '../measure/run-check.js';
+import {SCENARIOS} from '../measure/scenarios/scenario-table.js';
 import {readWholeBody, startOnLoopback} from './stand-ins/json-http.js';
 import {UpstreamStandIn} from './stand-ins/upstream.js';
 
@@ -227,6 +232,19 @@
   });
 });
 
+describe('a line through points', () => {
+  it.each([
+    {name: 'exact', ys: [5, 7, 9], intercept: 3, slope: 2, maxResidual: 0},
+    {name: 'flat', ys: [4, 4, 4], intercept: 4, slope: 0, maxResidual: 0},
+    {name: 'bent', ys: [0, 3, 0], intercept: 1, slope: 0, maxResidual: 2},
+  ])('$name', ({ys, intercept, slope, maxResidual}) => {
+    const line = computeLine(ys.map((y, index) => ({x: index + 1, y})));
+    expect(line.intercept).toBeCloseTo(intercept);
+    expect(line.slope).toBeCloseTo(slope);
+    expect(line.maxResidual).toBeCloseTo(maxResidual);
+  });
+});
+
 describe('the commands', () => {
   function run(args: readonly string[]): Promise<{
     code: number | null;
@@ -244,6 +262,29 @@
     });
   }
 
+  it('measure --list names every scenario', async () => {
+    const {code, lines} = await run(['dist/bin/measure.js', '--list']);
+    const names = lines.map(line => line.split(' ')[0]);
+    expect(names).toEqual(Object.keys(SCENARIOS));
+    expect(code).toBe(0);
+  });
+
+  it('measure runs a scenario, prints its report last and plots it', async () => {
+    const folder = mkdtempSync(join(tmpdir(), 'sequoiaspool-plot-'));
+    const plot = join(folder, 'plot.svg');
+    const args = ['--seconds', '1', '--seed', '5', '--plot', plot];
+    const {code, lines} = await run([
+      'dist/bin/measure.js',
+      'added-latency',
+      ...args,
+    ]);
+    const report = JSON.parse(lines.at(-1)!) as Record<string, unknown>;
+    expect(report).toMatchObject({scenario: 'added-latency', seed: '5'});
+    expect(readFileSync(plot, 'utf8')).toMatch(/^<svg[^]*<\/svg>$/);
+    rmSync(folder, {recursive: true});
+    expect(code).toBe(0);
+  });
+
   it.each(['examples/kona.toml', 'examples/plovdiv.toml'])(
     'start with %s under a load does no harm and prints its figures last',
     async file => {
