Measure moves between versions, warm up first, and leave no process behind

A killed measure process left its nodes and upstreams running. Ruled out: a longer part of the run left out of the latencies; refusals and counts would still hold the start.

--- a/src/bin/measure.ts
+++ b/src/bin/measure.ts
@@ -9,6 +9,7 @@
 import {VERSION} from '../protocol/version.js';
 
 const EXIT_USAGE = 2;
+const EXIT_STOPPED = 130;
 
 interface MeasureOptions {
   readonly list: boolean;
@@ -31,6 +32,10 @@
   .option('--plot <file>', 'also draw the main figures as SVG')
   .action(run);
 
+// The child processes are killed when this one exits.
+process.on('SIGINT', () => process.exit(EXIT_STOPPED));
+process.on('SIGTERM', () => process.exit(EXIT_STOPPED));
+
 try {
   await program.parseAsync();
 } catch (error) {
--- a/src/measure/child-program.ts
+++ b/src/measure/child-program.ts
@@ -7,6 +7,12 @@
 
 const KEPT_OUTPUT_CHARS = 200_000;
 
+/** Children that still run; none may outlive the tool. */
+const running = new Set<ChildProcess>();
+process.once('exit', () => {
+  for (const child of running) child.kill('SIGKILL');
+});
+
 /** One child process with its captured output. */
 export class ChildProgram {
   /** Standard output and error, the newest part. */
@@ -19,6 +25,8 @@
       stdio: ['ignore', 'pipe', 'pipe'],
       env: {...process.env, ROARR_LOG: 'true'},
     });
+    running.add(this.child);
+    this.child.once('exit', () => running.delete(this.child));
     const keep = (part: Buffer): void => {
       this.output = (this.output + part.toString()).slice(-KEPT_OUTPUT_CHARS);
     };
--- a/src/measure/deployment-launch.ts
+++ b/src/measure/deployment-launch.ts
@@ -2,7 +2,10 @@
  * Starts a deployment file as processes on loopback: the platform log stand-in,
  * and per worker one upstream stand-in and one node.
  */
-import type {BalancingPolicy} from '../protocol/configuration.js';
+import type {
+  BalancingPolicy,
+  ConfigurationInput,
+} from '../protocol/configuration.js';
 import type {DeploymentFile, DeploymentInput} from './deployment-file.js';
 import type {HostSpec} from './local-deployment.js';
 import {LocalDeployment} from './local-deployment.js';
@@ -19,6 +22,10 @@
   readonly services?: readonly string[];
   /** Number of workers by service, in place of the file's. */
   readonly workers?: Readonly<Record<string, number>>;
+  /** Versions by host id, in place of the file's. */
+  readonly versions?: Readonly<Record<string, string>>;
+  /** Version that gets all traffic while no move runs, by service. */
+  readonly versionInForce?: Readonly<Record<string, string>>;
 }
 
 /** A running deployment with its platform log. */
@@ -38,7 +45,7 @@
     const deployment = await LocalDeployment.start({
       name: file.deployment.name,
       logAddress: log.address,
-      configuration: setBalancing(file.configuration, options.balancing),
+      configuration: buildConfiguration(file.configuration, options),
       hosts: buildHosts(file.deployment, options),
       startUpstream: startUpstreamProcess,
     });
@@ -83,7 +90,7 @@
         id,
         service,
         dataCentre: dataCentres[index % dataCentres.length]!,
-        version: spec.version,
+        version: options.versions?.[id] ?? spec.version,
         slots: spec.slots,
         control: {
           serviceTimeMs: spec.serviceTimeMs,
@@ -95,16 +102,24 @@
   return hosts;
 }
 
-function setBalancing(
-  configuration: DeploymentInput['configuration'],
-  balancing: BalancingPolicy | undefined,
-): DeploymentInput['configuration'] {
-  if (balancing === undefined) return configuration;
-  const profiles = Object.fromEntries(
-    Object.entries(configuration.profiles).map(([name, profile]) => [
+function buildConfiguration(
+  configuration: ConfigurationInput,
+  {balancing, versionInForce}: LaunchOptions,
+): ConfigurationInput {
+  const profiles = Object.entries(configuration.profiles).map(
+    ([name, profile]) => [
       name,
-      {...profile, balancing},
-    ]),
+      {...profile, ...(balancing === undefined ? {} : {balancing})},
+    ],
   );
-  return {...configuration, profiles};
+  const services = Object.entries(configuration.services).map(
+    ([name, service]) => {
+      const version = versionInForce?.[name];
+      return [name, {...service, ...(version === undefined ? {} : {version})}];
+    },
+  );
+  return {
+    profiles: Object.fromEntries(profiles) as ConfigurationInput['profiles'],
+    services: Object.fromEntries(services) as ConfigurationInput['services'],
+  };
 }
--- a/src/measure/scenarios/balancing.ts
+++ b/src/measure/scenarios/balancing.ts
@@ -11,6 +11,7 @@
   findMainService,
   runPolicies,
   runStreams,
+  runWarmUp,
 } from './scenario.js';
 
 const DEFAULT_RATE = 600;
@@ -81,6 +82,7 @@
   return runOnDeployment(options.file, launch, async launched => {
     const rate = options.ratePerSecond ?? DEFAULT_RATE;
     const streams = buildLookups(launched, service, rate);
+    await runWarmUp(launched, options, streams);
     const noneSlowed = await runStreams(launched, options, streams);
     const slowed = launched.deployment.hosts[0]!.upstream!;
     const countBefore = Number((await slowed.readFigures())['requests']);
@@ -105,9 +107,11 @@
 ): Promise<RunFigures> {
   const service = findMainService(options);
   const launch = {balancing, services: [service]};
-  return runOnDeployment(options.file, launch, launched => {
+  return runOnDeployment(options.file, launch, async launched => {
     const rate = options.ratePerSecond ?? DEFAULT_RATE;
-    return runStreams(launched, options, buildLookups(launched, service, rate));
+    const streams = buildLookups(launched, service, rate);
+    await runWarmUp(launched, options, streams);
+    return runStreams(launched, options, streams);
   });
 }
 
--- a/src/measure/scenarios/failing.ts
+++ b/src/measure/scenarios/failing.ts
@@ -9,6 +9,7 @@
   findMainService,
   runPolicies,
   runStreams,
+  runWarmUp,
 } from './scenario.js';
 
 const DEFAULT_RATE = 300;
@@ -50,6 +51,7 @@
       return runOnDeployment(options.file, launch, async launched => {
         const streams = buildLookups(launched, service, rate);
         const worker = launched.deployment.hosts[0]!.upstream!;
+        await runWarmUp(launched, options, streams);
         const warm = await runStreams(launched, options, streams);
         await worker.setControl({coldConcurrency: COLD_CONCURRENCY});
         const turnedCold = await runStreams(launched, options, streams);
--- a/src/measure/scenarios/fairness.ts
+++ b/src/measure/scenarios/fairness.ts
@@ -12,6 +12,7 @@
   findMainService,
   runPolicies,
   runStreams,
+  runWarmUp,
 } from './scenario.js';
 
 const WORKERS = 3;
@@ -44,6 +45,7 @@
       return runOnDeployment(options.file, launch, async launched => {
         const buildFor = (factor: number): CallStream[] =>
           buildCallers(launched, service, share, factor);
+        await runWarmUp(launched, options, buildFor(1));
         const fair = await runStreams(launched, options, buildFor(1));
         const unfair = await runStreams(
           launched,
--- a/src/measure/scenarios/log-outage.ts
+++ b/src/measure/scenarios/log-outage.ts
@@ -9,6 +9,7 @@
   findMainService,
   runPolicies,
   runStreams,
+  runWarmUp,
 } from './scenario.js';
 
 const DEFAULT_RATE = 300;
@@ -38,6 +39,7 @@
             {...options, seed: `${options.seed}-${phase}`},
             streams,
           );
+        await runWarmUp(launched, options, streams);
         const before = await run('before');
         await launched.log.setControl({isDown: true});
         const during = await run('during');
--- a/src/measure/scenarios/operations.ts
+++ b/src/measure/scenarios/operations.ts
@@ -20,6 +20,7 @@
   findMainService,
   runPolicies,
   runStreams,
+  runWarmUp,
 } from './scenario.js';
 
 const DEFAULT_RATE = 300;
@@ -128,6 +129,7 @@
         runStreams(launched, options, streams),
         runOperatorCommand(launched, ['data-centre', command, name!]),
       ]);
+    await runWarmUp(launched, options, streams);
     const before = await runStreams(launched, options, streams);
     const [goingOut, outCommand] = await runBeside('out');
     const out = await runStreams(launched, options, streams);
--- a/src/measure/scenarios/scenario-table.ts
+++ b/src/measure/scenarios/scenario-table.ts
@@ -14,6 +14,7 @@
 } from './node-cost.js';
 import {dataCentreScenario, inForceScenario} from './operations.js';
 import type {Scenario, ScenarioOptions, ScenarioReport} from './scenario.js';
+import {versionMoveScenario} from './version-move.js';
 
 /** Scenarios by the name used on the command line. */
 export const SCENARIOS: Readonly<Record<string, Scenario>> = {
@@ -26,6 +27,7 @@
   'probe-cost': probeCostScenario,
   'log-outage': logOutageScenario,
   'data-centre-out-and-back': dataCentreScenario,
+  'version-move': versionMoveScenario,
   'in-force': inForceScenario,
   binaries: binariesScenario,
   slopes: slopesScenario,
--- a/src/measure/scenarios/scenario.ts
+++ b/src/measure/scenarios/scenario.ts
@@ -19,6 +19,8 @@
 const SECOND_MS = 1000;
 /** Start of a run that is left out of its latencies. */
 const WARM_UP_MS = 500;
+/** Time for workers to pass their cold start under load. */
+const WARM_UP_RUN_SECONDS = 3;
 
 /** How a scenario is to be run. */
 export interface ScenarioOptions {
@@ -153,6 +155,20 @@
   };
 }
 
+/**
+ * Runs the streams unmeasured, so that the workers' cold start after the
+ * deployment's own start does not count as the state without a fault.
+ */
+export async function runWarmUp(
+  launched: LaunchedDeployment,
+  options: ScenarioOptions,
+  streams: readonly CallStream[],
+): Promise<void> {
+  const seed = `${options.seed}-warm-up`;
+  const seconds = WARM_UP_RUN_SECONDS;
+  await runStreams(launched, {...options, seed, seconds}, streams);
+}
+
 /** Lookups of a service from several callers through all nodes. */
 export function buildLookups(
   {deployment}: LaunchedDeployment,
--- /dev/null
+++ b/src/measure/scenarios/version-move.ts
@@ -0,0 +1,134 @@
+/**
+ * Scenario on moving traffic to a new version by a given time: a good version
+ * is to arrive in time, and each kind of bad one is to be taken back after a
+ * small share of the calls.
+ */
+import type {LaunchedDeployment, LaunchOptions} from '../deployment-launch.js';
+import {buildHosts, runOnDeployment} from '../deployment-launch.js';
+import type {CommandRun} from '../operator-command.js';
+import {runOperatorCommand} from '../operator-command.js';
+import type {RunFigures, Scenario, ScenarioOptions} from './scenario.js';
+import {
+  buildLookups,
+  computeRatio,
+  findMainService,
+  runStreams,
+  runWarmUp,
+} from './scenario.js';
+
+const DEFAULT_RATE = 200;
+const MIN_SECONDS = 10;
+/** The move is due at this part of the run. */
+const DUE_SHARE = 0.6;
+const OLD_VERSION = 'v1';
+const NEW_VERSION = 'v2';
+const DONE = 0;
+const TAKEN_BACK = 6;
+const BAD_SHARE_LIMIT = 0.05;
+const ROUTES = ['/tickets', '/stock'];
+
+/** Behaviour of the new version's workers. */
+const NEW_VERSIONS: Readonly<Record<string, Record<string, unknown>>> = {
+  good: {},
+  'fails at once': {isFailingFast: true},
+  'fails on one route': {failingPathPrefix: '/stock'},
+  'ten times slower': {slowFactor: 10},
+};
+
+interface MoveFigures {
+  readonly command: CommandRun;
+  readonly load: RunFigures;
+  /** Share of the calls that reached the new version. */
+  readonly newVersionShare: number;
+}
+
+/** One move per kind of new version. */
+export const versionMoveScenario: Scenario = {
+  description: 'moves to a good version and to bad ones, under load',
+  run: async given => {
+    const seconds = Math.max(MIN_SECONDS, given.seconds);
+    const options = {...given, seconds};
+    const variants: Record<string, MoveFigures> = {};
+    for (const [name, control] of Object.entries(NEW_VERSIONS)) {
+      variants[name] = await runMove(options, control);
+    }
+    const {good, ...bad} = variants;
+    const isBadTakenBack = Object.values(bad).every(
+      ({command, newVersionShare}) =>
+        command.exitCode === TAKEN_BACK && newVersionShare <= BAD_SHARE_LIMIT,
+    );
+    return {
+      variants,
+      summary: Object.fromEntries(
+        Object.entries(variants).map(([name, figures]) => [
+          name,
+          {
+            exitCode: figures.command.exitCode,
+            elapsedMs: figures.command.elapsedMs,
+            newVersionShare: figures.newVersionShare,
+            upstreamErrors: figures.load.upstreamErrors,
+          },
+        ]),
+      ),
+      target:
+        `the good version done within ${seconds * DUE_SHARE} s; bad ones ` +
+        `taken back after at most ${BAD_SHARE_LIMIT} of the calls`,
+      isTargetMet: good!.command.exitCode === DONE && isBadTakenBack,
+    };
+  },
+};
+
+async function runMove(
+  options: ScenarioOptions,
+  control: Record<string, unknown>,
+): Promise<MoveFigures> {
+  const service = findMainService(options);
+  const hosts = buildHosts(options.file.deployment, {services: [service]});
+  const newIds = hosts.map(({id}) => id).filter((id, index) => index % 2 === 1);
+  const launch: LaunchOptions = {
+    services: [service],
+    versions: Object.fromEntries(newIds.map(id => [id, NEW_VERSION])),
+    versionInForce: {[service]: OLD_VERSION},
+    controls: Object.fromEntries(newIds.map(id => [id, control])),
+  };
+  return runOnDeployment(options.file, launch, async launched => {
+    const rate = options.ratePerSecond ?? DEFAULT_RATE;
+    const streams = ROUTES.flatMap(path =>
+      buildLookups(launched, service, rate / ROUTES.length).map(stream => ({
+        ...stream,
+        path,
+      })),
+    );
+    await runWarmUp(launched, options, streams);
+    const requestsBefore = await countRequests(launched, newIds);
+    const [load, command] = await Promise.all([
+      runStreams(launched, options, streams),
+      runOperatorCommand(launched, [
+        ...['move', 'start', service, '--from', OLD_VERSION],
+        ...['--to', NEW_VERSION, '--follow', '--by'],
+        `${options.seconds * DUE_SHARE}s`,
+      ]),
+    ]);
+    const newRequests =
+      (await countRequests(launched, newIds)) - requestsBefore;
+    return {
+      command,
+      load,
+      newVersionShare: computeRatio(newRequests, load.upstreamRequests),
+    };
+  });
+}
+
+async function countRequests(
+  {deployment}: LaunchedDeployment,
+  hostIds: readonly string[],
+): Promise<number> {
+  const counts = await Promise.all(
+    hostIds.map(async id =>
+      Number(
+        (await deployment.findHost(id).upstream!.readFigures())['requests'],
+      ),
+    ),
+  );
+  return counts.reduce((sum, count) => sum + count, 0);
+}
