--- a/src/coordination/membership.ts
+++ b/src/coordination/membership.ts
@@ -106,12 +106,14 @@
     updateWorkerTable(options.workers, this.view.self);
   }
 
-  /** Joins the other nodes and begins to probe. */
-  start(): void {
-    for (const address of this.listLostAddresses()) {
-      void this.exchange.run(address);
-    }
+  /**
+   * Begins to probe and joins the other nodes; resolves when each seed has
+   * answered or been given up.
+   */
+  async join(): Promise<void> {
     this.scheduleNextPeriod();
+    const addresses = this.listLostAddresses();
+    await Promise.all(addresses.map(address => this.exchange.run(address)));
   }
 
   /** Stops probing. */
@@ -293,6 +295,8 @@
     elapsedMs: number,
   ): void {
     this.observeVersion(peerAddress, reply.stateVersion);
+    // A node that has applied less than the peer is not as fresh as the peer.
+    if (reply.stateVersion > this.options.findStateVersion()) return;
     const ageMs = reply.logFreshnessMs + elapsedMs;
     if (Number.isFinite(ageMs)) this.options.recordLogConfirmation(ageMs);
   }
