--- a/src/measure/machine.ts
+++ b/src/measure/machine.ts
@@ -50,3 +50,11 @@
     loadAverage: loadavg().map(value => Math.round(value * 100) / 100),
   };
 }
+
+/** Reads the bytes that a process has read and written, sockets included. */
+export function readInputOutput(pid: number): {bytes: number} {
+  const text = readFileSync(`/proc/${pid}/io`, 'utf8');
+  const find = (name: string): number =>
+    Number(new RegExp(`^${name}: (\\d+)$`, 'm').exec(text)?.[1] ?? 0);
+  return {bytes: find('rchar') + find('wchar')};
+}
