--- a/src/coordination/observed-connection.ts
+++ b/src/coordination/observed-connection.ts
@@ -1,6 +1,6 @@
 /**
  * A worker connection that notes how each request ended, as evidence about
- * the worker's version.
+ * the worker's version, and counts probes.
  */
 import type {Announcement} from '../protocol/announcement.js';
 import type {AttemptAnswer} from '../protocol/attempt.js';
@@ -22,6 +22,7 @@
   connection: WorkerConnection,
   announcement: Announcement,
   record: (seen: SeenRequest) => void,
+  countProbe: () => void,
 ): WorkerConnection {
   const {service, version} = announcement;
   const sendRequest = async (
@@ -48,7 +49,10 @@
   };
   return {
     sendRequest,
-    sendProbe: (path, signal) => connection.sendProbe(path, signal),
+    sendProbe: (path, signal) => {
+      countProbe();
+      return connection.sendProbe(path, signal);
+    },
     close: () => connection.close(),
   };
 }
--- a/src/node-moves.ts
+++ b/src/node-moves.ts
@@ -35,7 +35,7 @@
   readonly versions: VersionMoves;
   private readonly evidence = new VersionEvidence();
 
-  constructor(options: NodeMovesOptions) {
+  constructor(private readonly options: NodeMovesOptions) {
     const {identity, sharedState, workers, logger, metrics} = options;
     this.versions = new VersionMoves({
       nodeId: identity.nodeId,
@@ -64,6 +64,7 @@
         openConnection(announcement),
         announcement,
         seen => this.evidence.record(seen),
+        () => this.options.metrics.count('probes.sent'),
       );
   }
 
--- a/src/node-process.ts
+++ b/src/node-process.ts
@@ -22,7 +22,11 @@
 import type {NodeIdentity} from './protocol/node-identity.js';
 import {createIncarnation, parseAddress} from './protocol/node-identity.js';
 import {Reason, RefusalError} from './protocol/reasons.js';
-import type {ServiceRequest} from './protocol/service-request.js';
+import type {
+  ServiceAnswer,
+  ServiceRequest,
+} from './protocol/service-request.js';
+import {Verdict} from './protocol/verdict.js';
 import type {NodeSettings} from './protocol/settings.js';
 import {formatFaults} from './protocol/settings.js';
 import {SharedState} from './shared-state.js';
@@ -177,12 +181,10 @@
     this.callerServer = createCallerServer({
       ownRoutes: this.buildOwnRoutes(),
       findProfile: service => this.state.findProfile(service),
-      handleRequest: (request, signal) =>
-        this.keyHomes.hasKey(request)
-          ? this.keyHomes.handleRequest(request, signal)
-          : this.entry.handleRequest(request, signal),
+      handleRequest: (request, signal) => this.handleRequest(request, signal),
       handleRefusal: (refusal, requestId) => {
         this.metrics.count(`refusals.${refusal.reason}`);
+        this.metrics.count(`verdicts.${refusal.verdict}`);
         this.logger.write('debug', 'refused', {
           requestId,
           reason: refusal.reason,
@@ -256,6 +258,17 @@
     await this.metrics.close();
   }
 
+  private async handleRequest(
+    request: ServiceRequest,
+    signal: AbortSignal,
+  ): Promise<ServiceAnswer> {
+    const answer = this.keyHomes.hasKey(request)
+      ? await this.keyHomes.handleRequest(request, signal)
+      : await this.entry.handleRequest(request, signal);
+    this.metrics.count(`verdicts.${Verdict.RAN}`);
+    return answer;
+  }
+
   private async sendAttempt(
     attempt: Attempt,
     signal: AbortSignal,
--- a/src/protocol/quantities.ts
+++ b/src/protocol/quantities.ts
@@ -23,7 +23,9 @@
 
 /** A duration such as `250ms`, `2s`, `10m` or `1h`; parsed to milliseconds. */
 export function buildDurationSchema(minMs: number, maxMs: number) {
-  return z.string().transform((text, context) => {
+  const allowed = `${formatDuration(minMs)} to ${formatDuration(maxMs)}`;
+  const texts = z.string().meta({allowed});
+  return texts.transform((text, context) => {
     const match = DURATION_PATTERN.exec(text);
     if (!match) {
       context.addIssue({
@@ -46,7 +48,9 @@
 
 /** A size such as `64KiB` or `8MiB`; parsed to bytes. */
 export function buildSizeSchema(minBytes: number, maxBytes: number) {
-  return z.string().transform((text, context) => {
+  const allowed = `${formatSize(minBytes)} to ${formatSize(maxBytes)}`;
+  const texts = z.string().meta({allowed});
+  return texts.transform((text, context) => {
     const match = SIZE_PATTERN.exec(text);
     if (!match) {
       context.addIssue({
@@ -66,3 +70,25 @@
     return bytes;
   });
 }
+
+/** Formats a duration in its largest unit that leaves a whole number. */
+export function formatDuration(ms: number): string {
+  return formatQuantity(ms, DURATION_UNITS_MS, 'ms');
+}
+
+/** Formats a size in its largest unit that leaves a whole number. */
+export function formatSize(bytes: number): string {
+  return formatQuantity(bytes, SIZE_UNITS_BYTES, 'B');
+}
+
+function formatQuantity(
+  value: number,
+  units: Readonly<Record<string, number>>,
+  smallest: string,
+): string {
+  const fitting = Object.entries(units)
+    .reverse()
+    .find(([, size]) => value > 0 && value % size === 0);
+  const [unit, size] = fitting ?? [smallest, 1];
+  return `${value / size}${unit}`;
+}
--- /dev/null
+++ b/src/test/docs_test.ts
@@ -0,0 +1,53 @@
+/**
+ * The operators' pages against the code: every setting with its default and
+ * range, every reason with its status.
+ */
+import {readFileSync} from 'node:fs';
+import {describe, expect, it} from 'vitest';
+import {REASON_DETAILS} from '../protocol/reasons.js';
+import {nodeSettingsSchema} from '../protocol/settings.js';
+import {listSettingRows} from './setting-rows.js';
+
+/** Cells of the rows of a page's tables, without their marks of code. */
+function readRows(page: string): string[][] {
+  return readFileSync(page, 'utf8')
+    .split('\n')
+    .filter(line => line.startsWith('| `'))
+    .map(line =>
+      line
+        .split('|')
+        .slice(1, -1)
+        .map(cell => cell.trim().replaceAll('`', '')),
+    );
+}
+
+describe('the page on settings', () => {
+  const rows = new Map(
+    readRows('docs/operators/settings.md').map(row => [row[0], row]),
+  );
+  const settings = listSettingRows(nodeSettingsSchema);
+
+  it.each(settings)('$key', ({key, defaultValue, allowed}) => {
+    expect(rows.get(key)?.slice(2)).toEqual([defaultValue, allowed]);
+  });
+
+  it('names no setting that does not exist', () => {
+    const known = settings.map(({key}) => key);
+    expect([...rows.keys()].filter(key => !known.includes(key!))).toEqual([]);
+  });
+});
+
+describe('the page on reasons', () => {
+  const rows = readRows('docs/operators/reasons.md');
+
+  it.each(Object.entries(REASON_DETAILS))('%s', (reason, {status}) => {
+    const row = rows.find(([name]) => name === reason);
+    expect(row?.[1]).toBe(String(status));
+    expect(row).toHaveLength(4);
+  });
+
+  it('names no reason that does not exist', () => {
+    const known = Object.keys(REASON_DETAILS);
+    expect(rows.filter(([name]) => !known.includes(name!))).toEqual([]);
+  });
+});
--- a/src/transport/metrics.ts
+++ b/src/transport/metrics.ts
@@ -6,6 +6,9 @@
 import type {NodeSettings} from '../protocol/settings.js';
 import {parseAddress} from '../protocol/node-identity.js';
 
+/** Counters are sent together until a datagram of this size is full. */
+const DATAGRAM_BYTES = 1400;
+
 /** Counters of one node. */
 export class Metrics {
   private readonly totals = new Map<string, number>();
@@ -17,6 +20,7 @@
       ...parseAddress(settings.statsdAddress),
       prefix: settings.prefix,
       globalTags: {node: nodeId},
+      maxBufferSize: DATAGRAM_BYTES,
       errorHandler: () => {},
     });
   }
