--- a/src/coordination/key-leave.ts
+++ b/src/coordination/key-leave.ts
@@ -15,6 +15,8 @@
 import type {KeyHomeCalls} from './key-sealing.js';
 
 const MAX_TRIES = 5;
+/** Homes of one service at most; more would only make lists longer. */
+export const MAX_HOMES = 128;
 /** Claims in one call, so that no message grows without bound. */
 const CLAIMS_PER_CALL = 200;
 /** Bytes of answers in one call after which the next call begins. */
@@ -38,6 +40,8 @@
   readonly claims: KeyClaims;
   readonly calls: Pick<KeyHomeCalls, 'handOverKeys'>;
   readonly listServices: () => readonly string[];
+  /** Processes that may be homes of a service now. */
+  readonly listCandidates: (service: string) => readonly KeyHome[];
   readonly appendList: AppendList;
   /** Ends the wait for running keys, whose claims are then in doubt. */
   readonly signal: AbortSignal;
@@ -71,7 +75,7 @@
     const newest = lists.at(-1);
     const wasHome = lists.some(list => hasHome(list, identity));
     if (!newest || !wasHome) return;
-    const homes = newest.homes.filter(home => !isSameHome(home, identity));
+    const homes = chooseNextHomes(options, service, newest);
     if (homes.length === 0) return;
     const isCopied = await copyClaims(options, service, homes);
     const isAppended = await options.appendList({
@@ -84,6 +88,22 @@
   }
 }
 
+/**
+ * The homes without the leaving one. Nodes that only just came are added: when
+ * many leave in turn, the list may not have caught up with their successors.
+ */
+function chooseNextHomes(
+  {identity, listCandidates}: LeaveOptions,
+  service: string,
+  newest: HomeList,
+): readonly KeyHome[] {
+  const others = newest.homes.filter(home => !isSameHome(home, identity));
+  const added = listCandidates(service).filter(
+    home => !isSameHome(home, identity) && !hasHome(newest, home),
+  );
+  return [...others, ...added].slice(0, MAX_HOMES);
+}
+
 function hasHome(list: HomeList, identity: KeyHome): boolean {
   return list.homes.some(home => isSameHome(home, identity));
 }
--- a/src/node-process.ts
+++ b/src/node-process.ts
@@ -10,6 +10,7 @@
 import {CrashQuarantine} from './coordination/crash-quarantine.js';
 import {Entry} from './coordination/entry.js';
 import {Gate} from './coordination/gate.js';
+import {KeyHomes} from './key-homes.js';
 import type {Membership} from './coordination/membership.js';
 import {createNodeMembership, listMemberRows} from './node-membership.js';
 import {NodeMoves} from './node-moves.js';
@@ -66,6 +67,7 @@
   private readonly attemptRunner;
   private readonly attemptSender;
   private readonly entry;
+  private readonly keyHomes;
   private readonly membership: Membership;
   private readonly callerServer: Server;
   private readonly peerServer: Server;
@@ -148,6 +150,20 @@
       selectWorkers: (service, rows) =>
         this.moves.versions.selectWorkers(service, rows),
     });
+    this.keyHomes = new KeyHomes({
+      identity: this.identity,
+      state: this.state,
+      workers: this.workers,
+      gate: this.gate,
+      appendRecord: this.sharedState.appendRecord,
+      runThroughEntry: (request, signal) =>
+        this.entry.handleRequest(request, signal),
+      sendToHome: (attempt, signal, handleSilence) =>
+        this.gateClient.sendAttempt(attempt, signal, handleSilence),
+      selectWorkers: (service, rows) =>
+        this.moves.versions.selectWorkers(service, rows),
+      count: name => this.metrics.count(name),
+    });
     this.membership = createNodeMembership({
       identity: this.identity,
       settings,
@@ -162,7 +178,9 @@
       ownRoutes: this.buildOwnRoutes(),
       findProfile: service => this.state.findProfile(service),
       handleRequest: (request, signal) =>
-        this.entry.handleRequest(request, signal),
+        this.keyHomes.hasKey(request)
+          ? this.keyHomes.handleRequest(request, signal)
+          : this.entry.handleRequest(request, signal),
       handleRefusal: (refusal, requestId) => {
         this.metrics.count(`refusals.${refusal.reason}`);
         this.logger.write('debug', 'refused', {
@@ -175,6 +193,9 @@
     });
     this.peerServer = createPeerServer({
       handleAttempt: async (attempt, signal, handleAdmitted) => {
+        if (attempt.keyHomeEpoch !== undefined) {
+          return this.keyHomes.handleAttempt(attempt, signal, handleAdmitted);
+        }
         if (this.planned.isRefusingAttempts) {
           throw new RefusalError(Reason.NODE_STOPPING);
         }
@@ -191,6 +212,7 @@
       handleStep: (step, isComplete) =>
         this.logger.write('info', step, {isComplete}),
     });
+    this.planned.beforeRefusing.push(() => this.keyHomes.leave(settings.stop));
   }
 
   /** Listens, joins the other nodes and begins to work. */
@@ -204,8 +226,12 @@
     this.gate.events.on('workersChanged', () =>
       this.membership.updateWorkers(this.gate.listWorkers()),
     );
+    this.membership.events.on('versionSeen', ({peerAddress}) =>
+      this.sharedState.fetchNewer(peerAddress),
+    );
     this.sharedState.start();
     this.moves.versions.start();
+    this.keyHomes.start();
     await this.membership.join();
     this.hasJoined = true;
     this.logger.write('info', 'started', {
@@ -216,6 +242,7 @@
 
   /** Stops without cutting a request. */
   async stop(): Promise<void> {
+    this.keyHomes.stop();
     await this.planned.run();
     this.logger.write('info', 'stopped');
   }
@@ -264,6 +291,7 @@
     this.sharedState.registerServices(router);
     this.moves.registerServices(router);
     this.crashSpread.registerService(router);
+    this.keyHomes.registerServices(router);
     registerMembershipService(router, this.membership, (name, amount) =>
       this.metrics.count(name, amount),
     );
@@ -298,6 +326,8 @@
             counters: this.metrics.report(),
             process: reportProcess(this.peers),
             state: this.sharedState.report(),
+            moves: this.state.current.moves,
+            keyHomes: this.keyHomes.report(),
             nodes: this.workers.listNodes(),
             members: listMemberRows(this.membership),
           },
