Keep the members of two deployments apart

Cause: a node that retries a dead member's address may find a node of another deployment there, and the tables would mix. Suspected after one failure of membership_test ('a node replaced by one of another id', waited 30 s for the new node) in a run beside other deployments with the same node ids; not reproduced in 8 runs of that test alone, so the link is not shown. Change: probes and exchanges carry the deployment's name; others are refused.

--- a/src/measure/local-deployment.ts
+++ b/src/measure/local-deployment.ts
@@ -4,7 +4,7 @@
  */
 import {mkdtempSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
-import {join, resolve} from 'node:path';
+import {basename, join, resolve} from 'node:path';
 import {stringify as formatToml} from 'smol-toml';
 import type {ConfigurationInput} from '../protocol/configuration.js';
 import {formatKeyPath} from '../protocol/settings.js';
@@ -273,6 +273,7 @@
         ...extra['platformLog'],
       },
       membership: {
+        deployment: basename(this.folder),
         seeds: this.hosts.slice(0, 3).map(other => other.peerAddress),
         ...extra['membership'],
       },
--- a/src/node-membership.ts
+++ b/src/node-membership.ts
@@ -43,8 +43,10 @@
     identity,
     settings: settings.membership,
     workers: parts.workers,
-    calls: createMembershipCalls(peers, (name, amount) =>
-      metrics.count(name, amount),
+    calls: createMembershipCalls(
+      findDeployment(settings),
+      peers,
+      (name, amount) => metrics.count(name, amount),
     ),
     random: Math.random,
     findStateVersion: () => state.current.version,
@@ -64,6 +66,11 @@
   return membership;
 }
 
+/** Name of the deployment that a node belongs to. */
+export function findDeployment(settings: NodeSettings): string {
+  return settings.membership.deployment ?? settings.platformLog.name;
+}
+
 /** Lists the members for the status path. */
 export function listMemberRows(membership: Membership): MemberStatusRow[] {
   return membership.listMembers().map(member => ({
--- a/src/node-process.ts
+++ b/src/node-process.ts
@@ -12,7 +12,11 @@
 import {Gate} from './coordination/gate.js';
 import {KeyHomes} from './key-homes.js';
 import type {Membership} from './coordination/membership.js';
-import {createNodeMembership, listMemberRows} from './node-membership.js';
+import {
+  createNodeMembership,
+  findDeployment,
+  listMemberRows,
+} from './node-membership.js';
 import {NodeMoves} from './node-moves.js';
 import {describeReadiness, NodeStop} from './node-stop.js';
 import {announcementSchema} from './protocol/announcement.js';
@@ -292,8 +296,11 @@
     this.moves.registerServices(router);
     this.crashSpread.registerService(router);
     this.keyHomes.registerServices(router);
-    registerMembershipService(router, this.membership, (name, amount) =>
-      this.metrics.count(name, amount),
+    registerMembershipService(
+      router,
+      findDeployment(this.settings),
+      this.membership,
+      (name, amount) => this.metrics.count(name, amount),
     );
     router.rpc(
       AttemptService.method.sealAttempt,
--- a/src/test/membership_test.ts
+++ b/src/test/membership_test.ts
@@ -48,16 +48,28 @@
 ): Promise<void> {
   await waitFor(`${expected} everywhere`, async () => {
     for (const observer of observers) {
-      const statuses = await readStatuses(observer);
-      const differs = subjects.some(
-        subject => statuses.get(subject.spec.id) !== expected,
+      await checkStatus(
+        observer,
+        subjects.map(subject => subject.spec.id),
+        expected,
       );
-      if (differs) return false;
     }
     return true;
   });
 }
 
+/** Throws with what the observer sees unless it holds all in a status. */
+async function checkStatus(
+  observer: Host,
+  nodeIds: readonly string[],
+  expected: string,
+): Promise<void> {
+  const statuses = await readStatuses(observer);
+  if (nodeIds.every(nodeId => statuses.get(nodeId) === expected)) return;
+  const seen = JSON.stringify(Object.fromEntries(statuses));
+  throw new Error(`${observer.spec.id} sees ${seen}`);
+}
+
 /** Waits until each node routes to the workers of all nodes. */
 async function waitForAllWorkers(): Promise<void> {
   const {hosts} = fixture.deployment;
@@ -195,6 +207,30 @@
   return counters['membership.messages-sent'] ?? 0;
 }
 
+describe('nodes of two deployments', () => {
+  it('do not mix when one finds the other at an address it knew', async () => {
+    const {hosts} = fixture.deployment;
+    const stranger = await startFixture({
+      workers: 1,
+      nodeSettings: {
+        membership: {
+          ...FAST_MEMBERSHIP,
+          seeds: hosts.map(({peerAddress}) => peerAddress),
+        },
+      },
+    });
+    const [strange] = stranger.deployment.hosts;
+    const before = await countProbes(hosts[0]!);
+    await waitFor(
+      'probes',
+      async () => (await countProbes(hosts[0]!)) > before + 100,
+    );
+    expect((await readStatuses(strange!)).size).toBe(1);
+    await waitForStatus(hosts, hosts, 'alive');
+    await stranger.stop();
+  });
+});
+
 describe('a node replaced by one of another id at its address', () => {
   it('is held dead everywhere and the new one alive', async () => {
     const [old] = listHosts(2);
@@ -204,8 +240,7 @@
     await waitForStatus(others, [old!], 'dead');
     await waitFor('the new node everywhere', async () => {
       for (const other of others) {
-        const statuses = await readStatuses(other);
-        if (statuses.get('desk-new') !== 'alive') return false;
+        await checkStatus(other, ['desk-new'], 'alive');
       }
       return true;
     });
--- a/src/transport/membership-service.ts
+++ b/src/transport/membership-service.ts
@@ -6,6 +6,7 @@
 import type {DescMessage, MessageShape} from '@bufbuild/protobuf';
 import {toBinary} from '@bufbuild/protobuf';
 import type {ConnectRouter} from '@connectrpc/connect';
+import {Code, ConnectError} from '@connectrpc/connect';
 import type {
   ExchangeMembersReply,
   ExchangeMembersRequest,
@@ -38,11 +39,16 @@
 }
 
 /** Creates the calls to the membership service of other nodes. */
-export function createMembershipCalls(peers: PeerClients, count: Count) {
+export function createMembershipCalls(
+  deployment: string,
+  peers: PeerClients,
+  count: Count,
+) {
   const find = (peerAddress: string) =>
     peers.find(MembershipService, peerAddress);
   return {
     probe: (peerAddress: string, request: ProbeRequest, timeoutMs: number) => {
+      request.deployment = deployment;
       countMessage(count, ProbeRequestSchema, request);
       return find(peerAddress).probe(request, {timeoutMs});
     },
@@ -59,6 +65,7 @@
       request: ExchangeMembersRequest,
       timeoutMs: number,
     ) => {
+      request.deployment = deployment;
       countMessage(count, ExchangeMembersRequestSchema, request);
       return find(peerAddress).exchangeMembers(request, {timeoutMs});
     },
@@ -68,11 +75,13 @@
 /** Registers the service that answers other nodes. */
 export function registerMembershipService(
   router: ConnectRouter,
+  deployment: string,
   handlers: MembershipHandlers,
   count: Count,
 ): void {
   router.service(MembershipService, {
     probe: request => {
+      checkDeployment(deployment, request);
       const reply = handlers.handleProbe(request);
       return countMessage(count, ProbeReplySchema, reply);
     },
@@ -81,12 +90,25 @@
       return countMessage(count, ProbeIndirectReplySchema, reply);
     },
     exchangeMembers: request => {
+      checkDeployment(deployment, request);
       const reply = handlers.handleExchange(request);
       return countMessage(count, ExchangeMembersReplySchema, reply);
     },
   });
 }
 
+/** Refuses nodes of other deployments, whose members are not to mix. */
+function checkDeployment(
+  deployment: string,
+  request: {readonly deployment: string},
+): void {
+  if (request.deployment === deployment) return;
+  throw new ConnectError(
+    `this node belongs to ${deployment}`,
+    Code.FailedPrecondition,
+  );
+}
+
 function countMessage<S extends DescMessage>(
   count: Count,
   schema: S,
