--- a/src/node-stop.ts
+++ b/src/node-stop.ts
@@ -13,8 +13,8 @@
 /** Time for connections that nobody uses any more to close. */
 const CLOSE_LIMIT_MS = 1000;
 
-/** Work that has to be done before the process may end. */
-export type BeforeExit = () => Promise<void>;
+/** Work of another module that a stop waits for. */
+export type StopTask = () => Promise<void>;
 
 /** What a stop works with. */
 export interface NodeStopParts {
@@ -31,10 +31,13 @@
 /** The stop of one node. */
 export class NodeStop {
   /**
-   * Called one after the other when all callers have their answers and other
-   * nodes can still be reached, for instance to hand keys over.
+   * Run one after the other when other nodes know of the stop and before the
+   * gate refuses attempts, for instance to hand keys over: until then the node
+   * goes on serving what others can't take from it.
    */
-  readonly beforeExit: BeforeExit[] = [];
+  readonly beforeRefusing: StopTask[] = [];
+  /** Run when all callers have their answers; other nodes can be reached. */
+  readonly beforeExit: StopTask[] = [];
   private readonly callerConnections: ConnectionCloser;
   private readonly peerConnections: ConnectionCloser;
   private hasBegun = false;
@@ -63,19 +66,21 @@
   async run(): Promise<void> {
     this.hasBegun = true;
     this.callerConnections.start();
-    await this.announceLeaving();
+    await this.parts.membership.leave();
+    this.parts.handleStep('peers told', true);
+    await this.runTasks('before refusing', this.beforeRefusing);
+    this.refuseAttempts();
     await this.releaseCallers();
-    await this.runBeforeExit();
+    await this.runTasks('before exit', this.beforeExit);
     await this.drainAttempts();
     this.parts.membership.stop();
     await waitAtMost(this.parts.closeClients(), CLOSE_LIMIT_MS);
   }
 
-  private async announceLeaving(): Promise<void> {
-    await this.parts.membership.leave();
+  private refuseAttempts(): void {
     this.isRefusing = true;
     this.peerConnections.start();
-    this.parts.handleStep('peers told', true);
+    this.parts.handleStep('attempts refused', true);
   }
 
   private async releaseCallers(): Promise<void> {
@@ -86,11 +91,13 @@
     handleStep('answered', await drainServer(callerServer, drainTimeout));
   }
 
-  private async runBeforeExit(): Promise<void> {
+  private async runTasks(
+    step: string,
+    tasks: readonly StopTask[],
+  ): Promise<void> {
     const {settings, handleStep} = this.parts;
-    for (const task of this.beforeExit) {
-      const isDone = await waitAtMost(task(), settings.drainTimeout);
-      handleStep('before exit', isDone);
+    for (const task of tasks) {
+      handleStep(step, await waitAtMost(task(), settings.drainTimeout));
     }
   }
 
