--- a/src/measure/scenarios/added-latency.ts
+++ b/src/measure/scenarios/added-latency.ts
@@ -14,6 +14,8 @@
 const DEFAULT_RATE = 200;
 const P99_LIMIT_MS = 1.2;
 const CALLERS = 4;
+const WARM_UP_SECONDS = 5;
+const WARM_UP_RATE = 1500;
 
 type Way = 'straight' | 'oneHop' | 'twoHops';
 
@@ -52,8 +54,11 @@
   const run = (way: Way): Promise<RunFigures> =>
     runWay(launched, options, targets[way]);
   // The first calls of a process run on code that is not yet compiled.
-  await run('twoHops');
-  await run('oneHop');
+  await runWay(
+    launched,
+    {...options, seconds: WARM_UP_SECONDS, ratePerSecond: WARM_UP_RATE},
+    [...targets.straight, ...targets.oneHop, ...targets.twoHops],
+  );
   return {
     straight: await run('straight'),
     oneHop: await run('oneHop'),
