Draw on the budget when a failing worker refuses

Cause: with every worker failing fast the gates refused worker-gone, a free retry, so each call went round all eight nodes: 7.97 attempts per call between nodes, and 333 of 901 calls ended connection-silent on the overloaded machine. Ruled out: the upstreams; they saw 0.081 attempts per call. Change: a free reason costs budget when the worker's load state is failing.

--- a/src/coordination/retry-rules.ts
+++ b/src/coordination/retry-rules.ts
@@ -1,13 +1,15 @@
 /**
  * What a failed attempt means for a retry. A refusal because the worker is
  * leaving or gone costs nothing, since no worker did anything; a refusal for
- * load or a failure draws on the budget.
+ * load or a failure draws on the budget, and so does one for a worker that
+ * fails, or calls would go round all nodes when all workers fail.
  */
 import type {AttemptError} from '../protocol/attempt.js';
 import type {Reason} from '../protocol/reasons.js';
 import type {ServiceRequest} from '../protocol/service-request.js';
 import {isResendable} from '../protocol/service-request.js';
 import {Verdict} from '../protocol/verdict.js';
+import {WorkerState} from '../protocol/worker-load.js';
 
 const FREE = 0;
 const FULL = 1;
@@ -52,5 +54,7 @@
 ): number | undefined {
   const isSafe = error.verdict === Verdict.NOT_RUN || request.idempotent;
   if (!isSafe || !isResendable(request)) return undefined;
-  return RETRY_COSTS[error.reason];
+  const cost = RETRY_COSTS[error.reason];
+  const isFailing = error.load?.state === WorkerState.FAILING;
+  return cost === FREE && isFailing ? FULL : cost;
 }
