--- a/src/coordination/log-follower.ts
+++ b/src/coordination/log-follower.ts
@@ -113,7 +113,13 @@
   signal: AbortSignal,
 ): Promise<boolean> {
   const askedAt = performance.now();
-  const page = await log.read(state.current.nextOffset, waitMs, signal);
+  const fromOffset = state.current.nextOffset;
+  const page = await log.read(fromOffset, waitMs, signal);
+  if (page.nextOffset < fromOffset) {
+    throw new LogUnavailableError(
+      `it ends at offset ${page.nextOffset}, before ${fromOffset} that was folded`,
+    );
+  }
   if (page.firstOffset > state.current.nextOffset) return false;
   state.applyRecords(page.records);
   if (state.current.nextOffset >= page.nextOffset) {
