--- /dev/null
+++ b/src/coordination/observed-connection.ts
@@ -0,0 +1,58 @@
+/**
+ * A worker connection that notes how each request ended, as evidence about
+ * the worker's version.
+ */
+import type {Announcement} from '../protocol/announcement.js';
+import type {AttemptAnswer} from '../protocol/attempt.js';
+import {Reason, RefusalError} from '../protocol/reasons.js';
+import type {ServiceRequest} from '../protocol/service-request.js';
+import type {SeenRequest} from '../state/version-evidence.js';
+import type {WorkerConnection} from './local-worker.js';
+
+const SERVER_ERROR = 500;
+
+/** Reasons that say nothing about a version. */
+const NEUTRAL_REASONS: ReadonlySet<Reason> = new Set<Reason>([
+  Reason.WORKER_SHED,
+  Reason.CALLER_GONE,
+]);
+
+/** Wraps a connection so that what it carries is recorded. */
+export function createObservedConnection(
+  connection: WorkerConnection,
+  announcement: Announcement,
+  record: (seen: SeenRequest) => void,
+): WorkerConnection {
+  const {service, version} = announcement;
+  const sendRequest = async (
+    request: ServiceRequest,
+    signal: AbortSignal,
+  ): Promise<AttemptAnswer> => {
+    const startedAt = performance.now();
+    const recordEnd = (hasFailed: boolean): void => {
+      const durationMs = performance.now() - startedAt;
+      const {route} = request;
+      record({service, version, route, hasFailed, durationMs});
+    };
+    try {
+      const answer = await connection.sendRequest(request, signal);
+      recordEnd(answer.status >= SERVER_ERROR);
+      return answer;
+    } catch (error) {
+      // A cancelled request counts with the time that it took so far, or a
+      // slow version whose requests are all cancelled would leave no trace.
+      if (signal.aborted) recordEnd(false);
+      else if (!isNeutral(error)) recordEnd(true);
+      throw error;
+    }
+  };
+  return {
+    sendRequest,
+    sendProbe: (path, signal) => connection.sendProbe(path, signal),
+    close: () => connection.close(),
+  };
+}
+
+function isNeutral(error: unknown): boolean {
+  return error instanceof RefusalError && NEUTRAL_REASONS.has(error.reason);
+}
--- a/src/node-process.ts
+++ b/src/node-process.ts
@@ -7,22 +7,27 @@
 import type {ConnectRouter} from '@connectrpc/connect';
 import {AttemptRunner} from './coordination/attempt-runner.js';
 import {AttemptSender, SealError} from './coordination/attempt-sender.js';
+import {CrashQuarantine} from './coordination/crash-quarantine.js';
 import {Entry} from './coordination/entry.js';
 import {Gate} from './coordination/gate.js';
 import type {Membership} from './coordination/membership.js';
 import {createNodeMembership, listMemberRows} from './node-membership.js';
+import {NodeMoves} from './node-moves.js';
 import {NodeStop} from './node-stop.js';
 import {announcementSchema} from './protocol/announcement.js';
 import type {Attempt, AttemptAnswer} from './protocol/attempt.js';
+import {AttemptError} from './protocol/attempt.js';
 import {AttemptService} from './protocol/attempts_pb.js';
 import type {NodeIdentity} from './protocol/node-identity.js';
 import {createIncarnation, parseAddress} from './protocol/node-identity.js';
 import {Reason, RefusalError} from './protocol/reasons.js';
+import type {ServiceRequest} from './protocol/service-request.js';
 import type {NodeSettings} from './protocol/settings.js';
 import {formatFaults} from './protocol/settings.js';
 import {SharedState} from './shared-state.js';
 import type {SealOutcome} from './state/attempt-registry.js';
 import {AttemptRegistry} from './state/attempt-registry.js';
+import {CrashTable} from './state/crash-table.js';
 import {Explanations} from './state/explanations.js';
 import {WorkerTable} from './state/worker-table.js';
 import {
@@ -32,6 +37,7 @@
 } from './transport/attempt-service.js';
 import type {OwnRoute} from './transport/caller-listener.js';
 import {createCallerServer} from './transport/caller-listener.js';
+import {CrashSpread} from './transport/crash-service.js';
 import {GateClient} from './transport/gate-client.js';
 import {createLogger} from './transport/logger.js';
 import {registerMembershipService} from './transport/membership-service.js';
@@ -49,6 +55,9 @@
   private readonly state;
   private readonly workers = new WorkerTable();
   private readonly peers;
+  private readonly crashTable = new CrashTable();
+  private readonly crashSpread;
+  private readonly moves: NodeMoves;
   private readonly gateClient;
   private readonly gate;
   private readonly explanations = new Explanations();
@@ -82,22 +91,41 @@
       metrics: this.metrics,
     });
     this.state = this.sharedState.store;
+    this.crashSpread = new CrashSpread({
+      peers: this.peers,
+      listPeerAddresses: () => this.listPeerAddresses(),
+      handleRecord: record => this.crashTable.add(record),
+    });
+    this.moves = new NodeMoves({
+      identity: this.identity,
+      sharedState: this.sharedState,
+      workers: this.workers,
+      peers: this.peers,
+      logger: this.logger,
+      metrics: this.metrics,
+      findGate: () => this.gate,
+    });
     this.gateClient = new GateClient(node.id, settings.connections);
     this.gate = new Gate(
-      announcement =>
-        new UpstreamClient(
-          announcement.address,
-          announcement.slots,
-          settings.connections.connectTimeout,
-        ),
+      this.moves.observe(
+        announcement =>
+          new UpstreamClient(
+            announcement.address,
+            announcement.slots,
+            settings.connections.connectTimeout,
+          ),
+      ),
       this.state,
       node.dataCentre,
+      new CrashQuarantine(this.crashTable, records =>
+        this.crashSpread.spread(records),
+      ),
     );
     this.attemptRunner = new AttemptRunner(
       this.identity.incarnation,
       this.attempts,
       (request, version, signal, handleAdmitted) =>
-        this.gate.runAttempt(request, version, signal, handleAdmitted),
+        this.runOnWorker(request, version, signal, handleAdmitted),
     );
     this.attemptSender = new AttemptSender(
       (attempt, signal, handleSilence) =>
@@ -114,8 +142,9 @@
       random: Math.random,
       createAttemptId: randomUUID,
       count: name => this.metrics.count(name),
-      isQuarantined: () => false,
-      selectVersion: () => undefined,
+      isQuarantined: fingerprint => this.crashTable.isQuarantined(fingerprint),
+      selectWorkers: (service, rows) =>
+        this.moves.versions.selectWorkers(service, rows),
     });
     this.membership = createNodeMembership({
       identity: this.identity,
@@ -178,6 +207,7 @@
     );
     this.membership.start();
     this.sharedState.start();
+    this.moves.versions.start();
     this.logger.write('info', 'started', {
       callerAddress: this.identity.callerAddress,
       peerAddress: this.identity.peerAddress,
@@ -191,6 +221,7 @@
   }
 
   private async closeClients(): Promise<void> {
+    this.moves.versions.stop();
     await this.sharedState.stop();
     await this.gateClient.close();
     await this.gate.close();
@@ -203,21 +234,45 @@
     signal: AbortSignal,
   ): Promise<AttemptAnswer> {
     if (attempt.target.nodeId === this.identity.nodeId) {
-      return this.gate.runAttempt(attempt.request, attempt.version, signal);
+      return this.runOnWorker(attempt.request, attempt.version, signal);
     }
     return this.attemptSender.sendAttempt(attempt, signal);
   }
 
+  /** Runs a request on the local worker unless its version was found bad. */
+  private async runOnWorker(
+    request: ServiceRequest,
+    version: string | undefined,
+    signal: AbortSignal,
+    handleAdmitted?: () => void,
+  ): Promise<AttemptAnswer> {
+    const isBad =
+      version !== undefined &&
+      !this.moves.versions.isAllowed(request.service, version);
+    if (isBad) throw new AttemptError(Reason.WRONG_VERSION, 'not-run', version);
+    return this.gate.runAttempt(request, version, signal, handleAdmitted);
+  }
+
+  private listPeerAddresses(): string[] {
+    return this.workers
+      .listNodes()
+      .filter(({nodeId}) => nodeId !== this.identity.nodeId)
+      .map(({peerAddress}) => peerAddress);
+  }
+
   private registerServices(router: ConnectRouter): void {
     this.sharedState.registerServices(router);
+    this.moves.registerServices(router);
+    this.crashSpread.registerService(router);
     registerMembershipService(router, this.membership, (name, amount) =>
       this.metrics.count(name, amount),
     );
-    router.service(AttemptService, {
-      sealAttempt: createSealHandler(this.identity.incarnation, (id, waitMs) =>
+    router.rpc(
+      AttemptService.method.sealAttempt,
+      createSealHandler(this.identity.incarnation, (id, waitMs) =>
         this.attempts.seal(id, waitMs),
       ),
-    });
+    );
   }
 
   private buildOwnRoutes(): OwnRoute[] {
@@ -244,6 +299,7 @@
             ...this.identity,
             counters: this.metrics.report(),
             state: this.sharedState.report(),
+            moves: this.state.current.moves,
             nodes: this.workers.listNodes(),
             members: listMemberRows(this.membership),
           },
