Remove the unused call for badness from the state service

Cause: moves have a service of their own, so the same call stood twice; and the gate takes a quarantine, which the data centre test did not give it. Ruled out: moving the calls of moves here (they carry evidence as well). Conclusion: no change of behaviour.

--- a/src/shared-state.ts
+++ b/src/shared-state.ts
@@ -11,7 +11,6 @@
 import {SnapshotSchedule} from './coordination/snapshot-schedule.js';
 import type {NodeIdentity} from './protocol/node-identity.js';
 import type {NodeSettings} from './protocol/settings.js';
-import type {PushBadnessRequest} from './protocol/state_pb.js';
 import {StateStore} from './state/state-store.js';
 import type {WorkerTable} from './state/worker-table.js';
 import type {Logger} from './transport/logger.js';
@@ -28,8 +27,6 @@
   readonly peers: PeerClients;
   readonly logger: Logger;
   readonly metrics: Metrics;
-  /** Takes evidence against a version that a peer spreads. */
-  readonly handleBadness?: (request: PushBadnessRequest) => void;
 }
 
 /** What operators see of a node's folded state. */
@@ -124,7 +121,6 @@
       readRecords: (fromOffset, wantsState) =>
         this.relay.handleRead(fromOffset, wantsState),
       pushRecords: records => this.relay.handlePush(records),
-      pushBadness: request => this.options.handleBadness?.(request),
     });
   }
 
--- a/src/test/data-centre_test.ts
+++ b/src/test/data-centre_test.ts
@@ -3,12 +3,14 @@
  * any entry, with the log down as well; nothing is cut; it comes back.
  */
 import {afterEach, describe, expect, it} from 'vitest';
+import {CrashQuarantine} from '../coordination/crash-quarantine.js';
 import {Gate} from '../coordination/gate.js';
 import {waitFor} from '../measure/wait-for.js';
 import type {Announcement} from '../protocol/announcement.js';
 import {configurationSchema} from '../protocol/configuration.js';
 import type {ServiceRequest} from '../protocol/service-request.js';
 import {EMPTY_BODY} from '../protocol/service-request.js';
+import {CrashTable} from '../state/crash-table.js';
 import {StateStore} from '../state/state-store.js';
 import {runControl} from './control-command.js';
 import type {Fixture} from './deployment-fixture.js';
@@ -210,6 +212,7 @@
       }),
       state,
       'arusha',
+      new CrashQuarantine(new CrashTable()),
     );
     gate.announce(ANNOUNCEMENT);
     setOut(state, dataCentre, true);
--- a/src/transport/state-service.ts
+++ b/src/transport/state-service.ts
@@ -1,12 +1,10 @@
 /**
- * Records, snapshots and evidence against versions between nodes, over
- * Connect. The folded state travels as JSON text, because its own schema
- * checks it where it arrives.
+ * Records and snapshots between nodes, over Connect. The folded state travels
+ * as JSON text, because its own schema checks it where it arrives.
  */
 import {create} from '@bufbuild/protobuf';
 import type {ConnectRouter} from '@connectrpc/connect';
 import type {LoggedRecord} from '../protocol/records.js';
-import type {PushBadnessRequest} from '../protocol/state_pb.js';
 import {LoggedRecordSchema, StateService} from '../protocol/state_pb.js';
 import type {PeerClients} from './peer-client.js';
 
@@ -23,8 +21,6 @@
 export interface StateHandlers {
   readRecords(fromOffset: number, wantsState: boolean): RecordsReply;
   pushRecords(records: readonly LoggedRecord[]): number;
-  /** Takes evidence against a version from a peer. */
-  pushBadness(request: PushBadnessRequest): void;
 }
 
 /** Registers the service with the listener for other nodes. */
@@ -51,10 +47,6 @@
     pushRecords: request => ({
       nextOffset: handlers.pushRecords(request.records),
     }),
-    pushBadness: request => {
-      handlers.pushBadness(request);
-      return {};
-    },
   });
 }
 
