Drop home lists that ended longer ago than keys live

Change: of more than 64 lists, the oldest go when the least time of the newest 64 is 50 hours after the latest time of the 8 lists after them. Conclusion: the state no longer grows without bound by rolling replacement, and one wrong clock drops no list too early in these cases.

--- a/src/state/record-handlers.ts
+++ b/src/state/record-handlers.ts
@@ -8,11 +8,18 @@
   LogRecordKind,
   RecordOfKind,
 } from '../protocol/records.js';
-import type {FoldedState, JoinedNode, Move} from './folded-state.js';
+import type {FoldedState, HomeList, JoinedNode, Move} from './folded-state.js';
 
 /** Nodes whose join records are remembered. */
 const REMEMBERED_JOINS = 256;
 
+/** Home lists of a service that are kept however old they are. */
+const LEAST_KEPT_LISTS = 64;
+/** Lists after one that say when it ended. */
+const END_WITNESSES = 8;
+/** Twice the longest lifetime of a key, and more. */
+const LIST_RETENTION_MS = 50 * 3_600_000;
+
 type RecordHandler<K extends LogRecordKind> = (
   state: FoldedState,
   record: RecordOfKind<K>,
@@ -151,10 +158,31 @@
   };
   return {
     ...state,
-    homeLists: {...state.homeLists, [record.service]: [...lists, added]},
+    homeLists: {
+      ...state.homeLists,
+      [record.service]: selectNeededLists([...lists, added]),
+    },
   };
 }
 
+/**
+ * Drops lists that ended longer ago than any key may be resent. Writers' clocks
+ * may be wrong, so many newer lists must say how late it is, and the latest of
+ * several when a list ended.
+ */
+function selectNeededLists(lists: readonly HomeList[]): readonly HomeList[] {
+  const times = lists.map(list => list.writtenAtMs);
+  const nowMs = Math.min(...times.slice(-LEAST_KEPT_LISTS));
+  const mostDropped = Math.max(0, lists.length - LEAST_KEPT_LISTS);
+  let dropped = 0;
+  while (dropped < mostDropped) {
+    const ends = times.slice(dropped + 1, dropped + 1 + END_WITNESSES);
+    if (Math.max(...ends) + LIST_RETENTION_MS > nowMs) break;
+    dropped += 1;
+  }
+  return lists.slice(dropped);
+}
+
 function applyJoin(
   state: FoldedState,
   record: RecordOfKind<'join'>,
--- a/src/test/fold-record_test.ts
+++ b/src/test/fold-record_test.ts
@@ -254,6 +254,57 @@
   });
 });
 
+describe('ended home lists are kept while a key may be resent', () => {
+  const hourMs = 3_600_000;
+  const cases = [
+    {name: 'an hour apart', apartMs: hourMs, count: 200, firstKept: 80},
+    {name: 'a second apart', apartMs: 1000, count: 200, firstKept: 1},
+    {name: 'few, days apart', apartMs: 100 * hourMs, count: 64, firstKept: 1},
+    {name: 'days apart', apartMs: 100 * hourMs, count: 90, firstKept: 19},
+  ];
+  it.each(cases)('$name', ({apartMs, count, firstKept}) => {
+    const state = foldLists(count, index => index * apartMs);
+    const lists = state.homeLists['kona-desk']!;
+    expect(lists.at(-1)!.epoch).toBe(count);
+    expect(lists[0]!.epoch).toBe(firstKept);
+    expect(lists).toHaveLength(count - firstKept + 1);
+  });
+
+  const clocks = [
+    {name: 'one writer far ahead', odd: 150, atMs: 10_000 * hourMs},
+    {name: 'one writer far behind', odd: 150, atMs: 0},
+    {name: 'the first writer far ahead', odd: 0, atMs: 10_000 * hourMs},
+  ];
+  it.each(clocks)('$name drops none too early', ({odd, atMs}) => {
+    const state = foldLists(200, index =>
+      index === odd ? atMs : 1000 * index,
+    );
+    expect(state.homeLists['kona-desk']).toHaveLength(200);
+  });
+
+  it('a list whose end was written by a clock far behind stays', () => {
+    const quietUntil = 20;
+    const state = foldLists(200, index => {
+      if (index < quietUntil) return index;
+      return index === quietUntil ? 0 : 100 * hourMs;
+    });
+    const kept = state.homeLists['kona-desk']!.map(list => list.epoch);
+    // Epoch 20 is the list that the one with the wrong clock ended.
+    expect(kept).toContain(quietUntil);
+  });
+
+  function foldLists(
+    count: number,
+    computeTime: (index: number) => number,
+  ): FoldedState {
+    const records = [...Array(count).keys()].map(index => ({
+      ...listHomes(index),
+      writtenAtMs: computeTime(index),
+    }));
+    return foldAll(toLogged(records)).state;
+  }
+});
+
 const recordArbitrary = fc.oneof(
   fc.nat(4).map(publish),
   fc.tuple(fc.boolean(), fc.nat(4)).map(([out, on]) => setOut(out, on)),
