--- a/src/measure/local-deployment.ts
+++ b/src/measure/local-deployment.ts
@@ -118,6 +118,15 @@
   readonly nodeId: string;
   readonly incarnation: number;
   readonly counters: Record<string, number>;
+  readonly process: {
+    readonly cpuSeconds: number;
+    readonly rssBytes: number;
+    readonly peerCallBytes: number;
+  };
+  readonly keyHomes: {
+    /** Newest home list by service. */
+    readonly lists: Readonly<Record<string, unknown>>;
+  };
   readonly nodes: ReadonlyArray<{
     readonly nodeId: string;
     readonly incarnation: number;
@@ -168,6 +177,7 @@
     try {
       await Promise.all(hosts.map(host => deployment.startHost(host)));
       await deployment.waitUntilComplete();
+      await deployment.waitForKeyHomes();
     } catch (error) {
       await deployment.stop();
       throw error;
@@ -219,6 +229,21 @@
     );
   }
 
+  /** Waits until each node knows key homes, so that bookings can run. */
+  async waitForKeyHomes(): Promise<void> {
+    await waitFor(
+      'all nodes to know key homes',
+      async () => {
+        for (const host of this.hosts) {
+          const {keyHomes} = await host.readStatus();
+          if (!keyHomes.lists[host.spec.service]) return false;
+        }
+        return true;
+      },
+      START_LIMIT_MS,
+    );
+  }
+
   /** Stops all processes of the deployment. */
   async stop(): Promise<void> {
     await Promise.all(
--- a/src/node-process.ts
+++ b/src/node-process.ts
@@ -10,10 +10,11 @@
 import {CrashQuarantine} from './coordination/crash-quarantine.js';
 import {Entry} from './coordination/entry.js';
 import {Gate} from './coordination/gate.js';
+import {KeyHomes} from './key-homes.js';
 import type {Membership} from './coordination/membership.js';
 import {createNodeMembership, listMemberRows} from './node-membership.js';
 import {NodeMoves} from './node-moves.js';
-import {NodeStop} from './node-stop.js';
+import {describeReadiness, NodeStop} from './node-stop.js';
 import {announcementSchema} from './protocol/announcement.js';
 import type {Attempt, AttemptAnswer} from './protocol/attempt.js';
 import {AttemptError} from './protocol/attempt.js';
@@ -44,6 +45,7 @@
 import {Metrics} from './transport/metrics.js';
 import {PeerClients} from './transport/peer-client.js';
 import {createPeerServer} from './transport/peer-listener.js';
+import {reportProcess} from './transport/process-report.js';
 import {UpstreamClient} from './transport/upstream-client.js';
 
 /** A running node. */
@@ -65,10 +67,12 @@
   private readonly attemptRunner;
   private readonly attemptSender;
   private readonly entry;
+  private readonly keyHomes;
   private readonly membership: Membership;
   private readonly callerServer: Server;
   private readonly peerServer: Server;
   private readonly planned: NodeStop;
+  private hasJoined = false;
 
   constructor(private readonly settings: NodeSettings) {
     const {node} = settings;
@@ -146,6 +150,20 @@
       selectWorkers: (service, rows) =>
         this.moves.versions.selectWorkers(service, rows),
     });
+    this.keyHomes = new KeyHomes({
+      identity: this.identity,
+      state: this.state,
+      workers: this.workers,
+      gate: this.gate,
+      appendRecord: this.sharedState.appendRecord,
+      runThroughEntry: (request, signal) =>
+        this.entry.handleRequest(request, signal),
+      sendToHome: (attempt, signal, handleSilence) =>
+        this.gateClient.sendAttempt(attempt, signal, handleSilence),
+      selectWorkers: (service, rows) =>
+        this.moves.versions.selectWorkers(service, rows),
+      count: name => this.metrics.count(name),
+    });
     this.membership = createNodeMembership({
       identity: this.identity,
       settings,
@@ -160,7 +178,9 @@
       ownRoutes: this.buildOwnRoutes(),
       findProfile: service => this.state.findProfile(service),
       handleRequest: (request, signal) =>
-        this.entry.handleRequest(request, signal),
+        this.keyHomes.hasKey(request)
+          ? this.keyHomes.handleRequest(request, signal)
+          : this.entry.handleRequest(request, signal),
       handleRefusal: (refusal, requestId) => {
         this.metrics.count(`refusals.${refusal.reason}`);
         this.logger.write('debug', 'refused', {
@@ -173,6 +193,9 @@
     });
     this.peerServer = createPeerServer({
       handleAttempt: async (attempt, signal, handleAdmitted) => {
+        if (attempt.keyHomeEpoch !== undefined) {
+          return this.keyHomes.handleAttempt(attempt, signal, handleAdmitted);
+        }
         if (this.planned.isRefusingAttempts) {
           throw new RefusalError(Reason.NODE_STOPPING);
         }
@@ -189,6 +212,7 @@
       handleStep: (step, isComplete) =>
         this.logger.write('info', step, {isComplete}),
     });
+    this.planned.beforeExit.push(() => this.keyHomes.leave(settings.stop));
   }
 
   /** Listens, joins the other nodes and begins to work. */
@@ -205,9 +229,11 @@
     this.membership.events.on('versionSeen', ({peerAddress}) =>
       this.sharedState.fetchNewer(peerAddress),
     );
-    this.membership.start();
     this.sharedState.start();
     this.moves.versions.start();
+    this.keyHomes.start();
+    await this.membership.join();
+    this.hasJoined = true;
     this.logger.write('info', 'started', {
       callerAddress: this.identity.callerAddress,
       peerAddress: this.identity.peerAddress,
@@ -216,6 +242,7 @@
 
   /** Stops without cutting a request. */
   async stop(): Promise<void> {
+    this.keyHomes.stop();
     await this.planned.run();
     this.logger.write('info', 'stopped');
   }
@@ -264,6 +291,7 @@
     this.sharedState.registerServices(router);
     this.moves.registerServices(router);
     this.crashSpread.registerService(router);
+    this.keyHomes.registerServices(router);
     registerMembershipService(router, this.membership, (name, amount) =>
       this.metrics.count(name, amount),
     );
@@ -286,9 +314,7 @@
         method: 'get',
         path: '/-/ready',
         handle: () =>
-          this.planned.isStopping
-            ? {status: 503, body: {status: 'stopping'}}
-            : {status: 200, body: {status: 'ready'}},
+          describeReadiness(this.planned.isStopping, this.hasJoined),
       },
       {
         method: 'get',
@@ -298,8 +324,10 @@
           body: {
             ...this.identity,
             counters: this.metrics.report(),
+            process: reportProcess(this.peers),
             state: this.sharedState.report(),
             moves: this.state.current.moves,
+            keyHomes: this.keyHomes.report(),
             nodes: this.workers.listNodes(),
             members: listMemberRows(this.membership),
           },
--- a/src/test/deployment-fixture.ts
+++ b/src/test/deployment-fixture.ts
@@ -57,6 +57,12 @@
   services: {'kona-desk': {profile: 'desk'}},
 };
 
+/** Workers that bear full load from the start, where cold is no subject. */
+export const WARM_CONFIGURATION: ConfigurationInput = {
+  profiles: {desk: {limits: {coldConcurrency: 6, queueWait: '2s'}}},
+  services: {'kona-desk': {profile: 'desk'}},
+};
+
 /** Starts a deployment of `kona-desk` on hosts `desk-0`, `desk-1`, ... */
 export async function startFixture(
   options: FixtureOptions = {},
--- a/src/test/stand-ins/upstream.ts
+++ b/src/test/stand-ins/upstream.ts
@@ -51,6 +51,8 @@
   isHealthSilent: boolean;
   /** Mean service time in milliseconds. */
   serviceTimeMs: number;
+  /** Stops announcing itself, without a word. */
+  isQuiet: boolean;
   /** State that the worker announces. */
   state: Announcement['state'];
   /** Bytes of padding in the answer of a lookup. */
@@ -135,6 +137,7 @@
       healthStatus: 200,
       isHealthSilent: false,
       serviceTimeMs: 4,
+      isQuiet: false,
       state: 'ready',
       answerBytes: 0,
       ...options.control,
@@ -173,7 +176,7 @@
   }
 
   private async announceRegularly(): Promise<void> {
-    await this.announce().catch(() => {});
+    if (!this.control.isQuiet) await this.announce().catch(() => {});
     this.announceTimer = setTimeout(
       () => void this.announceRegularly(),
       this.options.announceEveryMs ?? DEFAULT_ANNOUNCE_MS,
