--- a/src/coordination/admission.ts
+++ b/src/coordination/admission.ts
@@ -39,6 +39,8 @@
 
 const US_PER_MS = 1000;
 const AVERAGE_WEIGHT = 0.1;
+/** Time in which a worker that is cold takes note of a cancellation. */
+const CANCELLATION_MS = 25;
 /** An announced `cold` is believed this long; then evidence decides. */
 const COLD_TRUST_MS = 120_000;
 
@@ -245,13 +247,21 @@
       release: outcome => {
         if (isReleased) return;
         isReleased = true;
-        this.inFlight -= 1;
         this.record(outcome, request.route, startedAt, generation);
-        this.serveQueue();
+        const isCancelled = outcome === SlotOutcome.CANCELLED;
+        const isCold = this.limit.phase === LimitPhase.COLD;
+        if (isCancelled && isCold) {
+          setTimeout(() => this.endRun(), CANCELLATION_MS);
+        } else this.endRun();
       },
     };
   }
 
+  private endRun(): void {
+    this.inFlight -= 1;
+    this.serveQueue();
+  }
+
   private record(
     outcome: SlotOutcome,
     route: string,
--- a/src/coordination/concurrency-limit.ts
+++ b/src/coordination/concurrency-limit.ts
@@ -69,6 +69,9 @@
 const SHRINK_LATENCY_RATIO = 2;
 const COLLAPSE_LATENCY_RATIO = 3;
 const LATENCY_SHRINK_FACTOR = 0.75;
+const LATENCY_JUMP_FACTOR = 0.5;
+/** Windows in a row with a jump after which a worker counts as cold. */
+const COLLAPSE_WINDOWS = 2;
 const SHED_SHRINK_FACTOR = 0.75;
 const FIRST_TRIAL_PAUSE_MS = 100;
 const MAX_TRIAL_PAUSE_MS = 2000;
@@ -89,6 +92,12 @@
   private wasFullyUsed = false;
   private failureStreak = 0;
   private lostStreak = 0;
+  private jumpStreak = 0;
+  /**
+   * Ratio to the baseline at which less concurrency made nothing faster. Only
+   * what is slower than this speaks against more concurrency.
+   */
+  private reference = 1;
   private trialSuccesses = 0;
   private trialPauseMs = FIRST_TRIAL_PAUSE_MS;
   private nextTrialAt = 0;
@@ -205,7 +214,9 @@
   }
 
   private endColdWindow(isRamping: boolean): void {
-    const ratio = computeMedian(this.ratios);
+    const median = computeMedian(this.ratios);
+    if (!isRamping) this.reference = Math.max(1, median);
+    const ratio = this.takeRatio(median);
     if (isRamping && ratio > COLLAPSE_LATENCY_RATIO) {
       this.resetRamp();
       return;
@@ -244,11 +255,14 @@
   }
 
   private endReadyWindow(): void {
-    const ratio = computeMedian(this.ratios);
+    const ratio = this.takeRatio(computeMedian(this.ratios));
+    const isJump = ratio > COLLAPSE_LATENCY_RATIO;
+    this.jumpStreak = isJump ? this.jumpStreak + 1 : 0;
     const canGrow = this.wasFullyUsed && countFailures(this.outcomes) === 0;
     this.ratios = [];
     this.wasFullyUsed = false;
-    if (ratio > COLLAPSE_LATENCY_RATIO) this.resetToCold();
+    if (this.jumpStreak >= COLLAPSE_WINDOWS) this.resetToCold();
+    else if (isJump) this.applyFactor(LATENCY_JUMP_FACTOR);
     else if (ratio > SHRINK_LATENCY_RATIO)
       this.applyFactor(LATENCY_SHRINK_FACTOR);
     else if (ratio <= GROWTH_LATENCY_RATIO && canGrow) {
@@ -256,6 +270,12 @@
     }
   }
 
+  /** Relates a ratio to the reference, which falls with it at once. */
+  private takeRatio(median: number): number {
+    this.reference = Math.max(1, Math.min(this.reference, median));
+    return median / this.reference;
+  }
+
   /** Lowers the limit, but not below what a cold worker bears. */
   private applyFactor(factor: number): void {
     this.limit = Math.max(this.computeColdLimit(), this.limit * factor);
@@ -324,6 +344,7 @@
     this.wasFullyUsed = false;
     this.failureStreak = 0;
     this.lostStreak = 0;
+    this.jumpStreak = 0;
   }
 
   private computeColdLimit(): number {
