--- a/src/key-homes.ts
+++ b/src/key-homes.ts
@@ -21,11 +21,12 @@
   ServiceRequest,
 } from './protocol/service-request.js';
 import {isResendable} from './protocol/service-request.js';
+import type {NodeSettings} from './protocol/settings.js';
 import {Verdict} from './protocol/verdict.js';
 import {WorkerState} from './protocol/worker-load.js';
 import {KeyClaims} from './state/key-claims.js';
 import type {StateStore} from './state/state-store.js';
-import type {WorkerTable} from './state/worker-table.js';
+import type {WorkerRow, WorkerTable} from './state/worker-table.js';
 import {
   askSealKey,
   registerKeyHomeCalls,
@@ -43,6 +44,11 @@
   /** Has a request run by the entry's normal path. */
   readonly runThroughEntry: RunRequest;
   readonly sendToHome: SendToHome;
+  /** The workers of a service that one attempt may go to, by moves. */
+  readonly selectWorkers: (
+    service: string,
+    rows: readonly WorkerRow[],
+  ) => WorkerRow[];
   readonly count: (name: string) => void;
 }
 
@@ -103,14 +109,18 @@
     this.keeper.start();
   }
 
+  /** Stops the upkeep of the lists; keys are handled until the leave. */
+  stop(): void {
+    this.keeper.stop();
+  }
+
   /**
    * Hands the keys of this node over to the other homes, before its listeners
    * close. Without the log or the other homes it ends without having done so,
    * and its keys are in doubt as after a loss.
    */
-  async leave(signal: AbortSignal): Promise<void> {
+  async leave(limits: NodeSettings['stop']): Promise<void> {
     const {state} = this.options;
-    this.keeper.stop();
     try {
       await leaveHomes({
         identity: this.ownEntry,
@@ -118,8 +128,9 @@
         claims: this.claims,
         calls: this.calls,
         listServices: () => state.listServices(),
+        listCandidates: service => this.keeper.listCandidates(service),
         appendList: list => this.keeper.appendList(list),
-        signal,
+        signal: AbortSignal.timeout(limits.drainTimeout / 2),
       });
     } catch {
       this.options.count('keys.leave-failed');
@@ -196,12 +207,19 @@
     return runThroughEntry(request, signal);
   }
 
-  /** During a move the entry chooses the version. */
   private hasRoom(service: string): boolean {
-    const {gate, state} = this.options;
-    if (state.findMove(service)?.stage === 'running') return false;
-    const load = gate.findLoad(service);
+    if (!this.isOwnWorkerWanted(service)) return false;
+    const load = this.options.gate.findLoad(service);
     if (load?.state !== WorkerState.READY) return false;
     return load.inFlight < load.limit;
   }
+
+  /** Whether the version moves let this request go to the own worker. */
+  private isOwnWorkerWanted(service: string): boolean {
+    const {identity, selectWorkers, workers} = this.options;
+    const rows = workers.listWorkers(service);
+    return selectWorkers(service, rows).some(
+      row => row.target.nodeId === identity.nodeId,
+    );
+  }
 }
--- a/src/test/key-home-simulation.ts
+++ b/src/test/key-home-simulation.ts
@@ -293,6 +293,10 @@
       claims: process.claims,
       calls: this.createCalls(process),
       listServices: () => [SERVICE],
+      listCandidates: () =>
+        this.processes
+          .filter(({isLeaving}) => !isLeaving)
+          .map(({entry}) => entry),
       appendList: list =>
         new Promise(resolve =>
           this.enqueue(process, () => {
@@ -319,6 +323,7 @@
       claims,
       calls: this.createCalls(process),
       runRequest: request => this.runAtWorker(process, request.id),
+      listWaitMs: 0,
     });
     return Object.assign(process, {
       home,
