--- a/src/test/admission_test.ts
+++ b/src/test/admission_test.ts
@@ -147,6 +147,15 @@
   });
 });
 
+it('a cold worker gets time to take note of a cancellation', async () => {
+  const bench = new Bench(2);
+  const slot = await bench.admit('a');
+  const next = bench.find(bench.admit('b'));
+  slot.release(SlotOutcome.CANCELLED);
+  expect(bench.admission.load).toMatchObject({inFlight: 1, queued: 1});
+  expect(await next).toBe('admitted');
+});
+
 describe('load figures', () => {
   it.each([
     {
