Leave one probe token for the moment of a lost connection

Ruled out: a bare TCP connection outside the budget (it is a probe too). Change: regular probes take a token only when another one is left. Conclusion: the cause fits but was inferred, not traced.

--- a/src/coordination/prober.ts
+++ b/src/coordination/prober.ts
@@ -15,6 +15,9 @@
 /** Time without an outcome after which a worker's state is unknown. */
 const IDLE_MS = 1000;
 
+/** Tokens that regular probes leave for the moment of a lost connection. */
+const DOUBT_RESERVE = 1;
+
 /** What a prober works with. */
 export interface ProberOptions {
   /** Resolves with the HTTP status; rejects when no answer came. */
@@ -55,15 +58,19 @@
 
   /** Sends a probe when one is needed and the budget allows it. */
   async run(): Promise<void> {
-    if (this.isNeeded()) await this.probeNow();
+    if (!this.isNeeded()) return;
+    const {burst} = this.options.findBudget() ?? {burst: 1};
+    const isDoubt = this.options.hasDoubt();
+    const reserve = isDoubt ? 0 : Math.min(DOUBT_RESERVE, burst - 1);
+    await this.probeNow(reserve);
   }
 
   /** Sends a probe at once when the budget allows it. */
-  async probeNow(): Promise<void> {
+  async probeNow(reserve = 0): Promise<void> {
     const budget = this.options.findBudget();
     if (!budget || this.isProbing) return;
     const {ratePerSecond, burst} = budget;
-    if (!this.bucket.take(ratePerSecond, burst, this.now())) return;
+    if (!this.bucket.take(ratePerSecond, burst, this.now(), reserve)) return;
     this.lastProbeAt = this.now();
     this.isProbing = true;
     try {
--- a/src/coordination/token-bucket.ts
+++ b/src/coordination/token-bucket.ts
@@ -14,12 +14,17 @@
     this.filledAt = now;
   }
 
-  /** Takes one token; false when there is none. */
-  take(ratePerSecond: number, burst: number, now: number): boolean {
+  /** Takes one token; false when no more than the reserve is left. */
+  take(
+    ratePerSecond: number,
+    burst: number,
+    now: number,
+    reserve = 0,
+  ): boolean {
     const gained = ((now - this.filledAt) * ratePerSecond) / SECOND_MS;
     this.tokens = Math.min(burst, this.tokens + gained);
     this.filledAt = now;
-    if (this.tokens < 1) return false;
+    if (this.tokens < 1 + reserve) return false;
     this.tokens -= 1;
     return true;
   }
