--- a/src/key-homes.ts
+++ b/src/key-homes.ts
@@ -43,6 +43,8 @@
   readonly appendRecord: AppendRecord;
   /** Has a request run by the entry's normal path. */
   readonly runThroughEntry: RunRequest;
+  /** Whether requests of this fingerprint crash workers. */
+  readonly isQuarantined: (fingerprint: string) => boolean;
   readonly sendToHome: SendToHome;
   readonly count: (name: string) => void;
 }
@@ -187,7 +189,7 @@
     signal: AbortSignal,
   ): Promise<ServiceAnswer> {
     const {gate, runThroughEntry} = this.options;
-    if (this.hasRoom(request.service)) {
+    if (this.hasRoom(request)) {
       try {
         return await gate.runAttempt(request, undefined, signal);
       } catch (error) {
@@ -202,10 +204,13 @@
     return runThroughEntry(request, signal);
   }
 
-  /** During a move the entry chooses the version. */
-  private hasRoom(service: string): boolean {
-    const {gate, state} = this.options;
-    if (state.findMove(service)?.stage === 'running') return false;
+  /**
+   * Whether the worker here may run a request now. The entry refuses what is
+   * quarantined, and it chooses the version of a service that was ever moved.
+   */
+  private hasRoom({service, fingerprint}: ServiceRequest): boolean {
+    const {gate, state, isQuarantined} = this.options;
+    if (state.findMove(service) || isQuarantined(fingerprint)) return false;
     const load = gate.findLoad(service);
     if (load?.state !== WorkerState.READY) return false;
     return load.inFlight < load.limit;
--- a/src/test/deployment-fixture.ts
+++ b/src/test/deployment-fixture.ts
@@ -17,6 +17,8 @@
   readonly dataCentres?: readonly string[];
   readonly slots?: number;
   readonly control?: Partial<UpstreamControl>;
+  /** Called with the host id when a request crashes its worker. */
+  readonly handleCrash?: (hostId: string) => void;
   readonly configuration?: ConfigurationInput;
   readonly nodeSettings?: Readonly<Record<string, Record<string, unknown>>>;
   /**
@@ -106,7 +108,11 @@
             `127.0.0.1:${start.port}`,
           )
         : undefined;
-      const upstream = new UpstreamStandIn({...start, announcedAddress});
+      const upstream = new UpstreamStandIn({
+        ...start,
+        announcedAddress,
+        handleCrash: () => options.handleCrash?.(start.seed),
+      });
       upstreams.set(start.seed, upstream);
       await upstream.start();
       return {
