Test the memory of a key home

Cause: its bounds were only exercised by way of the whole rule. Ruled out: - Change: table of cases for claims, seals, expiry and copies. The test of what is in force pushes its record after the home lists that the log holds by now; it had assumed an empty log. Conclusion: the memory refuses new keys when full and forgets none early.

--- a/src/test/in-force_test.ts
+++ b/src/test/in-force_test.ts
@@ -83,6 +83,13 @@
     const {PeerClients} = await import('../transport/peer-client.js');
     const peers = new PeerClients();
     const host = fixture.deployment.findHost('desk-0');
+    // The log holds home lists by now; the record comes after them.
+    const offset = fixture.log.listRecords('kona').length;
+    await waitFor('desk-0 to have read the log', async () => {
+      const response = await fetch(`http://${host.callerAddress}/-/status`);
+      const {state} = (await response.json()) as {state: {nextOffset: number}};
+      return state.nextOffset === offset;
+    });
     const record = {
       id: 'r1',
       author: 'test',
@@ -92,7 +99,7 @@
       configuration: {profiles: {}, services: {}},
     };
     await new StateCalls(peers, 1000).pushRecords(host.peerAddress, [
-      {offset: 0, data: JSON.stringify(record)},
+      {offset, data: JSON.stringify(record)},
     ]);
     const took = await waitForConfiguration(fixture.deployment.hosts, 1);
     peers.close();
--- /dev/null
+++ b/src/test/key-claims_test.ts
@@ -0,0 +1,150 @@
+/**
+ * The memory of a key home: a claim is never forgotten inside its lifetime,
+ * a full memory refuses new keys, and seals bind as promised.
+ */
+import {describe, expect, it} from 'vitest';
+import type {ClaimResult, KeyName} from '../state/key-claims.js';
+import {ClaimState, KeyClaims} from '../state/key-claims.js';
+
+const LIMITS = {lifetimeMs: 1000, maxKeys: 2};
+
+function buildName(key: string): KeyName {
+  return {service: 'kona-desk', key};
+}
+
+interface Step {
+  readonly act: (claims: KeyClaims) => void;
+  /** Time on the test's clock. */
+  readonly atMs?: number;
+}
+
+interface MemoryCase {
+  readonly name: string;
+  readonly steps: readonly Step[];
+  readonly claimedKey: string;
+  readonly epoch?: number;
+  readonly expected: ClaimResult['kind'];
+}
+
+function claimAndRun(key: string, fingerprint = 'f'): Step['act'] {
+  return claims => {
+    const result = claims.claim(buildName(key), fingerprint, 1, LIMITS);
+    if (result.kind === 'claimed') claims.recordAnswer(result.claim, undefined);
+  };
+}
+
+function claimOnly(key: string): Step['act'] {
+  return claims => void claims.claim(buildName(key), 'f', 1, LIMITS);
+}
+
+function sealAt(key: string, epoch: number): Step['act'] {
+  return claims => void claims.seal(buildName(key), epoch, LIMITS);
+}
+
+describe('claiming a key', () => {
+  const cases: MemoryCase[] = [
+    {name: 'new', steps: [], claimedKey: 'a', expected: 'claimed'},
+    {
+      name: 'claimed before',
+      steps: [{act: claimAndRun('a')}],
+      claimedKey: 'a',
+      expected: 'known',
+    },
+    {
+      name: 'memory full of claims that may still matter',
+      steps: [
+        {act: claimAndRun('a')},
+        {act: claimAndRun('b')},
+        {act: () => {}, atMs: 999},
+      ],
+      claimedKey: 'c',
+      expected: 'full',
+    },
+    {
+      name: 'memory full of expired claims',
+      steps: [
+        {act: claimAndRun('a')},
+        {act: claimAndRun('b')},
+        {act: () => {}, atMs: 1001},
+      ],
+      claimedKey: 'c',
+      expected: 'claimed',
+    },
+    {
+      name: 'memory full of running claims past their lifetime',
+      steps: [
+        {act: claimOnly('a')},
+        {act: claimOnly('b')},
+        {act: () => {}, atMs: 5000},
+      ],
+      claimedKey: 'c',
+      expected: 'full',
+    },
+    {
+      name: 'sealed by a later epoch',
+      steps: [{act: sealAt('a', 3)}],
+      claimedKey: 'a',
+      epoch: 2,
+      expected: 'sealed',
+    },
+    {
+      name: 'sealed by an earlier and a later epoch',
+      steps: [{act: sealAt('a', 3)}, {act: sealAt('a', 2)}],
+      claimedKey: 'a',
+      epoch: 2,
+      expected: 'sealed',
+    },
+    {
+      name: 'sealed by the epoch under which it is home again',
+      steps: [{act: sealAt('a', 3)}],
+      claimedKey: 'a',
+      epoch: 3,
+      expected: 'claimed',
+    },
+    {
+      name: 'node leaves',
+      steps: [{act: claims => claims.close()}],
+      claimedKey: 'a',
+      expected: 'closed',
+    },
+    {
+      name: 'earlier claim released, because nothing ran',
+      steps: [
+        {
+          act: claims => {
+            const result = claims.claim(buildName('a'), 'f', 1, LIMITS);
+            if (result.kind === 'claimed') claims.release(result.claim);
+          },
+        },
+      ],
+      claimedKey: 'a',
+      expected: 'claimed',
+    },
+  ];
+  it.each(cases)('$name: $expected', ({steps, claimedKey, epoch, expected}) => {
+    let now = 0;
+    const claims = new KeyClaims(() => now);
+    for (const {act, atMs} of steps) {
+      now = atMs ?? now;
+      act(claims);
+    }
+    const name = buildName(claimedKey);
+    const {kind} = claims.claim(name, 'f', epoch ?? 1, LIMITS);
+    expect(kind).toBe(expected);
+  });
+});
+
+describe('a copy from a leaving home', () => {
+  it('is remembered, and never replaces what this home knows', () => {
+    const claims = new KeyClaims();
+    const copy = {fingerprint: 'f', state: 'in-doubt', ageMs: 5} as const;
+    claims.addCopy({...buildName('a'), ...copy}, LIMITS);
+    claimAndRun('b', 'own')(claims);
+    claims.addCopy({...buildName('b'), ...copy}, LIMITS);
+    expect(claims.find(buildName('a'))?.state).toBe(ClaimState.IN_DOUBT);
+    expect(claims.find(buildName('b'))).toMatchObject({
+      state: ClaimState.FINISHED,
+      fingerprint: 'own',
+    });
+  });
+});
