Bound kept answers and write down at most once

Cause: 100,000 keys with answers of 64 KiB would take 6.5 GB. Ruled out: forgetting old answers first; a resend comes soon after its first. Conclusion: memory is bounded; the doubt after a loss is the cost to lower.

--- a/src/state/key-claims.ts
+++ b/src/state/key-claims.ts
@@ -9,6 +9,9 @@
  */
 import type {ClaimCopy, KeptAnswer} from '../protocol/key-messages.js';
 
+/** Bytes of answers that one node keeps; beyond them none is kept. */
+const MAX_ANSWER_BYTES = 64 * 1024 * 1024;
+
 /** What is known of a claimed key. */
 export const ClaimState = {
   /** It may be running now. */
@@ -81,6 +84,7 @@
 export class KeyClaims {
   private readonly services = new Map<string, Map<string, KeyMemory>>();
   private isClosed = false;
+  private answerBytes = 0;
 
   constructor(private readonly readClock = () => performance.now()) {}
 
@@ -135,7 +139,10 @@
     return {kind: isRemembered ? 'sealed' : 'full'};
   }
 
-  /** Notes that a claimed key ran, with its answer unless it is too large. */
+  /**
+   * Notes that a claimed key ran, with its answer unless that is too large or
+   * there is no room for it.
+   */
   recordAnswer(claim: KeyClaim, answer: KeptAnswer | undefined): void {
     this.end(claim, ClaimState.FINISHED, answer);
   }
@@ -166,13 +173,14 @@
     if (memory?.claim) return true;
     const claim = this.createClaim(copy, copy.fingerprint, copy.ageMs);
     claim.state = copy.state;
-    claim.answer = copy.answer;
     claim.resolveEnded();
-    return this.addMemory(copy, limits, {
+    const isRemembered = this.addMemory(copy, limits, {
       claim,
       sealedEpoch: memory?.sealedEpoch ?? 0,
       expiresAt: this.readClock() + limits.lifetimeMs,
     });
+    if (isRemembered) claim.answer = this.addAnswer(copy.answer);
+    return isRemembered;
   }
 
   /** Takes no more claims from now on. */
@@ -216,7 +224,7 @@
     const known = this.findMemory(claim)?.claim;
     if (!known || known !== claim) return;
     known.state = state;
-    known.answer = answer;
+    known.answer = this.addAnswer(answer);
     known.resolveEnded();
   }
 
@@ -251,6 +259,14 @@
     for (const [key, {claim, expiresAt}] of memories) {
       if (expiresAt > now || claim?.state === ClaimState.RUNNING) return;
       memories.delete(key);
+      this.answerBytes -= claim?.answer?.body.held.length ?? 0;
     }
   }
+
+  private addAnswer(answer: KeptAnswer | undefined): KeptAnswer | undefined {
+    const bytes = answer?.body.held.length ?? 0;
+    if (this.answerBytes + bytes > MAX_ANSWER_BYTES) return undefined;
+    this.answerBytes += bytes;
+    return answer;
+  }
 }
--- a/src/test/key-claims_test.ts
+++ b/src/test/key-claims_test.ts
@@ -134,6 +134,32 @@
   });
 });
 
+describe('answers', () => {
+  it('beyond the bound are not kept, and their keys stay remembered', () => {
+    let now = 0;
+    const claims = new KeyClaims(() => now);
+    const limits = {lifetimeMs: 1000, maxKeys: 100};
+    const held = Buffer.alloc(16 * 1024 * 1024);
+    const runOne = (key: string): boolean => {
+      const result = claims.claim(buildName(key), 'f', 1, limits);
+      if (result.kind !== 'claimed') return false;
+      const answer = {status: 200, headers: {}, body: {held}};
+      claims.recordAnswer(result.claim, answer);
+      return claims.find(buildName(key))?.answer !== undefined;
+    };
+    expect(['a', 'b', 'c', 'd', 'e'].map(runOne)).toEqual([
+      true,
+      true,
+      true,
+      true,
+      false,
+    ]);
+    expect(claims.find(buildName('e'))?.state).toBe(ClaimState.FINISHED);
+    now = 1001;
+    expect(runOne('f')).toBe(true);
+  });
+});
+
 describe('a copy from a leaving home', () => {
   it('is remembered, and never replaces what this home knows', () => {
     const claims = new KeyClaims();
