--- a/src/key-homes.ts
+++ b/src/key-homes.ts
@@ -43,6 +43,8 @@
   readonly appendRecord: AppendRecord;
   /** Has a request run by the entry's normal path. */
   readonly runThroughEntry: RunRequest;
+  /** Whether requests of this fingerprint crash workers. */
+  readonly isQuarantined: (fingerprint: string) => boolean;
   readonly sendToHome: SendToHome;
   /** The workers of a service that one attempt may go to, by moves. */
   readonly selectWorkers: (
@@ -192,7 +194,7 @@
     signal: AbortSignal,
   ): Promise<ServiceAnswer> {
     const {gate, runThroughEntry} = this.options;
-    if (this.hasRoom(request.service)) {
+    if (this.hasRoom(request)) {
       try {
         return await gate.runAttempt(request, undefined, signal);
       } catch (error) {
@@ -207,7 +209,9 @@
     return runThroughEntry(request, signal);
   }
 
-  private hasRoom(service: string): boolean {
+  /** Whether the worker here may run a request; the entry refuses the bad. */
+  private hasRoom({service, fingerprint}: ServiceRequest): boolean {
+    if (this.options.isQuarantined(fingerprint)) return false;
     if (!this.isOwnWorkerWanted(service)) return false;
     const load = this.options.gate.findLoad(service);
     if (load?.state !== WorkerState.READY) return false;
--- a/src/node-process.ts
+++ b/src/node-process.ts
@@ -166,6 +166,7 @@
       appendRecord: this.sharedState.appendRecord,
       runThroughEntry: (request, signal) =>
         this.entry.handleRequest(request, signal),
+      isQuarantined: fingerprint => this.crashTable.isQuarantined(fingerprint),
       sendToHome: (attempt, signal, handleSilence) =>
         this.gateClient.sendAttempt(attempt, signal, handleSilence),
       selectWorkers: (service, rows) =>
