--- a/src/measure/scenarios/balancing.ts
+++ b/src/measure/scenarios/balancing.ts
@@ -32,7 +32,9 @@
 export const slowWorkerScenario: Scenario = {
   description: 'one worker slowed tenfold; p99 against none slowed',
   run: async options => {
-    const variants = await runPolicies(policy => runSlowed(options, policy));
+    const variants = await runPolicies(options, policy =>
+      runSlowed(options, policy),
+    );
     const ratios = computeEach(variants, figures => figures.p99Ratio);
     return {
       variants,
@@ -51,7 +53,9 @@
 export const noFaultScenario: Scenario = {
   description: 'all workers well; p99 against the best baseline',
   run: async options => {
-    const variants = await runPolicies(policy => runWell(options, policy));
+    const variants = await runPolicies(options, policy =>
+      runWell(options, policy),
+    );
     const {adaptive, ...baselines} = computeEach(variants, each => each.p99Ms);
     const best = Math.min(...Object.values(baselines));
     const p99Ratio = computeRatio(adaptive, best);
--- a/src/measure/scenarios/failing.ts
+++ b/src/measure/scenarios/failing.ts
@@ -22,7 +22,7 @@
   run: async options => {
     const service = findMainService(options);
     const rate = options.ratePerSecond ?? DEFAULT_RATE;
-    const variants = await runPolicies(balancing => {
+    const variants = await runPolicies(options, balancing => {
       const launch = {balancing, services: [service]};
       return runOnDeployment(options.file, launch, async launched => {
         await setAll(launched.deployment.hosts, {isFailingFast: true});
@@ -46,7 +46,7 @@
   run: async options => {
     const service = findMainService(options);
     const rate = options.ratePerSecond ?? DEFAULT_RATE;
-    const variants = await runPolicies(balancing => {
+    const variants = await runPolicies(options, balancing => {
       const launch = {balancing, services: [service]};
       return runOnDeployment(options.file, launch, async launched => {
         const streams = buildLookups(launched, service, rate);
--- a/src/measure/scenarios/fairness.ts
+++ b/src/measure/scenarios/fairness.ts
@@ -39,7 +39,7 @@
         {serviceTimeMs: SERVICE_TIME_MS},
       ]),
     );
-    const variants = await runPolicies(balancing => {
+    const variants = await runPolicies(options, balancing => {
       const workers = {[service]: WORKERS};
       const launch = {balancing, services: [service], workers, controls};
       return runOnDeployment(options.file, launch, async launched => {
--- a/src/measure/scenarios/log-outage.ts
+++ b/src/measure/scenarios/log-outage.ts
@@ -22,7 +22,7 @@
   run: async options => {
     const service = findMainService(options);
     const rate = options.ratePerSecond ?? DEFAULT_RATE;
-    const variants = await runPolicies(balancing => {
+    const variants = await runPolicies(options, balancing => {
       const launch = {balancing, services: [service]};
       return runOnDeployment(options.file, launch, async launched => {
         const lookups = buildLookups(launched, service, rate);
--- a/src/measure/scenarios/operations.ts
+++ b/src/measure/scenarios/operations.ts
@@ -45,7 +45,7 @@
 export const dataCentreScenario: Scenario = {
   description: 'a data centre taken out and brought back under load',
   run: async options => {
-    const variants = await runPolicies(policy =>
+    const variants = await runPolicies(options, policy =>
       runDataCentre(options, policy),
     );
     const {adaptive} = variants;
--- a/src/measure/scenarios/scenario.ts
+++ b/src/measure/scenarios/scenario.ts
@@ -2,6 +2,7 @@
  * What all scenarios share: their options, their report, and one measured run
  * of load on a running deployment.
  */
+import seedrandom from 'seedrandom';
 import type {BalancingPolicy} from '../../protocol/configuration.js';
 import {BALANCING_POLICIES} from '../../protocol/configuration.js';
 import type {DeploymentInput} from '../deployment-file.js';
@@ -185,12 +186,21 @@
   }));
 }
 
-/** Runs a task once with each balancing policy, ours first. */
+/**
+ * Runs a task once with each balancing policy. The first to run meets a
+ * generator that is not yet compiled, so the seed decides which one that is.
+ */
 export async function runPolicies<T>(
+  {seed}: ScenarioOptions,
   run: (policy: BalancingPolicy) => Promise<T>,
 ): Promise<Record<BalancingPolicy, T>> {
+  const count = BALANCING_POLICIES.length;
+  const first = Math.floor(seedrandom(seed)() * count);
   const results: Partial<Record<BalancingPolicy, T>> = {};
-  for (const policy of BALANCING_POLICIES) results[policy] = await run(policy);
+  for (let turn = 0; turn < count; turn++) {
+    const policy = BALANCING_POLICIES[(first + turn) % count]!;
+    results[policy] = await run(policy);
+  }
   return results as Record<BalancingPolicy, T>;
 }
 
