--- a/src/node-process.ts
+++ b/src/node-process.ts
@@ -12,7 +12,11 @@
 import {Gate} from './coordination/gate.js';
 import {KeyHomes} from './key-homes.js';
 import type {Membership} from './coordination/membership.js';
-import {createNodeMembership, listMemberRows} from './node-membership.js';
+import {
+  createNodeMembership,
+  findDeployment,
+  listMemberRows,
+} from './node-membership.js';
 import {NodeMoves} from './node-moves.js';
 import {describeReadiness, NodeStop} from './node-stop.js';
 import {announcementSchema} from './protocol/announcement.js';
@@ -22,7 +26,11 @@
 import type {NodeIdentity} from './protocol/node-identity.js';
 import {createIncarnation, parseAddress} from './protocol/node-identity.js';
 import {Reason, RefusalError} from './protocol/reasons.js';
-import type {ServiceRequest} from './protocol/service-request.js';
+import type {
+  ServiceAnswer,
+  ServiceRequest,
+} from './protocol/service-request.js';
+import {Verdict} from './protocol/verdict.js';
 import type {NodeSettings} from './protocol/settings.js';
 import {formatFaults} from './protocol/settings.js';
 import {SharedState} from './shared-state.js';
@@ -177,12 +185,10 @@
     this.callerServer = createCallerServer({
       ownRoutes: this.buildOwnRoutes(),
       findProfile: service => this.state.findProfile(service),
-      handleRequest: (request, signal) =>
-        this.keyHomes.hasKey(request)
-          ? this.keyHomes.handleRequest(request, signal)
-          : this.entry.handleRequest(request, signal),
+      handleRequest: (request, signal) => this.handleRequest(request, signal),
       handleRefusal: (refusal, requestId) => {
         this.metrics.count(`refusals.${refusal.reason}`);
+        this.metrics.count(`verdicts.${refusal.verdict}`);
         this.logger.write('debug', 'refused', {
           requestId,
           reason: refusal.reason,
@@ -212,7 +218,7 @@
       handleStep: (step, isComplete) =>
         this.logger.write('info', step, {isComplete}),
     });
-    this.planned.beforeExit.push(() => this.keyHomes.leave(settings.stop));
+    this.planned.beforeRefusing.push(() => this.keyHomes.leave(settings.stop));
   }
 
   /** Listens, joins the other nodes and begins to work. */
@@ -256,6 +262,17 @@
     await this.metrics.close();
   }
 
+  private async handleRequest(
+    request: ServiceRequest,
+    signal: AbortSignal,
+  ): Promise<ServiceAnswer> {
+    const answer = this.keyHomes.hasKey(request)
+      ? await this.keyHomes.handleRequest(request, signal)
+      : await this.entry.handleRequest(request, signal);
+    this.metrics.count(`verdicts.${Verdict.RAN}`);
+    return answer;
+  }
+
   private async sendAttempt(
     attempt: Attempt,
     signal: AbortSignal,
@@ -292,8 +309,11 @@
     this.moves.registerServices(router);
     this.crashSpread.registerService(router);
     this.keyHomes.registerServices(router);
-    registerMembershipService(router, this.membership, (name, amount) =>
-      this.metrics.count(name, amount),
+    registerMembershipService(
+      router,
+      findDeployment(this.settings),
+      this.membership,
+      (name, amount) => this.metrics.count(name, amount),
     );
     router.rpc(
       AttemptService.method.sealAttempt,
