Spare controllers per call, tell admission apart, keep ended moves ended

A streamed body was let go by the 5 ms acknowledgement as if admitted (both were 102). Each idempotent call made two abort controllers for a hedge that is rare. Change: admission is a 103; an exchange can be given up without a controller; once a move has ended the other version serves only when none of the right one is left.

--- a/src/coordination/attempt-sender.ts
+++ b/src/coordination/attempt-sender.ts
@@ -12,11 +12,14 @@
 import type {SealResult} from '../state/attempt-registry.js';
 import {SealOutcome} from '../state/attempt-registry.js';
 
-/** Sends one attempt; calls back when it is not acknowledged in time. */
+/**
+ * Sends one attempt; calls back when it is not acknowledged in time, and gives
+ * it up when that returns true.
+ */
 export type SendWithSilence = (
   attempt: Attempt,
   signal: AbortSignal,
-  handleSilence: () => void,
+  handleSilence: () => boolean,
 ) => Promise<AttemptAnswer>;
 
 /** The gate of an attempt can't be asked. */
@@ -70,35 +73,22 @@
     attempt: Attempt,
     signal: AbortSignal,
   ): Promise<AttemptAnswer> {
+    if (attempt.request.idempotent) {
+      return this.send(attempt, signal, () => {
+        this.count('silent');
+        return true;
+      });
+    }
     const abort = new AbortController();
     const handleAbort = (): void => abort.abort(signal.reason);
     signal.addEventListener('abort', handleAbort, {once: true});
     try {
-      return attempt.request.idempotent
-        ? await this.sendIdempotent(attempt, abort)
-        : await this.sendOnce(attempt, abort);
+      return await this.sendOnce(attempt, abort);
     } finally {
       signal.removeEventListener('abort', handleAbort);
     }
   }
 
-  private async sendIdempotent(
-    attempt: Attempt,
-    abort: AbortController,
-  ): Promise<AttemptAnswer> {
-    let isSilent = false;
-    try {
-      return await this.send(attempt, abort.signal, () => {
-        isSilent = true;
-        this.count('silent');
-        abort.abort(new Error('not acknowledged in time'));
-      });
-    } catch (error) {
-      if (!isSilent) throw error;
-      throw buildError(attempt, Reason.CONNECTION_SILENT);
-    }
-  }
-
   private async sendOnce(
     attempt: Attempt,
     abort: AbortController,
@@ -110,6 +100,7 @@
     const answer = this.send(attempt, abort.signal, () => {
       this.count('silent');
       markSilent();
+      return false;
     });
     // Both may fail; the one that is not awaited must not go unhandled.
     answer.catch(() => {});
--- a/src/coordination/call.ts
+++ b/src/coordination/call.ts
@@ -113,30 +113,24 @@
     return this.runHedged(row, delayMs);
   }
 
+  /** Only a hedge gets a controller of its own; most calls need none. */
   private async runHedged(
     row: WorkerRow,
     delayMs: number,
   ): Promise<AttemptAnswer> {
-    const first = new AbortController();
+    const main = this.runAttempt(row, this.abort.signal, 'attempt');
+    if (await isSettledWithin(main, delayMs)) return main;
+    const other = this.takeHedge();
+    if (!other) return main;
     const second = new AbortController();
-    const handleAbort = (): void => {
-      first.abort(this.abort.signal.reason);
-      second.abort(this.abort.signal.reason);
-    };
+    const handleAbort = (): void => second.abort(this.abort.signal.reason);
     this.abort.signal.addEventListener('abort', handleAbort, {once: true});
-    const loserGone = new Error('another attempt answered first');
-    try {
-      const main = this.runAttempt(row, first.signal, 'attempt');
-      if (await isSettledWithin(main, delayMs)) return await main;
-      const other = this.takeHedge();
-      if (!other) return await main;
-      const hedge = this.runAttempt(other, second.signal, 'hedge');
-      const winner = await takeFirst(main, hedge);
-      (winner === 'main' ? second : first).abort(loserGone);
-      return await (winner === 'main' ? main : hedge);
-    } finally {
-      this.abort.signal.removeEventListener('abort', handleAbort);
-    }
+    const hedge = this.runAttempt(other, second.signal, 'hedge');
+    const winner = await takeFirst(main, hedge);
+    this.abort.signal.removeEventListener('abort', handleAbort);
+    const loser = winner === 'main' ? second : this.abort;
+    loser.abort(new Error('another attempt answered first'));
+    return winner === 'main' ? main : hedge;
   }
 
   private takeHedge(): WorkerRow | undefined {
--- a/src/coordination/key-entry.ts
+++ b/src/coordination/key-entry.ts
@@ -40,7 +40,7 @@
 export type SendToHome = (
   attempt: Attempt,
   signal: AbortSignal,
-  handleSilence: () => void,
+  handleSilence: () => boolean,
 ) => Promise<AttemptAnswer>;
 
 /** What the entry works with. */
@@ -155,18 +155,10 @@
       target: home,
       keyHomeEpoch: epoch,
     };
-    const abort = new AbortController();
-    const handleAbort = (): void => abort.abort(signal.reason);
-    signal.addEventListener('abort', handleAbort, {once: true});
-    if (signal.aborted) handleAbort();
-    try {
-      return await sendToHome(attempt, abort.signal, () => {
-        count('silent');
-        abort.abort(new RefusalError(Reason.CONNECTION_SILENT));
-      });
-    } finally {
-      signal.removeEventListener('abort', handleAbort);
-    }
+    return sendToHome(attempt, signal, () => {
+      count('silent');
+      return true;
+    });
   }
 }
 
--- a/src/coordination/version-moves.ts
+++ b/src/coordination/version-moves.ts
@@ -98,15 +98,24 @@
     clearTimeout(this.timer);
   }
 
-  /** The workers of a service that one attempt may go to. */
+  /**
+   * The workers of a service that one attempt may go to, of those that could
+   * take it. While a move runs either version may stand in for the other; once
+   * it has ended the other version serves only when none of the right is left.
+   */
   selectWorkers(service: string, rows: readonly WorkerRow[]): WorkerRow[] {
-    const move = this.options.state.findMove(service);
+    const {state, workers} = this.options;
+    const move = state.findMove(service);
     const wanted = move
       ? this.chooseVersion(move)
-      : this.options.state.findServiceVersion(service);
+      : state.findServiceVersion(service);
     if (wanted === undefined) return [...rows];
-    const matching = rows.filter(row => row.version === wanted);
+    const isWanted = (row: WorkerRow): boolean => row.version === wanted;
+    const matching = rows.filter(isWanted);
     if (matching.length > 0 || !move) return matching;
+    const isReplaceable =
+      move.stage === 'running' || !workers.listWorkers(service).some(isWanted);
+    if (!isReplaceable) return [];
     return rows.filter(row => this.isAllowed(service, row.version));
   }
 
--- a/src/transport/gate-client.ts
+++ b/src/transport/gate-client.ts
@@ -26,9 +26,14 @@
 
 /** Path prefix of attempts on the peer address. */
 export const ATTEMPT_PATH = '/attempts/';
+/** Informational status by which a gate asks for the rest of a body. */
+const ADMITTED_STATUS = 103;
 
-/** Called when a sent attempt was not acknowledged in time. */
-export type HandleSilence = (attempt: Attempt) => void;
+/**
+ * Called when a sent attempt was not acknowledged in time; tells whether the
+ * exchange is given up.
+ */
+export type HandleSilence = (attempt: Attempt) => boolean;
 
 /** Connections to the gates of other nodes. */
 export class GateClient {
@@ -43,7 +48,7 @@
    * Sends one attempt.
    *
    * @param handleSilence called at most once, when no byte came back within
-   *     the acknowledge timeout; the exchange itself goes on.
+   *     the acknowledge timeout; the exchange goes on if it returns false.
    * @throws AttemptError
    */
   async sendAttempt(
@@ -52,11 +57,12 @@
     handleSilence: HandleSilence,
   ): Promise<AttemptAnswer> {
     let resolveAdmitted: () => void = () => {};
-    let informationCount = 0;
     const admitted = new Promise<void>(resolve => (resolveAdmitted = resolve));
-    const silence = new SilenceTimer(this.settings.acknowledgeTimeout, () =>
-      handleSilence(attempt),
-    );
+    let cancelExchange: (reason: Error) => void = () => {};
+    const silence = new SilenceTimer(this.settings.acknowledgeTimeout, () => {
+      if (!handleSilence(attempt)) return;
+      cancelExchange(new RefusalError(Reason.CONNECTION_SILENT));
+    });
     try {
       const response = await runExchange(
         this.findPool(attempt.target.peerAddress),
@@ -65,11 +71,11 @@
           path: `${ATTEMPT_PATH}${attempt.request.service}${attempt.request.path}`,
           headers: this.buildHeaders(attempt),
           body: buildBody(attempt.request, admitted),
+          onCancelable: cancel => (cancelExchange = cancel),
           onSent: () => silence.start(),
-          onInformation: () => {
+          onInformation: status => {
             silence.start();
-            informationCount += 1;
-            if (informationCount > 1) resolveAdmitted();
+            if (status === ADMITTED_STATUS) resolveAdmitted();
           },
         },
         signal,
--- a/src/transport/http-exchange.ts
+++ b/src/transport/http-exchange.ts
@@ -15,8 +15,10 @@
   readonly body: Buffer | AsyncIterable<Buffer> | null;
   /** Called once when the first byte may be written. */
   readonly onSent?: () => void;
-  /** Called at each informational (1xx) response. */
-  readonly onInformation?: () => void;
+  /** Called with the status of each informational (1xx) response. */
+  readonly onInformation?: (status: number) => void;
+  /** Called at once with a function that gives the exchange up. */
+  readonly onCancelable?: (cancel: (reason: Error) => void) => void;
 }
 
 /** Head of a response and its body, which fails when the response is cut. */
@@ -75,11 +77,14 @@
     let sent = false;
     let body: ResponseBody | undefined;
     let controller: Dispatcher.DispatchController | undefined;
-    const handleAbort = (): void => {
-      const reason = signal.reason as Error;
-      if (controller) controller.abort(reason);
+    let cancelled: Error | undefined;
+    const cancel = (reason: Error): void => {
+      cancelled = reason;
+      controller?.abort(reason);
       reject(new ExchangeError(sent, reason));
     };
+    const handleAbort = (): void => cancel(signal.reason as Error);
+    request.onCancelable?.(cancel);
     if (signal.aborted) {
       handleAbort();
       return;
@@ -97,8 +102,8 @@
     dispatcher.dispatch(options, {
       onRequestStart: started => {
         controller = started;
-        if (signal.aborted) {
-          started.abort(signal.reason as Error);
+        if (cancelled) {
+          started.abort(cancelled);
           return;
         }
         sent = true;
@@ -106,7 +111,7 @@
       },
       onResponseStart: (started, status, headers) => {
         if (status < 200) {
-          request.onInformation?.();
+          request.onInformation?.(status);
           return;
         }
         body = new ResponseBody(started);
--- a/src/transport/peer-listener.ts
+++ b/src/transport/peer-listener.ts
@@ -93,7 +93,7 @@
     if (isStreamed) sendAcknowledgement(response);
     const attempt = await readAttempt(message);
     const answer = await handlers.handleAttempt(attempt, abort.signal, () => {
-      if (isStreamed) sendAcknowledgement(response);
+      if (isStreamed) sendAdmission(response);
     });
     stopAcknowledging();
     addLoadHeader(extra, answer.load);
@@ -123,6 +123,12 @@
   if (!response.headersSent && !response.destroyed) response.writeProcessing();
 }
 
+/** Asks for the rest of the body; the hint itself carries nothing. */
+function sendAdmission(response: ServerResponse): void {
+  if (response.headersSent || response.destroyed) return;
+  response.writeEarlyHints({link: '</>; rel=admitted'});
+}
+
 function addLoadHeader(headers: Headers, load: WorkerLoad | undefined): void {
   if (load) headers[headerNames.WORKER_LOAD] = formatWorkerLoad(load);
 }
