List the deployment's name last among the membership settings

Cause: settings_test expects the list of allowed keys to begin with seeds. Before / after: npx vitest run src/test/settings_test.ts: 1 failed / 26 passed.

--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -60,18 +60,18 @@
     .prefault({}),
   membership: z
     .strictObject({
-      /**
-       * Name that all nodes of one deployment share, the log's name without.
-       * Nodes of another one are refused, for instance at an address that was
-       * used before by a node of this one.
-       */
-      deployment: z.string().min(1).max(64).optional(),
       /** Peer addresses of some nodes, to find the others. */
       seeds: z.array(addressSchema).default([]),
       probeInterval: buildDurationSchema(20, MINUTE_MS).prefault('500ms'),
       probeTimeout: buildDurationSchema(10, MINUTE_MS).prefault('200ms'),
       /** Time from suspicion to being held for dead. */
       suspicionTime: buildDurationSchema(50, 10 * MINUTE_MS).prefault('2s'),
+      /**
+       * Name that all nodes of one deployment share, the log's name without.
+       * Nodes of another one are refused, for instance at an address that was
+       * used before by a node of this one.
+       */
+      deployment: z.string().min(1).max(64).optional(),
     })
     .prefault({}),
   connections: z
