Judge a version by whole durations and keep the old one's figures

Cause: on a quiet machine a good move was taken back, p90 20.9 ms against about 5 ms. Near the end the old version gets hedges only, and each cancelled hedge counted with the few ms that it had run. Ruled out: noise of the machine (load average 3); 3 of 3 runs failed. Change: cancelled requests count apart, and only for the new version when they had already taken longer than the old one's p90; the old version's figures are kept through the move. Conclusion: cancelled work is evidence of slowness only as a lower bound.

--- a/src/coordination/move-judgement.ts
+++ b/src/coordination/move-judgement.ts
@@ -50,6 +50,7 @@
     recentAnswers: one.recentAnswers + other.recentAnswers,
     recentFailures: one.recentFailures + other.recentFailures,
     recentDurationsMs: [...one.recentDurationsMs, ...other.recentDurationsMs],
+    recentCancelledMs: [...one.recentCancelledMs, ...other.recentCancelledMs],
   };
 }
 
@@ -94,17 +95,23 @@
   return `route ${seen.route}: ${bad.failures} of ${bad.answers} answers failed, old version ${formatPercent(usual)}`;
 }
 
+/**
+ * Of requests that were cancelled only those count that had already taken
+ * longer than the old version's: the others say nothing of their full time.
+ */
 function findSlowdown(
   seen: RouteFigures,
   old: RouteFigures | undefined,
   settings: Profile['moves'],
 ): string | undefined {
-  const hasEnough =
-    seen.recentDurationsMs.length >= MIN_DURATIONS &&
-    (old?.recentDurationsMs.length ?? 0) >= MIN_DURATIONS;
-  if (!old || !hasEnough) return undefined;
-  const newMs = computeQuantile(seen.recentDurationsMs, COMPARED_QUANTILE);
+  if (!old || old.recentDurationsMs.length < MIN_DURATIONS) return undefined;
   const oldMs = computeQuantile(old.recentDurationsMs, COMPARED_QUANTILE);
+  const durationsMs = [
+    ...seen.recentDurationsMs,
+    ...seen.recentCancelledMs.filter(ms => ms > oldMs),
+  ];
+  if (durationsMs.length < MIN_DURATIONS) return undefined;
+  const newMs = computeQuantile(durationsMs, COMPARED_QUANTILE);
   const isSlow =
     newMs > oldMs * settings.slowdownFactor && newMs - oldMs > MIN_SLOWDOWN_MS;
   if (!isSlow) return undefined;
--- a/src/coordination/observed-connection.ts
+++ b/src/coordination/observed-connection.ts
@@ -7,6 +7,7 @@
 import {Reason, RefusalError} from '../protocol/reasons.js';
 import type {ServiceRequest} from '../protocol/service-request.js';
 import type {SeenRequest} from '../state/version-evidence.js';
+import {RequestEnd} from '../state/version-evidence.js';
 import type {WorkerConnection} from './local-worker.js';
 
 const SERVER_ERROR = 500;
@@ -30,20 +31,19 @@
     signal: AbortSignal,
   ): Promise<AttemptAnswer> => {
     const startedAt = performance.now();
-    const recordEnd = (hasFailed: boolean): void => {
+    const recordEnd = (end: RequestEnd): void => {
       const durationMs = performance.now() - startedAt;
-      const {route} = request;
-      record({service, version, route, hasFailed, durationMs});
+      record({service, version, route: request.route, end, durationMs});
     };
     try {
       const answer = await connection.sendRequest(request, signal);
-      recordEnd(answer.status >= SERVER_ERROR);
+      const hasFailed = answer.status >= SERVER_ERROR;
+      recordEnd(hasFailed ? RequestEnd.FAILED : RequestEnd.ANSWERED);
       return answer;
     } catch (error) {
-      // A cancelled request counts with the time that it took so far, or a
-      // slow version whose requests are all cancelled would leave no trace.
-      if (signal.aborted) recordEnd(false);
-      else if (!isNeutral(error)) recordEnd(true);
+      // A slow version whose requests are all cancelled must leave a trace.
+      if (signal.aborted) recordEnd(RequestEnd.CANCELLED);
+      else if (!isNeutral(error)) recordEnd(RequestEnd.FAILED);
       throw error;
     }
   };
--- a/src/coordination/version-moves.ts
+++ b/src/coordination/version-moves.ts
@@ -179,12 +179,17 @@
     }
   }
 
-  /** Evidence counts from the newest step on. */
+  /**
+   * Evidence about the new version counts from the newest step on; the old
+   * one's is kept through the move, since in the end it gets no traffic.
+   */
   private recordStep(service: string, move: Move): void {
     if (this.seenNumbers.get(service) === move.number) return;
     this.seenNumbers.set(service, move.number);
     this.steppedAt.set(service, Date.now());
-    this.options.evidence.clear(service);
+    const isStart = move.sharePercent === 0;
+    const isNew = this.options.findLocalVersion(service) === move.toVersion;
+    if (isStart || isNew) this.options.evidence.clear(service);
   }
 
   private async checkEvidence(service: string, move: Move): Promise<void> {
--- a/src/state/version-evidence.ts
+++ b/src/state/version-evidence.ts
@@ -18,14 +18,25 @@
   readonly recentAnswers: number;
   readonly recentFailures: number;
   readonly recentDurationsMs: readonly number[];
+  /** Times after which requests were cancelled; they would have taken longer. */
+  readonly recentCancelledMs: readonly number[];
 }
 
+/** The ways in which a request ends at a worker. */
+export const RequestEnd = {
+  ANSWERED: 'answered',
+  FAILED: 'failed',
+  CANCELLED: 'cancelled',
+} as const;
+
+export type RequestEnd = (typeof RequestEnd)[keyof typeof RequestEnd];
+
 /** How a request ended at the worker. */
 export interface SeenRequest {
   readonly service: string;
   readonly version: string;
   readonly route: string;
-  readonly hasFailed: boolean;
+  readonly end: RequestEnd;
   readonly durationMs: number;
 }
 
@@ -35,17 +46,21 @@
   private windowStartedAt = performance.now();
   private current = {answers: 0, failures: 0};
   private previous = {answers: 0, failures: 0};
-  private durationsMs: number[] = [];
+  private readonly durationsMs: number[] = [];
+  private readonly cancelledMs: number[] = [];
 
-  record(hasFailed: boolean, durationMs: number): void {
+  record(end: RequestEnd, durationMs: number): void {
+    if (end === RequestEnd.CANCELLED) {
+      addNewest(this.cancelledMs, durationMs);
+      return;
+    }
     this.refresh();
-    const failures = hasFailed ? 1 : 0;
+    const failures = end === RequestEnd.FAILED ? 1 : 0;
     this.answers += 1;
     this.failures += failures;
     this.current.answers += 1;
     this.current.failures += failures;
-    this.durationsMs.push(durationMs);
-    if (this.durationsMs.length > KEPT_DURATIONS) this.durationsMs.shift();
+    addNewest(this.durationsMs, durationMs);
   }
 
   read(route: string): RouteFigures {
@@ -57,6 +72,7 @@
       recentAnswers: this.current.answers + this.previous.answers,
       recentFailures: this.current.failures + this.previous.failures,
       recentDurationsMs: this.durationsMs,
+      recentCancelledMs: this.cancelledMs,
     };
   }
 
@@ -70,6 +86,11 @@
   }
 }
 
+function addNewest(durationsMs: number[], durationMs: number): void {
+  durationsMs.push(durationMs);
+  if (durationsMs.length > KEPT_DURATIONS) durationsMs.shift();
+}
+
 interface ServiceCounts {
   readonly version: string;
   readonly routes: Map<string, RouteCounts>;
@@ -92,7 +113,7 @@
       route = new RouteCounts();
       counts.routes.set(seen.route, route);
     }
-    route.record(seen.hasFailed, seen.durationMs);
+    route.record(seen.end, seen.durationMs);
   }
 
   /** Version that was seen of a service, and its figures by route. */
--- a/src/test/move-judgement_test.ts
+++ b/src/test/move-judgement_test.ts
@@ -24,6 +24,7 @@
     recentAnswers: answers,
     recentFailures: failures,
     recentDurationsMs: Array.from({length: answers}, () => durationMs),
+    recentCancelledMs: [],
   };
 }
 
@@ -82,6 +83,28 @@
     old: [buildFigures('tickets', 400, 0, 5)],
     judgement: 'bad',
   },
+  {
+    name: 'so slow that all its requests are cancelled',
+    seen: [
+      {
+        ...buildFigures('tickets', 0, 0, 0),
+        recentCancelledMs: Array.from({length: 20}, () => 50),
+      },
+    ],
+    old: [buildFigures('tickets', 400, 0, 5)],
+    judgement: 'bad',
+  },
+  {
+    name: 'as good, while hedges at the old version were cancelled early',
+    seen: [buildFigures('tickets', 40, 0, 20)],
+    old: [
+      {
+        ...buildFigures('tickets', 3, 0, 20),
+        recentCancelledMs: Array.from({length: 20}, () => 1),
+      },
+    ],
+    judgement: 'good',
+  },
   {
     name: 'slower by less than the noise of a machine',
     seen: [buildFigures('tickets', 40, 0, 3)],
--- a/src/transport/move-service.ts
+++ b/src/transport/move-service.ts
@@ -21,6 +21,7 @@
   readonly recentAnswers: number;
   readonly recentFailures: number;
   readonly recentDurationsMs: readonly number[];
+  readonly recentCancelledMs: readonly number[];
 }
 
 /** What a gate saw of its worker, as it goes over the wire. */
@@ -56,6 +57,7 @@
           create(RouteEvidenceSchema, {
             ...figures,
             recentDurationsMs: [...figures.recentDurationsMs],
+            recentCancelledMs: [...figures.recentCancelledMs],
           }),
         ),
       });
