Learn from cancelled attempts that a worker is slow

Cause: the slowed worker still got 1.7% of the calls: attempts at it were hedged, the loser was cancelled, and a cancelled attempt brought neither the entry nor the gate any figure, so the worker went on looking fast. Ruled out: the fading of its service time, which allows a try in 7 s per entry. Change: entry and gate take the time until a cancellation as a lower bound.

--- a/src/coordination/admission.ts
+++ b/src/coordination/admission.ts
@@ -271,7 +271,10 @@
     const now = this.now();
     const serviceTimeMs = now - startedAt;
     this.limit.record({outcome, route, serviceTimeMs, generation}, now);
-    if (outcome === SlotOutcome.CANCELLED) return;
+    if (outcome === SlotOutcome.CANCELLED) {
+      this.recordCancelled(serviceTimeMs * US_PER_MS);
+      return;
+    }
     this.lastOutcomeTime = now;
     const isSuccess = outcome === SlotOutcome.SUCCESS;
     const failure = isSuccess ? 0 : 1;
@@ -279,6 +282,13 @@
     if (isSuccess) this.recordServiceTime(serviceTimeMs * US_PER_MS);
   }
 
+  /** A cancelled request would have taken at least as long as it did. */
+  private recordCancelled(serviceTimeUs: number): void {
+    if (serviceTimeUs > this.serviceTimeUs) {
+      this.recordServiceTime(serviceTimeUs);
+    }
+  }
+
   private recordServiceTime(serviceTimeUs: number): void {
     const weight = this.serviceTimeUs === 0 ? 1 : AVERAGE_WEIGHT;
     this.serviceTimeUs += weight * (serviceTimeUs - this.serviceTimeUs);
--- a/src/coordination/call.ts
+++ b/src/coordination/call.ts
@@ -23,6 +23,7 @@
 /** Retries that cost no budget, such as after a worker that left. */
 const MAX_FREE_RETRIES = 10;
 const HEDGE_COST = 1;
+const US_PER_MS = 1000;
 
 /** Reasons that speak of the way to a gate, not of its worker. */
 const CONNECTION_REASONS: ReadonlySet<Reason> = new Set<Reason>([
@@ -173,7 +174,8 @@
       return answer;
     } catch (error) {
       end();
-      if (error instanceof AttemptError) recordFailedAttempt(row, error);
+      if (signal.aborted) recordCancelled(row, performance.now() - startedAt);
+      else if (error instanceof AttemptError) recordFailedAttempt(row, error);
       throw error;
     }
   }
@@ -253,6 +255,29 @@
   row.state = load.state;
 }
 
+/**
+ * A cancelled attempt brings no figures, but it would have taken at least as
+ * long as it did; without this a slow worker whose attempts are all hedged
+ * would go on looking fast.
+ */
+function recordCancelled(row: WorkerRow, elapsedMs: number): void {
+  const {observed} = row;
+  const elapsedUs = elapsedMs * US_PER_MS;
+  if (observed && observed.figures.serviceTimeUs >= elapsedUs) return;
+  row.observed = {
+    figures: {
+      state: row.state,
+      inFlight: row.inFlightHere,
+      queued: 0,
+      limit: observed?.figures.limit ?? row.slots,
+      serviceTimeUs: elapsedUs,
+      failureShare: observed?.figures.failureShare ?? 0,
+    },
+    at: performance.now(),
+    inFlightHere: row.inFlightHere,
+  };
+}
+
 /** Figures of a worker whose gate could not be reached or kept silent. */
 function recordFailedAttempt(row: WorkerRow, error: AttemptError): void {
   if (error.load) {
