Answer slow bodies, take announcements from the own host only, split the node

Change: pauses are watched by a timer of our own that does not count time in which the node holds the body back; announcements from other hosts are refused; own paths and the question about attempts moved to modules of their own. Conclusion: bad input of callers and workers gets a clear answer; slow headers are left to the server's own time limit and not tested.

--- a/src/node-process.ts
+++ b/src/node-process.ts
@@ -6,7 +6,7 @@
 import type {Server} from 'node:http';
 import type {ConnectRouter} from '@connectrpc/connect';
 import {AttemptRunner} from './coordination/attempt-runner.js';
-import {AttemptSender, SealError} from './coordination/attempt-sender.js';
+import {AttemptSender} from './coordination/attempt-sender.js';
 import {CrashQuarantine} from './coordination/crash-quarantine.js';
 import {Entry} from './coordination/entry.js';
 import {Gate} from './coordination/gate.js';
@@ -17,9 +17,10 @@
   findDeployment,
   listMemberRows,
 } from './node-membership.js';
+import {askSeal} from './node-attempts.js';
 import {NodeMoves} from './node-moves.js';
+import {buildOwnRoutes} from './node-routes.js';
 import {describeReadiness, NodeStop} from './node-stop.js';
-import {announcementSchema} from './protocol/announcement.js';
 import type {Attempt, AttemptAnswer} from './protocol/attempt.js';
 import {AttemptError} from './protocol/attempt.js';
 import {AttemptService} from './protocol/attempts_pb.js';
@@ -32,19 +33,12 @@
 } from './protocol/service-request.js';
 import {Verdict} from './protocol/verdict.js';
 import type {NodeSettings} from './protocol/settings.js';
-import {formatFaults} from './protocol/settings.js';
 import {SharedState} from './shared-state.js';
-import type {SealOutcome} from './state/attempt-registry.js';
 import {AttemptRegistry} from './state/attempt-registry.js';
 import {CrashTable} from './state/crash-table.js';
 import {Explanations} from './state/explanations.js';
 import {WorkerTable} from './state/worker-table.js';
-import {
-  AskError,
-  askSealAttempt,
-  createSealHandler,
-} from './transport/attempt-service.js';
-import type {OwnRoute} from './transport/caller-listener.js';
+import {createSealHandler} from './transport/attempt-service.js';
 import {createCallerServer} from './transport/caller-listener.js';
 import {CrashSpread} from './transport/crash-service.js';
 import {GateClient} from './transport/gate-client.js';
@@ -184,7 +178,14 @@
       logger: this.logger,
     });
     this.callerServer = createCallerServer({
-      ownRoutes: this.buildOwnRoutes(),
+      ownRoutes: buildOwnRoutes({
+        describeReadiness: () =>
+          describeReadiness(this.planned.isStopping, this.hasJoined),
+        buildStatus: () => this.buildStatus(),
+        findExplanation: requestId => this.explanations.find(requestId),
+        announce: announcement => this.gate.announce(announcement),
+        hostAddress: parseAddress(node.callerAddress).host,
+      }),
       findProfile: service => this.state.findProfile(service),
       handleRequest: (request, signal) => this.handleRequest(request, signal),
       handleRefusal: (refusal, requestId) => {
@@ -324,73 +325,17 @@
     );
   }
 
-  private buildOwnRoutes(): OwnRoute[] {
-    return [
-      {
-        method: 'get',
-        path: '/-/health',
-        handle: () => ({status: 200, body: {status: 'ok'}}),
-      },
-      {
-        method: 'get',
-        path: '/-/ready',
-        handle: () =>
-          describeReadiness(this.planned.isStopping, this.hasJoined),
-      },
-      {
-        method: 'get',
-        path: '/-/status',
-        handle: () => ({
-          status: 200,
-          body: {
-            ...this.identity,
-            counters: this.metrics.report(),
-            process: reportProcess(this.peers),
-            state: this.sharedState.report(),
-            moves: this.state.current.moves,
-            keyHomes: this.keyHomes.report(),
-            nodes: this.workers.listNodes(),
-            members: listMemberRows(this.membership),
-          },
-        }),
-      },
-      {
-        method: 'get',
-        path: '/-/explain/:requestId',
-        handle: ({params}) => {
-          const found = this.explanations.find(params['requestId'] ?? '');
-          return found
-            ? {status: 200, body: found}
-            : {status: 404, body: {error: 'request not known here'}};
-        },
-      },
-      {
-        method: 'post',
-        path: '/-/announce',
-        handle: ({body}) => {
-          const result = announcementSchema.safeParse(body);
-          if (!result.success) {
-            throw new RefusalError(
-              Reason.MALFORMED_REQUEST,
-              'not-run',
-              formatFaults(result.error).join('; '),
-            );
-          }
-          this.gate.announce(result.data);
-          return {status: 200, body: {accepted: true}};
-        },
-      },
-    ];
-  }
-}
-
-async function askSeal(attempt: Attempt, waitMs: number) {
-  try {
-    const {outcome, answer} = await askSealAttempt(attempt, waitMs);
-    return {outcome: outcome as SealOutcome, ...(answer ? {answer} : {})};
-  } catch (error) {
-    if (!(error instanceof AskError)) throw error;
-    throw new SealError(error.isRefused, error.message);
+  private buildStatus(): Record<string, unknown> {
+    return {
+      ...this.identity,
+      counters: this.metrics.report(),
+      process: reportProcess(this.peers),
+      state: this.sharedState.report(),
+      moves: this.state.current.moves,
+      keyHomes: this.keyHomes.report(),
+      nodes: this.workers.listNodes(),
+      members: listMemberRows(this.membership),
+    };
   }
 }
 
--- /dev/null
+++ b/src/test/bad-input_test.ts
@@ -0,0 +1,176 @@
+/**
+ * Input that is too large, too slow, cut off or rubbish: a clear answer, and
+ * nothing lost for others.
+ */
+import type {Server, Socket} from 'node:net';
+import {connect, createServer} from 'node:net';
+import {afterAll, beforeAll, describe, expect, it} from 'vitest';
+import {waitFor} from '../measure/wait-for.js';
+import {parseAddress} from '../protocol/node-identity.js';
+import type {Fixture} from './deployment-fixture.js';
+import {startFixture} from './deployment-fixture.js';
+
+const MAX_BODY_BYTES = 100 * 1024;
+const ENTRY = 'desk-0';
+
+let fixture: Fixture;
+
+beforeAll(async () => {
+  fixture = await startFixture({
+    workers: 2,
+    configuration: {
+      profiles: {desk: {limits: {maxBody: '100KiB', bodyPause: '200ms'}}},
+      services: {'kona-desk': {profile: 'desk'}},
+    },
+  });
+});
+
+afterAll(async () => {
+  await fixture?.stop();
+});
+
+function findAddress(): string {
+  return fixture.deployment.findHost(ENTRY).callerAddress;
+}
+
+/** Sends raw bytes and resolves with all that came back. */
+function sendRaw(text: string): Promise<string> {
+  return new Promise(resolve => {
+    const socket = connect(parseAddress(findAddress()));
+    let received = '';
+    socket.on('data', part => (received += part.toString()));
+    socket.on('error', () => {});
+    socket.on('close', () => resolve(received));
+    socket.write(text);
+  });
+}
+
+/** A request that asks for the connection to be closed after the answer. */
+function buildRequest(headers: readonly string[], body = ''): string {
+  const lines = [
+    'POST /kona-desk/bookings HTTP/1.1',
+    'host: node',
+    'connection: close',
+    ...headers,
+  ];
+  return `${lines.join('\r\n')}\r\n\r\n${body}`;
+}
+
+interface BadCase {
+  readonly name: string;
+  readonly text: string;
+  readonly status: number;
+  readonly reason?: string;
+}
+
+const CASES: readonly BadCase[] = [
+  {
+    name: 'headers of 20 KB',
+    text: buildRequest([`x-large: ${'x'.repeat(20_000)}`]),
+    status: 431,
+  },
+  {
+    name: 'a body announced as too large',
+    text: buildRequest([`content-length: ${MAX_BODY_BYTES + 1}`]),
+    status: 413,
+    reason: 'body-too-large',
+  },
+  {
+    name: 'a body that stops half way',
+    text: buildRequest(['content-length: 1000'], 'half'),
+    status: 408,
+    reason: 'body-too-slow',
+  },
+  {
+    name: 'a request line that is none',
+    text: 'rubbish\r\n\r\n',
+    status: 400,
+  },
+  {
+    name: 'a path without a service',
+    text: 'GET / HTTP/1.1\r\nhost: node\r\nconnection: close\r\n\r\n',
+    status: 404,
+    reason: 'unknown-service',
+  },
+];
+
+async function sendLookup(): Promise<number> {
+  const response = await fetch(`http://${findAddress()}/kona-desk/tickets/1`);
+  await response.text();
+  return response.status;
+}
+
+describe('a caller that sends what it should not gets a clear answer', () => {
+  it.each(CASES)('$name', async ({text, status, reason}) => {
+    const received = await sendRaw(text);
+    expect(received).toMatch(new RegExp(`^HTTP/1.1 ${status} `));
+    if (reason) {
+      expect(received).toContain(`"reason":"${reason}"`);
+      expect(received).toContain('"verdict":"not-run"');
+    }
+    expect(await sendLookup()).toBe(200);
+  });
+
+  it('a streamed body that grows too large is cut, not passed as whole', async () => {
+    const part = 'x'.repeat(MAX_BODY_BYTES);
+    const chunk = `${part.length.toString(16)}\r\n${part}\r\n`;
+    const text = buildRequest(['transfer-encoding: chunked'], chunk + chunk);
+    const received = await sendRaw(`${text}0\r\n\r\n`);
+    expect(received).not.toMatch(/^HTTP\/1.1 200 /);
+    expect(await sendLookup()).toBe(200);
+  });
+});
+
+it('a caller that hangs up has its lookup cancelled at the worker', async () => {
+  for (const {control} of fixture.upstreams.values()) {
+    control.serviceTimeMs = 500;
+  }
+  const socket = connect(parseAddress(findAddress()));
+  socket.write('GET /kona-desk/tickets/2 HTTP/1.1\r\nhost: node\r\n\r\n');
+  const countFigure = (name: 'requests' | 'cancelled'): number =>
+    [...fixture.upstreams.values()].reduce(
+      (sum, {figures}) => sum + figures[name],
+      0,
+    );
+  const before = countFigure('requests');
+  await waitFor('the lookup to run', () => countFigure('requests') > before);
+  socket.destroy();
+  await waitFor('its cancellation', () => countFigure('cancelled') > 0);
+  for (const {control} of fixture.upstreams.values()) {
+    control.serviceTimeMs = 4;
+  }
+});
+
+describe('a worker that answers rubbish', () => {
+  const answers = [
+    {name: 'no HTTP', bytes: 'rubbish\r\n\r\n'},
+    {
+      name: 'less than it announced',
+      bytes: 'HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nshort',
+    },
+    {
+      name: 'more than it announced',
+      bytes: `HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole${'x'.repeat(50)}`,
+    },
+  ];
+  it.each(answers)('$name: harms nobody else', async ({bytes}) => {
+    const upstream = fixture.upstreams.get(ENTRY)!;
+    await upstream.stop();
+    const rubbish = await startRubbish(bytes, upstream.address);
+    const statuses = await Promise.all(Array.from({length: 10}, sendLookup));
+    await new Promise(resolve => rubbish.close(resolve));
+    await fixture.deployment.startUpstream(fixture.deployment.findHost(ENTRY));
+    for (const status of statuses) expect(status).toBe(200);
+  });
+});
+
+/** Listens in place of a worker and answers every request with these bytes. */
+function startRubbish(bytes: string, address: string): Promise<Server> {
+  const server = createServer((socket: Socket) => {
+    socket.on('error', () => {});
+    socket.once('data', () => socket.end(bytes));
+  });
+  return new Promise(resolve => {
+    server.listen(parseAddress(address), () => resolve(server));
+  });
+}
--- a/src/transport/request-reader.ts
+++ b/src/transport/request-reader.ts
@@ -21,6 +21,7 @@
 } from '../protocol/service-request.js';
 import {EMPTY_BODY, readHeldBody} from '../protocol/service-request.js';
 import {copyEndToEndHeaders, findHeader} from './message-headers.js';
+import {PauseWatch} from './pause-watch.js';
 
 const KEY_PATTERN = /^[\x21-\x7e]{1,255}$/;
 const REQUEST_ID_PATTERN = /^[\x21-\x7e]{1,128}$/;
@@ -131,25 +132,33 @@
   const isChunked = message.headers['transfer-encoding'] !== undefined;
   if (!isChunked && (length === undefined || length === '0')) return EMPTY_BODY;
   if (length !== undefined && Number(length) > maxBody) throw buildTooLarge();
-  message.socket.setTimeout(bodyPause, () => {
-    message.destroy(new RefusalError(Reason.BODY_TOO_SLOW));
-  });
-  const clearPause = (): void => {
-    message.socket.setTimeout(0);
-  };
-  message.once('end', clearPause);
-  let body: Body;
+  const watch = new PauseWatch(message, bodyPause);
+  const body = await readBeginning(message, watch);
+  if (body.rest)
+    return {held: body.held, rest: buildRest(body, watch, maxBody)};
+  watch.stop();
+  if (body.held.length > maxBody) throw buildTooLarge();
+  return body;
+}
+
+async function readBeginning(
+  message: IncomingMessage,
+  watch: PauseWatch,
+): Promise<Body> {
   try {
-    body = await readHeldBody(message);
+    return await Promise.race([readHeldBody(message), watch.failed]);
   } catch (error) {
+    watch.stop();
     if (error instanceof RefusalError) throw error;
     throw new RefusalError(Reason.CALLER_GONE);
   }
-  if (!body.rest) {
-    if (body.held.length > maxBody) throw buildTooLarge();
-    return body;
-  }
-  return {held: body.held, rest: checkBodySize(body, maxBody)};
+}
+
+function buildRest(body: Body, watch: PauseWatch, maxBytes: number): Transform {
+  const rest = checkBodySize(body, maxBytes);
+  watch.failed.catch((error: Error) => rest.destroy(error));
+  rest.once('close', () => watch.stop());
+  return rest;
 }
 
 function buildTooLarge(): RefusalError {
