Answer and count what the HTTP parser refuses; log each decision at debug

Cause: oversized and endless headers and rubbish got the server's bare answer and no counter, and decisions were in no log. Change: such input is refused as malformed-request with a problem body, status 400, 408 or 431; each step of a request's explanation is a debug line; keyed requests are explained at their entry. Conclusion: each refusal to a caller has a counter.

--- a/src/node-process.ts
+++ b/src/node-process.ts
@@ -10,6 +10,7 @@
 import {CrashQuarantine} from './coordination/crash-quarantine.js';
 import {Entry} from './coordination/entry.js';
 import {Gate} from './coordination/gate.js';
+import type {KeyedRequest} from './coordination/key-home.js';
 import {KeyHomes} from './key-homes.js';
 import type {Membership} from './coordination/membership.js';
 import {
@@ -36,12 +37,14 @@
 import {SharedState} from './shared-state.js';
 import {AttemptRegistry} from './state/attempt-registry.js';
 import {CrashTable} from './state/crash-table.js';
+import type {HandleStep} from './state/explanations.js';
 import {Explanations} from './state/explanations.js';
 import {WorkerTable} from './state/worker-table.js';
 import {createSealHandler} from './transport/attempt-service.js';
-import {createCallerServer} from './transport/caller-listener.js';
+import {createCallerServer, toRefusal} from './transport/caller-listener.js';
 import {CrashSpread} from './transport/crash-service.js';
 import {GateClient} from './transport/gate-client.js';
+import type {LogContext, Logger} from './transport/logger.js';
 import {createLogger} from './transport/logger.js';
 import {registerMembershipService} from './transport/membership-service.js';
 import {Metrics} from './transport/metrics.js';
@@ -64,7 +67,7 @@
   private readonly moves: NodeMoves;
   private readonly gateClient;
   private readonly gate;
-  private readonly explanations = new Explanations();
+  private readonly explanations: Explanations;
   private readonly attempts = new AttemptRegistry();
   private readonly attemptRunner;
   private readonly attemptSender;
@@ -87,6 +90,7 @@
     };
     this.logger = createLogger(node.id, settings.logging);
     this.metrics = new Metrics(node.id, settings.metrics);
+    this.explanations = new Explanations(createStepLogger(this.logger));
     this.peers = new PeerClients(settings.connections.localAddress);
     this.sharedState = new SharedState({
       identity: this.identity,
@@ -269,12 +273,29 @@
     signal: AbortSignal,
   ): Promise<ServiceAnswer> {
     const answer = this.keyHomes.hasKey(request)
-      ? await this.keyHomes.handleRequest(request, signal)
+      ? await this.handleKeyedRequest(request, signal)
       : await this.entry.handleRequest(request, signal);
     this.metrics.count(`verdicts.${Verdict.RAN}`);
     return answer;
   }
 
+  private async handleKeyedRequest(
+    request: KeyedRequest,
+    signal: AbortSignal,
+  ): Promise<ServiceAnswer> {
+    const explainer = this.explanations.start(request);
+    explainer.add('key-home', {key: request.key});
+    try {
+      const answer = await this.keyHomes.handleRequest(request, signal);
+      explainer.add('answer', {status: answer.status});
+      return answer;
+    } catch (error) {
+      const {reason, verdict} = toRefusal(error);
+      explainer.add('refusal', {reason, verdict});
+      throw error;
+    }
+  }
+
   private async sendAttempt(
     attempt: Attempt,
     signal: AbortSignal,
@@ -339,6 +360,13 @@
   }
 }
 
+/** One debug line for each decision; nothing at other levels. */
+function createStepLogger(logger: Logger): HandleStep | undefined {
+  if (!logger.has('debug')) return undefined;
+  return (requestId, {kind, detail}) =>
+    logger.write('debug', kind, {requestId, ...detail} as LogContext);
+}
+
 function startListening(server: Server, address: string): Promise<void> {
   return new Promise((resolve, reject) => {
     server.once('error', reject);
--- a/src/state/explanations.ts
+++ b/src/state/explanations.ts
@@ -24,10 +24,15 @@
   readonly steps: ExplanationStep[];
 }
 
+/** Told of each step, for logs. */
+export type HandleStep = (requestId: string, step: ExplanationStep) => void;
+
 /** Explanations of recent requests. */
 export class Explanations {
   private readonly byId = new Map<string, Explanation>();
 
+  constructor(private readonly handleStep?: HandleStep) {}
+
   /** Starts the explanation of a request. */
   start(request: {
     readonly id: string;
@@ -49,7 +54,7 @@
       const [oldest] = this.byId.keys();
       this.byId.delete(oldest!);
     }
-    return new RequestExplainer(explanation);
+    return new RequestExplainer(explanation, this.handleStep);
   }
 
   /** Finds the explanation of a recent request. */
@@ -62,11 +67,16 @@
 export class RequestExplainer {
   private readonly startedAt = performance.now();
 
-  constructor(private readonly explanation: Explanation) {}
+  constructor(
+    private readonly explanation: Explanation,
+    private readonly handleStep?: HandleStep,
+  ) {}
 
   /** Adds a step as of now. */
   add(kind: string, detail: Readonly<Record<string, unknown>>): void {
     const atMs = Math.round(performance.now() - this.startedAt);
-    this.explanation.steps.push({atMs, kind, detail});
+    const step = {atMs, kind, detail};
+    this.explanation.steps.push(step);
+    this.handleStep?.(this.explanation.requestId, step);
   }
 }
--- a/src/test/bad-input_test.ts
+++ b/src/test/bad-input_test.ts
@@ -60,7 +60,7 @@
   readonly name: string;
   readonly text: string;
   readonly status: number;
-  readonly reason?: string;
+  readonly reason: string;
 }
 
 const CASES: readonly BadCase[] = [
@@ -68,6 +68,7 @@
     name: 'headers of 20 KB',
     text: buildRequest([`x-large: ${'x'.repeat(20_000)}`]),
     status: 431,
+    reason: 'malformed-request',
   },
   {
     name: 'a body announced as too large',
@@ -85,6 +86,13 @@
     name: 'a request line that is none',
     text: 'rubbish\r\n\r\n',
     status: 400,
+    reason: 'malformed-request',
+  },
+  {
+    name: 'headers that never end',
+    text: 'GET /kona-desk/tickets/1 HTTP/1.1\r\nhost: node\r\n',
+    status: 408,
+    reason: 'malformed-request',
   },
   {
     name: 'a path without a service',
@@ -94,6 +102,11 @@
   },
 ];
 
+async function countRefusals(reason: string): Promise<number> {
+  const {counters} = await fixture.deployment.findHost(ENTRY).readStatus();
+  return counters[`refusals.${reason}`] ?? 0;
+}
+
 async function sendLookup(): Promise<number> {
   const response = await fetch(`http://${findAddress()}/kona-desk/tickets/1`);
   await response.text();
@@ -102,12 +115,12 @@
 
 describe('a caller that sends what it should not gets a clear answer', () => {
   it.each(CASES)('$name', async ({text, status, reason}) => {
+    const before = await countRefusals(reason);
     const received = await sendRaw(text);
     expect(received).toMatch(new RegExp(`^HTTP/1.1 ${status} `));
-    if (reason) {
-      expect(received).toContain(`"reason":"${reason}"`);
-      expect(received).toContain('"verdict":"not-run"');
-    }
+    expect(received).toContain(`"reason":"${reason}"`);
+    expect(received).toContain('"verdict":"not-run"');
+    expect(await countRefusals(reason)).toBe(before + 1);
     expect(await sendLookup()).toBe(200);
   });
 
--- a/src/transport/caller-listener.ts
+++ b/src/transport/caller-listener.ts
@@ -4,10 +4,11 @@
  */
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 import restana from 'restana';
 import type {Profile} from '../protocol/configuration.js';
 import {REQUEST_ID, VERDICT} from '../protocol/headers.js';
-import {Reason, RefusalError} from '../protocol/reasons.js';
+import {createProblem, Reason, RefusalError} from '../protocol/reasons.js';
 import type {
   ServiceAnswer,
   ServiceRequest,
@@ -81,6 +82,9 @@
       void serveRequest(handlers, message, response);
     },
   });
+  server.on('clientError', (error, socket) => {
+    refuseMalformed(handlers, error, socket as Socket);
+  });
   for (const route of handlers.ownRoutes) {
     service[route.method](route.path, (message, response) => {
       const {params} = message as {params?: Record<string, string>};
@@ -90,6 +94,37 @@
   return server;
 }
 
+/** Answer to a message that is no HTTP request, by the parser's error code. */
+const PARSE_STATUSES: Readonly<Record<string, string>> = {
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+};
+const DEFAULT_PARSE_STATUS = '400 Bad Request';
+
+/** Answers and counts what the HTTP parser refused; nothing ran. */
+function refuseMalformed(
+  handlers: CallerHandlers,
+  error: NodeJS.ErrnoException,
+  socket: Socket,
+): void {
+  if (error.code === 'ECONNRESET' || !socket.writable) {
+    socket.destroy();
+    return;
+  }
+  const detail = error.code ?? error.message;
+  const refusal = new RefusalError(Reason.MALFORMED_REQUEST, 'not-run', detail);
+  handlers.handleRefusal(refusal, '');
+  const body = JSON.stringify(createProblem(refusal, undefined));
+  const status = PARSE_STATUSES[detail] ?? DEFAULT_PARSE_STATUS;
+  const lines = [
+    `HTTP/1.1 ${status}`,
+    'connection: close',
+    'content-type: application/problem+json',
+    `content-length: ${Buffer.byteLength(body)}`,
+  ];
+  socket.end(`${lines.join('\r\n')}\r\n\r\n${body}`);
+}
+
 async function serveRequest(
   handlers: CallerHandlers,
   message: IncomingMessage,
--- a/src/transport/logger.ts
+++ b/src/transport/logger.ts
@@ -8,13 +8,14 @@
 const LEVELS = {debug: 20, info: 30, warn: 40, error: 50} as const;
 
 type Level = keyof typeof LEVELS;
-type Context = Readonly<Record<string, string | number | boolean>>;
+/** Values that go with a line. */
+export type LogContext = Readonly<Record<string, string | number | boolean>>;
 
 /** Writes log lines of one node. */
 export interface Logger {
   /** Whether lines of this level are written. */
   has(level: Level): boolean;
-  write(level: Level, text: string, context?: Context): void;
+  write(level: Level, text: string, context?: LogContext): void;
 }
 
 /** Creates a logger that writes JSON lines to standard error. */
