Let one piece of code serve for refusals, doubt, random picks and waits

Cause: the read-through found the conversion of errors to refusals three times, the rule that doubt outweighs not-run twice, the random pick of some peers three times, a plain wait in four modules beside waitMs, and a search through all moves for the service of one on the path of each call during a move. Change: toRefusal and addDoubt in reasons.ts, pickRandom, waitMs; move settings are found by the service that the caller has at hand. No behaviour meant to change; no test touched.

--- a/src/coordination/attempt-sender.ts
+++ b/src/coordination/attempt-sender.ts
@@ -5,6 +5,7 @@
  * is sealed and may be tried elsewhere; running or done, then its answer is
  * waited for; gate gone, then the caller is told that it may have run.
  */
+import {waitMs} from '../protocol/backoff.js';
 import type {Attempt, AttemptAnswer} from '../protocol/attempt.js';
 import {AttemptError} from '../protocol/attempt.js';
 import {Reason} from '../protocol/reasons.js';
@@ -137,7 +138,7 @@
       } catch (error) {
         if (!(error instanceof SealError)) throw error;
         if (error.isGateGone) throw buildError(attempt, reason);
-        await pause(SEAL_PAUSE_MS);
+        await waitMs(SEAL_PAUSE_MS);
       }
     }
   }
@@ -197,7 +198,3 @@
     void settled.then(abort, abort);
   }
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms));
-}
--- a/src/coordination/call.ts
+++ b/src/coordination/call.ts
@@ -9,7 +9,12 @@
 } from '../protocol/attempt.js';
 import {AttemptError} from '../protocol/attempt.js';
 import type {Profile} from '../protocol/configuration.js';
-import {Reason, RefusalError} from '../protocol/reasons.js';
+import {
+  addDoubt,
+  Reason,
+  RefusalError,
+  toRefusal,
+} from '../protocol/reasons.js';
 import type {ServiceRequest} from '../protocol/service-request.js';
 import {isResendable} from '../protocol/service-request.js';
 import {Verdict} from '../protocol/verdict.js';
@@ -181,14 +186,7 @@
   }
 
   private recordFailure(error: unknown): RefusalError {
-    const refusal =
-      error instanceof RefusalError
-        ? error
-        : new RefusalError(
-            Reason.INTERNAL,
-            Verdict.MAY_HAVE_RUN,
-            String(error),
-          );
+    const refusal = toRefusal(error);
     if (refusal.verdict !== Verdict.NOT_RUN) this.mayHaveRun = true;
     const {reason, verdict, detail} = refusal;
     this.explainer.add('failure', {reason, verdict, detail});
@@ -240,8 +238,7 @@
   private buildRefusal(last: RefusalError): RefusalError {
     const {reason, verdict} = last;
     this.explainer.add('refusal', {reason, verdict});
-    if (!this.mayHaveRun || verdict !== Verdict.NOT_RUN) return last;
-    return new RefusalError(reason, Verdict.MAY_HAVE_RUN, last.detail);
+    return addDoubt(last, this.mayHaveRun);
   }
 }
 
--- a/src/coordination/crash-quarantine.ts
+++ b/src/coordination/crash-quarantine.ts
@@ -6,6 +6,7 @@
  * apart from the other suspects; the next crash then names one request only.
  */
 import {randomUUID} from 'node:crypto';
+import {waitMs} from '../protocol/backoff.js';
 import {Reason, RefusalError} from '../protocol/reasons.js';
 import type {CrashRecord, CrashTable} from '../state/crash-table.js';
 
@@ -232,7 +233,3 @@
     else this.isSuspectRunning = false;
   }
 }
-
-function waitMs(ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms));
-}
--- a/src/coordination/key-entry.ts
+++ b/src/coordination/key-entry.ts
@@ -7,7 +7,12 @@
  * the first.
  */
 import type {Attempt, AttemptAnswer} from '../protocol/attempt.js';
-import {Reason, RefusalError} from '../protocol/reasons.js';
+import {
+  addDoubt,
+  Reason,
+  RefusalError,
+  toRefusal,
+} from '../protocol/reasons.js';
 import type {KeyHome as HomeEntry} from '../protocol/records.js';
 import type {ServiceAnswer} from '../protocol/service-request.js';
 import {isResendable} from '../protocol/service-request.js';
@@ -161,15 +166,3 @@
     });
   }
 }
-
-function toRefusal(error: unknown): RefusalError {
-  if (error instanceof RefusalError) return error;
-  return new RefusalError(Reason.INTERNAL, Verdict.MAY_HAVE_RUN, String(error));
-}
-
-/** A refusal may say `not-run` only when no attempt may have run. */
-function addDoubt(refusal: RefusalError, mayHaveRun: boolean): RefusalError {
-  if (!mayHaveRun || refusal.verdict !== Verdict.NOT_RUN) return refusal;
-  const {reason, detail, retryAfterMs} = refusal;
-  return new RefusalError(reason, Verdict.MAY_HAVE_RUN, detail, retryAfterMs);
-}
--- a/src/coordination/record-relay.ts
+++ b/src/coordination/record-relay.ts
@@ -10,6 +10,7 @@
 import type {FoldedState} from '../state/folded-state.js';
 import {parseSnapshot} from '../state/snapshot.js';
 import type {StateStore} from '../state/state-store.js';
+import {pickRandom} from './member-order.js';
 
 /** Records sent in one message at most. */
 const MAX_RECORDS = 256;
@@ -190,12 +191,7 @@
   }
 
   private choosePeers(count: number): string[] {
-    const left = [...this.options.listPeers()];
-    const chosen: string[] = [];
-    while (chosen.length < count && left.length > 0) {
-      const index = Math.floor(this.options.random() * left.length);
-      chosen.push(...left.splice(index, 1));
-    }
-    return chosen;
+    const {listPeers, random} = this.options;
+    return pickRandom(listPeers(), count, random);
   }
 }
--- a/src/coordination/version-moves.ts
+++ b/src/coordination/version-moves.ts
@@ -5,12 +5,14 @@
  * by compare-and-set. Badness needs no log: the gates of the bad version
  * refuse it from then on, so that entries that have not heard do no harm.
  */
+import {waitMs} from '../protocol/backoff.js';
 import type {Profile} from '../protocol/configuration.js';
 import type {LogRecord} from '../protocol/records.js';
 import type {Move} from '../state/folded-state.js';
 import type {StateStore} from '../state/state-store.js';
 import type {RouteFigures, VersionEvidence} from '../state/version-evidence.js';
 import type {WorkerRow, WorkerTable} from '../state/worker-table.js';
+import {pickRandom} from './member-order.js';
 import type {JudgedVersion} from './move-judgement.js';
 import {checkVersion, Judgement, mergeFigures} from './move-judgement.js';
 import type {AppendRecord} from './record-publisher.js';
@@ -86,8 +88,8 @@
         await this.checkMove(service);
       }
       if (this.isStopped) return;
-      const waitMs = CHECK_INTERVAL_MS * (0.5 + this.options.random());
-      this.timer = setTimeout(() => void run(), waitMs);
+      const pauseMs = CHECK_INTERVAL_MS * (0.5 + this.options.random());
+      this.timer = setTimeout(() => void run(), pauseMs);
     };
     this.timer = setTimeout(() => void run(), CHECK_INTERVAL_MS);
   }
@@ -107,7 +109,7 @@
     const {state, workers} = this.options;
     const move = state.findMove(service);
     const wanted = move
-      ? this.chooseVersion(move)
+      ? this.chooseVersion(service, move)
       : state.findServiceVersion(service);
     if (wanted === undefined) return [...rows];
     const isWanted = (row: WorkerRow): boolean => row.version === wanted;
@@ -135,34 +137,24 @@
     await this.pushBadness(bad);
   }
 
-  private chooseVersion(move: Move): string {
+  private chooseVersion(service: string, move: Move): string {
     if (move.stage === 'done') return move.toVersion;
     if (move.stage === 'taken-back' || this.badMoves.has(move.moveId)) {
       return move.fromVersion;
     }
     const percent = this.options.random() * 100;
-    return percent < this.computeShare(move)
+    return percent < this.computeShare(service, move)
       ? move.toVersion
       : move.fromVersion;
   }
 
-  private computeShare(move: Move): number {
-    const trial = this.findSettings(move)?.trialPercent ?? 0;
+  private computeShare(service: string, move: Move): number {
+    const trial = this.findSettings(service)?.trialPercent ?? 0;
     return Math.max(trial, move.sharePercent);
   }
 
-  private findSettings(move: Move): Profile['moves'] | undefined {
-    const service = this.findService(move);
-    return service === undefined
-      ? undefined
-      : this.options.state.findProfile(service)?.moves;
-  }
-
-  private findService(move: Move): string | undefined {
-    const {moves} = this.options.state.current;
-    return Object.keys(moves).find(
-      service => moves[service]?.moveId === move.moveId,
-    );
+  private findSettings(service: string): Profile['moves'] | undefined {
+    return this.options.state.findProfile(service)?.moves;
   }
 
   private async checkMove(service: string): Promise<void> {
@@ -193,7 +185,7 @@
   }
 
   private async checkEvidence(service: string, move: Move): Promise<void> {
-    const settings = this.findSettings(move);
+    const settings = this.findSettings(service);
     if (!settings) return;
     const [seen, old] = await Promise.all([
       this.readEvidence(service, move, move.toVersion),
@@ -256,7 +248,7 @@
       .filter(row => row.version === version)
       .map(row => row.target.peerAddress)
       .filter(address => address !== peerAddress);
-    const asked = this.pickSome(peers, ASKED_GATES);
+    const asked = pickRandom(peers, ASKED_GATES, this.options.random);
     const answers = await Promise.allSettled(
       asked.map(peer => calls.readEvidence(peer, service, move.moveId)),
     );
@@ -277,7 +269,10 @@
       .filter(row => row.version === move?.toVersion)
       .map(row => row.target.peerAddress);
     const others = workers.listNodes().map(node => node.peerAddress);
-    const peers = new Set([...gates, ...this.pickSome(others, BADNESS_FANOUT)]);
+    const peers = new Set([
+      ...gates,
+      ...pickRandom(others, BADNESS_FANOUT, this.options.random),
+    ]);
     peers.delete(peerAddress);
     await Promise.allSettled(
       [...peers].map(peer => calls.pushBadness(peer, bad)),
@@ -291,8 +286,7 @@
     evidence: string,
   ): Promise<void> {
     // Usually one node's record is folded by all before others wake up.
-    const waitMs = this.options.random() * AUTHOR_WAIT_MS;
-    await new Promise(resolve => setTimeout(resolve, waitMs));
+    await waitMs(this.options.random() * AUTHOR_WAIT_MS);
     const current = this.options.state.findMove(service);
     if (current?.number !== move.number) return;
     await this.append({
@@ -323,14 +317,4 @@
       this.options.count('moves.append-failed');
     }
   }
-
-  private pickSome(addresses: readonly string[], count: number): string[] {
-    const left = [...addresses];
-    const picked: string[] = [];
-    while (picked.length < count && left.length > 0) {
-      const index = Math.floor(this.options.random() * left.length);
-      picked.push(...left.splice(index, 1));
-    }
-    return picked;
-  }
 }
--- a/src/node-process.ts
+++ b/src/node-process.ts
@@ -27,7 +27,7 @@
 import {AttemptService} from './protocol/attempts_pb.js';
 import type {NodeIdentity} from './protocol/node-identity.js';
 import {createIncarnation, parseAddress} from './protocol/node-identity.js';
-import {Reason, RefusalError} from './protocol/reasons.js';
+import {Reason, RefusalError, toRefusal} from './protocol/reasons.js';
 import type {
   ServiceAnswer,
   ServiceRequest,
@@ -41,7 +41,7 @@
 import {Explanations} from './state/explanations.js';
 import {WorkerTable} from './state/worker-table.js';
 import {createSealHandler} from './transport/attempt-service.js';
-import {createCallerServer, toRefusal} from './transport/caller-listener.js';
+import {createCallerServer} from './transport/caller-listener.js';
 import {CrashSpread} from './transport/crash-service.js';
 import {GateClient} from './transport/gate-client.js';
 import type {LogContext, Logger} from './transport/logger.js';
--- a/src/protocol/reasons.ts
+++ b/src/protocol/reasons.ts
@@ -124,6 +124,22 @@
   }
 }
 
+/** The refusal that an error amounts to; an unknown error leaves doubt. */
+export function toRefusal(error: unknown): RefusalError {
+  if (error instanceof RefusalError) return error;
+  return new RefusalError(Reason.INTERNAL, Verdict.MAY_HAVE_RUN, String(error));
+}
+
+/** A refusal may say `not-run` only when no attempt may have run. */
+export function addDoubt(
+  refusal: RefusalError,
+  mayHaveRun: boolean,
+): RefusalError {
+  if (!mayHaveRun || refusal.verdict !== Verdict.NOT_RUN) return refusal;
+  const {reason, detail, retryAfterMs} = refusal;
+  return new RefusalError(reason, Verdict.MAY_HAVE_RUN, detail, retryAfterMs);
+}
+
 /** The body of a refusal, `application/problem+json` of RFC 9457. */
 export interface Problem {
   readonly type: string;
--- a/src/transport/caller-listener.ts
+++ b/src/transport/caller-listener.ts
@@ -8,7 +8,12 @@
 import restana from 'restana';
 import type {Profile} from '../protocol/configuration.js';
 import {REQUEST_ID, VERDICT} from '../protocol/headers.js';
-import {createProblem, Reason, RefusalError} from '../protocol/reasons.js';
+import {
+  createProblem,
+  Reason,
+  RefusalError,
+  toRefusal,
+} from '../protocol/reasons.js';
 import type {
   ServiceAnswer,
   ServiceRequest,
@@ -160,12 +165,6 @@
   }
 }
 
-/** The refusal that an error amounts to. */
-export function toRefusal(error: unknown): RefusalError {
-  if (error instanceof RefusalError) return error;
-  return new RefusalError(Reason.INTERNAL, Verdict.MAY_HAVE_RUN, String(error));
-}
-
 async function serveOwnRoute(
   route: OwnRoute,
   message: IncomingMessage,
--- a/src/transport/server-drain.ts
+++ b/src/transport/server-drain.ts
@@ -4,6 +4,7 @@
  * nothing can be on its way any more.
  */
 import type {Server} from 'node:http';
+import {waitMs} from '../protocol/backoff.js';
 
 const POLL_MS = 20;
 
@@ -15,7 +16,7 @@
   const until = performance.now() + limitMs;
   while ((await countConnections(server)) > 0) {
     if (performance.now() >= until) return false;
-    await wait(POLL_MS);
+    await waitMs(POLL_MS);
   }
   return true;
 }
@@ -54,7 +55,3 @@
     });
   });
 }
-
-function wait(ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms));
-}
