--- a/src/coordination/admission.ts
+++ b/src/coordination/admission.ts
@@ -14,20 +14,11 @@
   LimitPhase,
   SlotOutcome,
 } from './concurrency-limit.js';
-
-/** What admission needs to know of a request. */
-export interface AdmissionRequest {
-  readonly caller: string;
-  readonly route: string;
-  /** Deadline on the clock of `performance.now()`. */
-  readonly deadline: number;
-}
-
-/** Right to have one request in flight at the worker. */
-export interface Slot {
-  /** Gives the slot back; later calls have no effect. */
-  release(outcome: SlotOutcome): void;
-}
+import type {
+  AdmissionRequest,
+  Slot,
+  WorkerAdmission,
+} from './worker-admission.js';
 
 interface Waiting {
   readonly request: AdmissionRequest;
@@ -65,7 +56,7 @@
 };
 
 /** Admission to one worker. */
-export class Admission {
+export class Admission implements WorkerAdmission {
   private readonly queue = new CallerQueue<Waiting>();
   private readonly limit: ConcurrencyLimit;
   private inFlight = 0;
@@ -96,6 +87,7 @@
       limit: this.limit.value,
       serviceTimeUs: this.serviceTimeUs,
       failureShare: this.failureShare,
+      pace: 1,
     };
   }
 
--- a/src/coordination/attempt-sender.ts
+++ b/src/coordination/attempt-sender.ts
@@ -9,9 +9,9 @@
 import type {Attempt, AttemptAnswer} from '../protocol/attempt.js';
 import {AttemptError} from '../protocol/attempt.js';
 import {Reason} from '../protocol/reasons.js';
+import type {SealResult} from '../protocol/seal.js';
+import {SealError, SealOutcome} from '../protocol/seal.js';
 import {Verdict} from '../protocol/verdict.js';
-import type {SealResult} from '../state/attempt-registry.js';
-import {SealOutcome} from '../state/attempt-registry.js';
 
 /**
  * Sends one attempt; calls back when it is not acknowledged in time, and gives
@@ -23,18 +23,6 @@
   handleSilence: () => boolean,
 ) => Promise<AttemptAnswer>;
 
-/** The gate of an attempt can't be asked. */
-export class SealError extends Error {
-  constructor(
-    /** Whether the process that the attempt went to is certainly gone. */
-    readonly isGateGone: boolean,
-    detail: string,
-  ) {
-    super(detail);
-    this.name = 'SealError';
-  }
-}
-
 /**
  * Asks the gate of an attempt, on a new connection, what became of it.
  *
--- a/src/coordination/call.ts
+++ b/src/coordination/call.ts
@@ -195,7 +195,8 @@
 
   private takeRetry(refusal: RefusalError): boolean {
     if (this.isOver() || !(refusal instanceof AttemptError)) return false;
-    const cost = findRetryCost(this.request, refusal);
+    const {paysForRefusals} = this.profile.retries;
+    const cost = findRetryCost(this.request, refusal, paysForRefusals);
     return this.takeCost(cost, refusal.reason);
   }
 
@@ -211,7 +212,9 @@
       this.freeRetries += 1;
       if (this.freeRetries > MAX_FREE_RETRIES) return false;
     } else {
-      if (this.paidAttempts >= this.profile.retries.maxAttempts) return false;
+      const {maxAttempts} = this.profile.retries;
+      const most = this.request.maxAttempts ?? maxAttempts;
+      if (this.paidAttempts >= most) return false;
       if (!this.figures.retries.take(this.request.caller, cost)) {
         this.options.count('retries.refused-by-budget');
         return false;
@@ -269,6 +272,7 @@
       limit: observed?.figures.limit ?? row.slots,
       serviceTimeUs: elapsedUs,
       failureShare: observed?.figures.failureShare ?? 0,
+      pace: observed?.figures.pace ?? 1,
     },
     at: performance.now(),
     inFlightHere: row.inFlightHere,
@@ -290,6 +294,7 @@
       limit: 1,
       serviceTimeUs: row.observed?.figures.serviceTimeUs ?? 0,
       failureShare: 1,
+      pace: row.observed?.figures.pace ?? 1,
     },
     at: performance.now(),
     inFlightHere: row.inFlightHere,
--- a/src/coordination/entry.ts
+++ b/src/coordination/entry.ts
@@ -67,7 +67,7 @@
     if (this.options.isQuarantined(request.fingerprint)) {
       throw new RefusalError(Reason.QUARANTINED);
     }
-    const figures = this.findFigures(request.service);
+    const figures = this.findFigures(request.service, profile);
     startCall(figures, request, profile);
     const abort = new AbortController();
     const handleGone = (): void => abort.abort(signal.reason);
@@ -86,11 +86,11 @@
     }
   }
 
-  private findFigures(service: string): ServiceFigures {
+  private findFigures(service: string, profile: Profile): ServiceFigures {
     let figures = this.figuresByService.get(service);
     if (!figures) {
       figures = {
-        retries: new RetryBudget(),
+        retries: new RetryBudget(profile.retries.budgetBurst),
         hedges: new TokenBudget(),
         attemptTimes: new QuantileWindow(),
         inFlightByCaller: new Map(),
@@ -113,7 +113,8 @@
     throw new RefusalError(Reason.CALLER_LIMIT);
   }
   figures.inFlightByCaller.set(request.caller, inFlight + 1);
-  figures.retries.recordCall(request.caller, profile.retries.budgetPercent);
+  const {budgetPercent, budgetBurst} = profile.retries;
+  figures.retries.recordCall(request.caller, budgetPercent, budgetBurst);
   if (request.idempotent) {
     figures.hedges.add(profile.hedging.budgetPercent / 100);
   }
--- a/src/coordination/gate.ts
+++ b/src/coordination/gate.ts
@@ -13,11 +13,11 @@
 import type {WorkerLoad} from '../protocol/worker-load.js';
 import type {WorkerState} from '../protocol/worker-load.js';
 import type {StateStore} from '../state/state-store.js';
-import type {Slot} from './admission.js';
 import {SlotOutcome} from './concurrency-limit.js';
 import type {CrashQuarantine, CrashRun} from './crash-quarantine.js';
-import type {WorkerConnection} from './local-worker.js';
+import type {CreateAdmission, WorkerConnection} from './local-worker.js';
 import {LocalWorker} from './local-worker.js';
+import type {Slot} from './worker-admission.js';
 
 const SERVER_ERROR = 500;
 
@@ -31,6 +31,12 @@
   workersChanged: undefined;
 }
 
+/** What a gate may do in another way than usual. */
+export interface GateOptions {
+  readonly createAdmission?: CreateAdmission;
+  readonly probeCheckMs?: number;
+}
+
 /** The gate of one node. */
 export class Gate {
   readonly events = new Emittery<GateEvents>();
@@ -42,6 +48,7 @@
     private readonly state: StateStore,
     private readonly dataCentre: string,
     private readonly quarantine: CrashQuarantine,
+    private readonly options: GateOptions = {},
   ) {
     this.wasOut = state.isDataCentreOut(dataCentre);
     state.events.on('changed', () => this.updateDataCentre());
@@ -196,6 +203,7 @@
       limits: profile.limits,
       quarantine: this.quarantine,
       findBudget: () => this.state.findProfile(service)?.probes,
+      ...this.options,
     });
     this.workers.set(service, worker);
     return worker;
--- a/src/coordination/local-worker.ts
+++ b/src/coordination/local-worker.ts
@@ -6,10 +6,12 @@
 import type {AttemptAnswer} from '../protocol/attempt.js';
 import type {Profile} from '../protocol/configuration.js';
 import type {ServiceRequest} from '../protocol/service-request.js';
+import type {ProbeAnswer, UpstreamFigures} from '../protocol/worker-load.js';
 import {Admission} from './admission.js';
 import type {CrashQuarantine} from './crash-quarantine.js';
 import {CrashWatch} from './crash-quarantine.js';
 import {Prober} from './prober.js';
+import type {WorkerAdmission} from './worker-admission.js';
 
 /** Sends work to one worker; the transport implements it. */
 export interface WorkerConnection {
@@ -18,11 +20,13 @@
     signal: AbortSignal,
   ): Promise<AttemptAnswer>;
   /**
-   * Resolves with the HTTP status of the worker's health path.
+   * Asks the worker's health path.
    *
    * @throws AttemptError; `unreachable` when no connection came about.
    */
-  sendProbe(path: string, signal: AbortSignal): Promise<number>;
+  sendProbe(path: string, signal: AbortSignal): Promise<ProbeAnswer>;
+  /** Calls back with the figures that the worker tells of itself. */
+  watchFigures?(handler: (figures: UpstreamFigures) => void): void;
   close(): Promise<void>;
 }
 
@@ -34,13 +38,23 @@
   readonly quarantine: CrashQuarantine;
   /** The budget of probes in force. */
   readonly findBudget: () => Profile['probes'] | undefined;
+  /** Admission for a worker that keeps its known slots; adaptive without. */
+  readonly createAdmission?: CreateAdmission;
+  /** Milliseconds between looks whether a probe is needed. */
+  readonly probeCheckMs?: number;
 }
 
+/** Creates the admission of one worker. */
+export type CreateAdmission = (
+  announcement: Announcement,
+  limits: Profile['limits'],
+) => WorkerAdmission;
+
 /** One worker of this host. */
 export class LocalWorker {
   announcement: Announcement;
   readonly connection: WorkerConnection;
-  readonly admission: Admission;
+  readonly admission: WorkerAdmission;
   readonly crashWatch: CrashWatch;
   private readonly prober: Prober;
   private expiryTimer: NodeJS.Timeout | undefined;
@@ -49,7 +63,12 @@
     const {announcement, connection, limits, quarantine, findBudget} = options;
     this.announcement = announcement;
     this.connection = connection;
-    this.admission = new Admission(announcement.slots, limits);
+    this.admission =
+      options.createAdmission?.(announcement, limits) ??
+      new Admission(announcement.slots, limits);
+    connection.watchFigures?.(figures =>
+      this.admission.recordFigures?.(figures),
+    );
     this.crashWatch = new CrashWatch(announcement.service, quarantine, () =>
       this.prober.probeNow(),
     );
@@ -59,6 +78,9 @@
       hasDoubt: () => this.crashWatch.hasOpenLoss(),
       handleUnreachable: () => this.crashWatch.recordRefusal(),
       findBudget,
+      ...(options.probeCheckMs === undefined
+        ? {}
+        : {checkIntervalMs: options.probeCheckMs}),
     });
     this.prober.start();
   }
--- a/src/coordination/observed-connection.ts
+++ b/src/coordination/observed-connection.ts
@@ -53,6 +53,7 @@
       countProbe();
       return connection.sendProbe(path, signal);
     },
+    watchFigures: handler => connection.watchFigures?.(handler),
     close: () => connection.close(),
   };
 }
--- a/src/coordination/prober.ts
+++ b/src/coordination/prober.ts
@@ -7,8 +7,9 @@
  */
 import type {Profile} from '../protocol/configuration.js';
 import {Reason, RefusalError} from '../protocol/reasons.js';
+import type {ProbeAnswer} from '../protocol/worker-load.js';
 import {WorkerState} from '../protocol/worker-load.js';
-import type {Admission} from './admission.js';
+import type {WorkerAdmission} from './worker-admission.js';
 import {TokenBucket} from './token-bucket.js';
 
 const CHECK_INTERVAL_MS = 250;
@@ -20,15 +21,20 @@
 
 /** What a prober works with. */
 export interface ProberOptions {
-  /** Resolves with the HTTP status; rejects when no answer came. */
-  readonly sendProbe: (path: string, signal: AbortSignal) => Promise<number>;
-  readonly admission: Admission;
+  /** Rejects when no answer came. */
+  readonly sendProbe: (
+    path: string,
+    signal: AbortSignal,
+  ) => Promise<ProbeAnswer>;
+  readonly admission: WorkerAdmission;
   /** Whether requests left a doubt that a probe would settle. */
   readonly hasDoubt: () => boolean;
   /** Called when the worker accepted no connection. */
   readonly handleUnreachable: () => Promise<void>;
   /** The budget in force; undefined while the service is not configured. */
   readonly findBudget: () => Profile['probes'] | undefined;
+  /** Milliseconds between looks whether a probe is needed. */
+  readonly checkIntervalMs?: number;
   readonly now?: () => number;
 }
 
@@ -47,7 +53,8 @@
 
   /** Begins to look regularly whether a probe is needed. */
   start(): void {
-    this.timer = setInterval(() => void this.run(), CHECK_INTERVAL_MS);
+    const {checkIntervalMs = CHECK_INTERVAL_MS} = this.options;
+    this.timer = setInterval(() => void this.run(), checkIntervalMs);
     this.timer.unref();
   }
 
@@ -85,20 +92,22 @@
     const {state} = admission.load;
     if (state === WorkerState.DRAINING) return false;
     if (state === WorkerState.FAILING || hasDoubt()) return true;
+    const wanted = admission.hasStaleFigures?.(this.lastProbeAt);
+    if (wanted !== undefined) return wanted;
     const shownAt = Math.max(admission.lastOutcomeAt, this.lastProbeAt);
     return this.now() - shownAt > IDLE_MS;
   }
 
   /**
-   * The status is not read: health paths lag and mislead, so an answer proves
-   * only that the worker accepts connections.
+   * The status steers nothing: health paths lag and mislead, so an answer
+   * proves only that the worker accepts connections.
    */
   private async probe(budget: Profile['probes']): Promise<void> {
     const {admission, sendProbe, handleUnreachable} = this.options;
     const startedAt = this.now();
     try {
-      await sendProbe(budget.path, AbortSignal.timeout(budget.timeLimit));
-      admission.recordProbeAnswer();
+      const signal = AbortSignal.timeout(budget.timeLimit);
+      admission.recordProbeAnswer(await sendProbe(budget.path, signal));
     } catch (error) {
       const isUnreachable =
         error instanceof RefusalError && error.reason === Reason.UNREACHABLE;
--- a/src/coordination/retry-budget.ts
+++ b/src/coordination/retry-budget.ts
@@ -3,13 +3,13 @@
  * failing calls otherwise multiply the load that makes them fail.
  */
 
-/**
- * Tokens that a new budget starts with: enough for all that one lost worker
- * had in flight, so that losing it is not felt.
- */
-const INITIAL_TOKENS = 10;
 /** Tokens that a budget holds at most; bounds a burst of retries. */
 const MAX_TOKENS = 20;
+/**
+ * Part of its bound that a new budget starts with: by default enough for all
+ * that one lost worker had in flight, so that losing it is not felt.
+ */
+const INITIAL_PART = 0.5;
 /** Callers with a budget of their own; the longest unused is forgotten. */
 const MAX_CALLERS = 10_000;
 /** Slack for sums of fractions that should come to a whole token. */
@@ -17,11 +17,16 @@
 
 /** A budget that calls fill and retries draw from. */
 export class TokenBudget {
-  private tokens = INITIAL_TOKENS;
+  private tokens: number;
+
+  constructor(private maxTokens = MAX_TOKENS) {
+    this.tokens = maxTokens * INITIAL_PART;
+  }
 
   /** Adds the share of one call. */
-  add(share: number): void {
-    this.tokens = Math.min(MAX_TOKENS, this.tokens + share);
+  add(share: number, maxTokens = this.maxTokens): void {
+    this.maxTokens = maxTokens;
+    this.tokens = Math.min(maxTokens, this.tokens + share);
   }
 
   /** Whether a draw of this size would succeed. */
@@ -37,14 +42,23 @@
 
 /** Budgets of one service, for all its callers together and for each. */
 export class RetryBudget {
-  private readonly shared = new TokenBudget();
+  private readonly shared: TokenBudget;
   private readonly byCaller = new Map<string, TokenBudget>();
 
+  constructor(private maxTokens = MAX_TOKENS) {
+    this.shared = new TokenBudget(maxTokens);
+  }
+
   /** Notes one call, which adds its share to both budgets. */
-  recordCall(caller: string, budgetPercent: number): void {
+  recordCall(
+    caller: string,
+    budgetPercent: number,
+    maxTokens = this.maxTokens,
+  ): void {
+    this.maxTokens = maxTokens;
     const share = budgetPercent / 100;
-    this.shared.add(share);
-    this.findCaller(caller).add(share);
+    this.shared.add(share, maxTokens);
+    this.findCaller(caller).add(share, maxTokens);
   }
 
   /** Draws one retry of a caller; false when either budget is spent. */
@@ -59,7 +73,7 @@
   private findCaller(caller: string): TokenBudget {
     let budget = this.byCaller.get(caller);
     if (budget) return budget;
-    budget = new TokenBudget();
+    budget = new TokenBudget(this.maxTokens);
     this.byCaller.set(caller, budget);
     if (this.byCaller.size > MAX_CALLERS) {
       const [oldest] = this.byCaller.keys();
--- a/src/coordination/retry-rules.ts
+++ b/src/coordination/retry-rules.ts
@@ -14,6 +14,14 @@
 const FREE = 0;
 const FULL = 1;
 
+/** Refusals of a gate that found no room; its worker noticed nothing. */
+const ROOM_REASONS: ReadonlySet<Reason> = new Set<Reason>([
+  'worker-cold',
+  'queue-full',
+  'queue-timeout',
+  'caller-limit',
+]);
+
 /** Budget tokens that a retry after each reason costs; absent: no retry. */
 const RETRY_COSTS: Readonly<Partial<Record<Reason, number>>> = {
   'worker-draining': FREE,
@@ -51,10 +59,12 @@
 export function findRetryCost(
   request: ServiceRequest,
   error: AttemptError,
+  paysForRefusals = true,
 ): number | undefined {
   const isSafe = error.verdict === Verdict.NOT_RUN || request.idempotent;
   if (!isSafe || !isResendable(request)) return undefined;
-  const cost = RETRY_COSTS[error.reason];
+  const isFree = !paysForRefusals && ROOM_REASONS.has(error.reason);
+  const cost = isFree ? FREE : RETRY_COSTS[error.reason];
   const isFailing = error.load?.state === WorkerState.FAILING;
-  return cost === FREE && isFailing ? FULL : cost;
+  return cost === FREE && isFailing && paysForRefusals ? FULL : cost;
 }
--- /dev/null
+++ b/src/coordination/route-split.ts
@@ -0,0 +1,63 @@
+/**
+ * Splits the requests of a route among its services. Smooth weighted round
+ * robin instead of chance: each entry alone keeps to the weights over a few
+ * requests, so the deployment does too, whatever the load.
+ */
+import type {RouteRule} from '../protocol/configuration.js';
+
+interface Split {
+  readonly targets: RouteRule['targets'];
+  readonly totalWeight: number;
+  readonly credits: number[];
+}
+
+/** Routes whose split is remembered; far above any configuration. */
+const MAX_SPLITS = 10_000;
+
+/** The splits of all routes at one entry. */
+export class RouteSplitter {
+  private readonly splits = new Map<string, Split>();
+
+  /** Random starts keep many entries from beginning with the same service. */
+  constructor(private readonly random: () => number = Math.random) {}
+
+  /** Chooses the service that the next request of a route goes to. */
+  chooseService(rule: RouteRule): string {
+    const {targets} = rule;
+    if (targets.length === 1) return targets[0]!.service;
+    const split = this.findSplit(rule);
+    let best = 0;
+    targets.forEach(({weight}, index) => {
+      split.credits[index]! += weight;
+      if (split.credits[index]! > split.credits[best]!) best = index;
+    });
+    split.credits[best]! -= split.totalWeight;
+    return targets[best]!.service;
+  }
+
+  private findSplit(rule: RouteRule): Split {
+    const known = this.splits.get(rule.name);
+    if (known && hasSameTargets(known.targets, rule.targets)) return known;
+    const split: Split = {
+      targets: rule.targets,
+      totalWeight: rule.targets.reduce((sum, {weight}) => sum + weight, 0),
+      credits: rule.targets.map(({weight}) => weight * this.random()),
+    };
+    if (this.splits.size >= MAX_SPLITS) this.splits.clear();
+    this.splits.set(rule.name, split);
+    return split;
+  }
+}
+
+function hasSameTargets(
+  one: RouteRule['targets'],
+  other: RouteRule['targets'],
+): boolean {
+  return (
+    one.length === other.length &&
+    one.every(
+      ({service, weight}, index) =>
+        service === other[index]!.service && weight === other[index]!.weight,
+    )
+  );
+}
--- /dev/null
+++ b/src/coordination/slot-admission.ts
@@ -0,0 +1,382 @@
+/**
+ * Admission to a worker whose slots are known and that tells its load. It
+ * answers the pattern of a heavy day: more comes than can be served in time.
+ * What will not be served in time is refused at once, with the time at which
+ * there is room again; the important waits before the less important; and
+ * what is already late runs only where nothing else waits.
+ */
+import type {Profile} from '../protocol/configuration.js';
+import {Reason, RefusalError} from '../protocol/reasons.js';
+import type {
+  ProbeAnswer,
+  UpstreamFigures,
+  WorkerLoad,
+} from '../protocol/worker-load.js';
+import {WorkerState} from '../protocol/worker-load.js';
+import {ColdRate} from './cold-rate.js';
+import {SlotOutcome} from './concurrency-limit.js';
+import {KneeLimit} from './knee-limit.js';
+import {RankQueue} from './rank-queue.js';
+import type {
+  AdmissionRequest,
+  Slot,
+  WorkerAdmission,
+} from './worker-admission.js';
+
+interface Waiting {
+  readonly request: AdmissionRequest;
+  readonly rank: number;
+  readonly dueAt: number;
+  /** Time at which it is refused if it has no slot. */
+  readonly expiresAt: number;
+  resolve(slot: Slot): void;
+  reject(error: RefusalError): void;
+}
+
+const US_PER_MS = 1000;
+const AVERAGE_WEIGHT = 0.1;
+/** Rank added to what can no longer be answered within its target. */
+const LATE_RANK = 1_000_000;
+/** Service time assumed before the first answer. */
+const UNKNOWN_SERVICE_MS = 100;
+/** Time that a worker takes to notice that a request was cancelled. */
+const CANCELLATION_MS = 25;
+/** Age at which told figures are old while requests come. */
+const FIGURES_AGE_MS = 100;
+/** The same while nothing is sent. */
+const IDLE_FIGURES_AGE_MS = 1000;
+/** Time after a request during which more are expected. */
+const ACTIVE_MS = 1000;
+/** Lost connections in a row after which the worker may be another process. */
+const LOST_STREAK = 2;
+/** Refused connections are looked into again after this time. */
+const UNREACHABLE_MS = 500;
+
+/** Admission to one worker with known slots. */
+export class SlotAdmission implements WorkerAdmission {
+  private readonly queue = new RankQueue<Waiting>();
+  private readonly knee: KneeLimit;
+  private readonly cold: ColdRate;
+  private inFlight = 0;
+  private serviceMs = 0;
+  private failureShare = 0;
+  private isDraining = false;
+  private lostStreak = 0;
+  private unreachableUntil = -Infinity;
+  private pace = 1;
+  private figuresAt = -Infinity;
+  private lastSentAt = -Infinity;
+  private lastOutcomeTime = -Infinity;
+  private timer: NodeJS.Timeout | undefined;
+  /** Called when the figures changed in a way that others should know. */
+  handleChange: () => void = () => {};
+
+  constructor(
+    slots: number,
+    private limits: Profile['limits'],
+    private readonly now: () => number = () => performance.now(),
+  ) {
+    this.knee = new KneeLimit(slots);
+    this.cold = new ColdRate(limits.coldRate);
+  }
+
+  get load(): WorkerLoad {
+    return {
+      state: this.findState(),
+      inFlight: this.inFlight,
+      queued: this.queue.length,
+      limit: this.knee.value,
+      serviceTimeUs: this.serviceMs * US_PER_MS,
+      failureShare: this.failureShare,
+      pace: this.pace,
+    };
+  }
+
+  get lastOutcomeAt(): number {
+    return this.lastOutcomeTime;
+  }
+
+  update(slots: number, state: WorkerState, limits: Profile['limits']): void {
+    this.limits = limits;
+    this.knee.update(slots);
+    this.cold.update(limits.coldRate);
+    if (state === WorkerState.COLD && !this.cold.isCold(this.now())) {
+      this.cold.reset();
+    }
+    this.unreachableUntil = -Infinity;
+    this.isDraining = state === WorkerState.DRAINING;
+    if (this.isDraining) this.refuseAll(Reason.WORKER_DRAINING);
+    this.serveQueue();
+    this.handleChange();
+  }
+
+  resetToCold(): void {
+    this.cold.reset();
+  }
+
+  recordProbeAnswer({coldMs}: ProbeAnswer): void {
+    this.unreachableUntil = -Infinity;
+    this.lostStreak = 0;
+    this.cold.recordProof(coldMs ?? 0, this.now());
+    this.serveQueue();
+  }
+
+  recordUnreachable(): void {
+    this.unreachableUntil = this.now() + UNREACHABLE_MS;
+    this.cold.reset();
+    this.refuseAll(Reason.WORKER_GONE);
+    this.handleChange();
+  }
+
+  recordFigures(figures: UpstreamFigures): void {
+    this.pace = figures.pace;
+    this.figuresAt = this.now();
+    this.handleChange();
+  }
+
+  hasStaleFigures(lastProbeAt: number): boolean {
+    const now = this.now();
+    if (this.isDraining) return false;
+    const isActive = this.inFlight > 0 || now - this.lastSentAt < ACTIVE_MS;
+    if (!isActive) return now - lastProbeAt > IDLE_FIGURES_AGE_MS;
+    if (now - lastProbeAt < FIGURES_AGE_MS) return false;
+    const isBound = this.cold.isCold(now) || this.isNearColdBound(now);
+    return isBound || now - this.figuresAt > FIGURES_AGE_MS;
+  }
+
+  async admit(request: AdmissionRequest, signal: AbortSignal): Promise<Slot> {
+    const now = this.now();
+    this.checkAble(request, now);
+    const isNext = this.queue.length === 0 || this.isMostImportant(request);
+    if (isNext && this.hasRoom(now)) return this.take(request, now);
+    const waitMs = this.computeWait(request, now);
+    if (waitMs > this.computeMostWait(request, now)) {
+      throw buildFull(this.cold.isCold(now), waitMs);
+    }
+    return this.enqueue(request, signal, now);
+  }
+
+  private findState(): WorkerState {
+    const now = this.now();
+    if (this.isDraining) return WorkerState.DRAINING;
+    if (now < this.unreachableUntil) return WorkerState.FAILING;
+    return this.cold.isCold(now) ? WorkerState.COLD : WorkerState.READY;
+  }
+
+  private checkAble(request: AdmissionRequest, now: number): void {
+    if (this.isDraining) throw new RefusalError(Reason.WORKER_DRAINING);
+    if (now < this.unreachableUntil) {
+      throw new RefusalError(Reason.WORKER_GONE);
+    }
+    if (now >= request.deadline) {
+      throw new RefusalError(Reason.DEADLINE_EXCEEDED);
+    }
+  }
+
+  private isNearColdBound(now: number): boolean {
+    const rate = this.limits.coldRate;
+    return rate !== undefined && this.cold.countSent(now) * 2 >= rate;
+  }
+
+  private hasRoom(now: number): boolean {
+    const hasWaiting = this.queue.length > 0;
+    return this.knee.admit(this.inFlight, hasWaiting) && this.cold.has(now);
+  }
+
+  private isMostImportant(request: AdmissionRequest): boolean {
+    return this.queue.countAhead(this.computeRank(request, this.now())) === 0;
+  }
+
+  /** Time at this worker in milliseconds, as far as is known. */
+  private computeServiceMs(route: string): number {
+    const usual = this.knee.findUsualMs(route);
+    const mean = this.serviceMs > 0 ? this.serviceMs : UNKNOWN_SERVICE_MS;
+    return usual === undefined ? mean : usual * this.pace;
+  }
+
+  /** Expected wait for a slot in milliseconds. */
+  private computeWait(request: AdmissionRequest, now: number): number {
+    const ahead = this.queue.countAhead(this.computeRank(request, now));
+    const mean = this.serviceMs > 0 ? this.serviceMs : UNKNOWN_SERVICE_MS;
+    const slotMs = ((ahead + 1) * mean) / this.knee.value;
+    if (!this.cold.isCold(now)) return slotMs;
+    const rate = this.limits.coldRate ?? 1;
+    return this.cold.computeWait(now) + (ahead * US_PER_MS) / rate;
+  }
+
+  /** A wait after which an answer would come too late is refused at once. */
+  private computeMostWait(request: AdmissionRequest, now: number): number {
+    const serviceMs = this.computeServiceMs(request.route);
+    const dueAt = this.isLate(request, now)
+      ? request.deadline
+      : (request.targetAt ?? request.deadline);
+    return Math.min(this.limits.queueWait, dueAt - now - serviceMs);
+  }
+
+  private isLate(request: AdmissionRequest, now: number): boolean {
+    const {targetAt, route} = request;
+    if (targetAt === undefined) return false;
+    return now + this.computeServiceMs(route) > targetAt;
+  }
+
+  private computeRank(
+    request: AdmissionRequest,
+    now: number,
+  ): {rank: number; dueAt: number} {
+    const {rank, targetAt, deadline} = request;
+    const late = this.isLate(request, now) ? LATE_RANK : 0;
+    return {rank: rank + late, dueAt: targetAt ?? deadline};
+  }
+
+  private enqueue(
+    request: AdmissionRequest,
+    signal: AbortSignal,
+    now: number,
+  ): Promise<Slot> {
+    if (this.queue.length >= this.limits.queueLength) {
+      throw buildFull(this.cold.isCold(now), this.computeWait(request, now));
+    }
+    return new Promise((resolve, reject) => {
+      const handleAbort = (): void => {
+        if (this.queue.remove(entry)) {
+          entry.reject(new RefusalError(Reason.CALLER_GONE));
+        }
+      };
+      const settle = (): void =>
+        signal.removeEventListener('abort', handleAbort);
+      const mostMs = this.computeMostWait(request, now);
+      const entry: Waiting = {
+        request,
+        ...this.computeRank(request, now),
+        expiresAt: Math.min(now + mostMs, request.deadline),
+        resolve: slot => {
+          settle();
+          resolve(slot);
+        },
+        reject: error => {
+          settle();
+          reject(error);
+        },
+      };
+      signal.addEventListener('abort', handleAbort, {once: true});
+      this.queue.add(entry);
+      this.handleChange();
+      this.watchQueue();
+    });
+  }
+
+  private take(request: AdmissionRequest, now: number): Slot {
+    this.inFlight += 1;
+    this.lastSentAt = now;
+    this.cold.add(now);
+    const running = this.inFlight;
+    const pace = this.pace;
+    let isReleased = false;
+    this.handleChange();
+    return {
+      release: outcome => {
+        if (isReleased) return;
+        isReleased = true;
+        const elapsedMs = this.now() - now;
+        // The pace changes while a request runs; both ends are known.
+        const meanPace = (pace + this.pace) / 2;
+        this.record(outcome, request.route, running, elapsedMs, meanPace);
+        if (outcome === SlotOutcome.CANCELLED) {
+          setTimeout(() => this.endRun(), CANCELLATION_MS);
+        } else this.endRun();
+      },
+    };
+  }
+
+  private endRun(): void {
+    this.inFlight -= 1;
+    this.serveQueue();
+    this.handleChange();
+  }
+
+  private record(
+    outcome: SlotOutcome,
+    route: string,
+    running: number,
+    elapsedMs: number,
+    pace: number,
+  ): void {
+    if (outcome === SlotOutcome.CANCELLED) {
+      if (elapsedMs > this.serviceMs) this.recordServiceTime(elapsedMs);
+      return;
+    }
+    const isSuccess = outcome === SlotOutcome.SUCCESS;
+    this.lastOutcomeTime = this.now();
+    const failure = isSuccess ? 0 : 1;
+    this.failureShare += AVERAGE_WEIGHT * (failure - this.failureShare);
+    const isLost =
+      outcome === SlotOutcome.CONNECTION_LOST ||
+      outcome === SlotOutcome.UNREACHABLE;
+    this.lostStreak = isLost ? this.lostStreak + 1 : 0;
+    // What answers there now may be a process that has just started.
+    if (this.lostStreak >= LOST_STREAK) this.cold.reset();
+    if (outcome === SlotOutcome.UNREACHABLE) this.recordUnreachable();
+    if (!isSuccess) return;
+    this.recordServiceTime(elapsedMs);
+    this.knee.record(route, running, elapsedMs / Math.max(pace, 0.1));
+  }
+
+  private recordServiceTime(elapsedMs: number): void {
+    const weight = this.serviceMs === 0 ? 1 : AVERAGE_WEIGHT;
+    this.serviceMs += weight * (elapsedMs - this.serviceMs);
+  }
+
+  private serveQueue(): void {
+    const now = this.now();
+    while (this.queue.length > 0 && this.hasRoom(now)) {
+      const waiting = this.queue.take()!;
+      if (now < waiting.expiresAt) {
+        waiting.resolve(this.take(waiting.request, now));
+      } else {
+        this.refuseWaiting(waiting, now);
+      }
+    }
+    this.watchQueue();
+  }
+
+  private refuseWaiting(waiting: Waiting, now: number): void {
+    const waitMs = this.computeWait(waiting.request, now);
+    waiting.reject(buildFull(this.cold.isCold(now), waitMs));
+  }
+
+  private refuseAll(reason: Reason): void {
+    for (let waiting; (waiting = this.queue.take());) {
+      waiting.reject(new RefusalError(reason));
+    }
+  }
+
+  /** Looks at the queue again when one expires or a cold worker bears one. */
+  private watchQueue(): void {
+    clearTimeout(this.timer);
+    if (this.queue.length === 0) return;
+    const now = this.now();
+    let at = Infinity;
+    for (const {expiresAt} of this.queue.list()) at = Math.min(at, expiresAt);
+    if (!this.cold.has(now))
+      at = Math.min(at, now + this.cold.computeWait(now));
+    this.timer = setTimeout(
+      () => this.checkQueue(),
+      Math.max(1, Math.ceil(at - now)),
+    );
+  }
+
+  private checkQueue(): void {
+    const now = this.now();
+    const expired = this.queue.list().filter(({expiresAt}) => expiresAt <= now);
+    for (const waiting of expired) {
+      if (this.queue.remove(waiting)) this.refuseWaiting(waiting, now);
+    }
+    this.serveQueue();
+  }
+}
+
+function buildFull(isCold: boolean, waitMs: number): RefusalError {
+  const reason = isCold ? Reason.WORKER_COLD : Reason.QUEUE_TIMEOUT;
+  const retryAfterMs = Math.max(0, Math.round(waitMs));
+  return new RefusalError(reason, 'not-run', '', retryAfterMs);
+}
--- a/src/coordination/worker-choice.ts
+++ b/src/coordination/worker-choice.ts
@@ -42,12 +42,27 @@
 /** Factor for a worker that its gate reports as failing. */
 const FAILING_FACTOR = 50;
 const US_PER_MS = 1000;
+/** Costs that differ by less than this share count as equal. */
+const EQUAL_SHARE = 0.1;
+/** Pace assumed of a host of which nothing recent is known. */
+const UNKNOWN_PACE = 1.5;
+/** Age at which a told pace has faded to 1/e; spells last some 100 ms. */
+const PACE_FADING_MS = 400;
+/** Service time against which the cost of a far data centre is set. */
+const COMPARED_SERVICE_MS = 100;
+/** Part of a service time that a worker filled to its limit adds. */
+const CROWDING_WEIGHT = 0.5;
+/** A cold worker takes about this many times as long. */
+const COLD_FACTOR = 2.5;
+/** A node whose silence is looked into is taken only without another. */
+const SUSPECT_FACTOR = 100;
 
 const CHOOSE_HANDLERS: Readonly<Record<BalancingPolicy, ChooseHandler>> = {
   adaptive: chooseAdaptive,
   random: chooseRandom,
   'round-robin': chooseInTurn,
   'least-in-flight': chooseLeastInFlight,
+  paced: choosePaced,
 };
 
 /** Chooses one of several workers; undefined when there is none. */
@@ -147,6 +162,61 @@
   return best;
 }
 
+/**
+ * The shortest expected time at the pace last told, over all workers: nodes
+ * tell each other of each change, so figures are fresh enough to compare all,
+ * and a slow spell of one host is met by the others at once. Equal workers
+ * are chosen among by chance, or entries would go to the same one together.
+ */
+function choosePaced(
+  workers: readonly WorkerRow[],
+  context: ChoiceContext,
+): WorkerRow {
+  let best = workers[0]!;
+  let bestCost = Infinity;
+  for (const row of workers) {
+    const chance = 1 + EQUAL_SHARE * context.random();
+    const cost = computePacedCost(row, context) * chance;
+    if (cost >= bestCost) continue;
+    best = row;
+    bestCost = cost;
+  }
+  return best;
+}
+
+/** Expected time at a worker in usual service times; only for comparison. */
+export function computePacedCost(
+  row: WorkerRow,
+  context: ChoiceContext,
+): number {
+  const farCost =
+    row.dataCentre === context.dataCentre
+      ? 0
+      : context.farCostMs / COMPARED_SERVICE_MS;
+  const suspicion = row.isSuspect ? SUSPECT_FACTOR : 1;
+  const {observed} = row;
+  if (!observed) {
+    const cold = row.state === WorkerState.COLD ? COLD_FACTOR : 1;
+    const crowding = row.inFlightHere / Math.max(1, row.slots);
+    return (UNKNOWN_PACE * cold * (1 + crowding) + farCost) * suspicion;
+  }
+  const {figures, at} = observed;
+  const ageMs = context.now - at;
+  const fading = Math.exp(-ageMs / PACE_FADING_MS);
+  const pace = UNKNOWN_PACE + (figures.pace - UNKNOWN_PACE) * fading;
+  const limit = Math.max(1, figures.limit);
+  const load = computeInFlight(row, ageMs);
+  const waiting = Math.max(0, load + 1 - limit) / limit;
+  const crowding = CROWDING_WEIGHT * Math.min(1, load / limit);
+  const blame = Math.exp(-ageMs / SERVICE_TIME_FADING_MS);
+  const failing =
+    (1 + FAILURE_WEIGHT * figures.failureShare * blame) *
+    (figures.state === WorkerState.FAILING ? 1 + FAILING_FACTOR * blame : 1);
+  const cold = figures.state === WorkerState.COLD ? COLD_FACTOR : 1;
+  const timeCost = pace * cold * (1 + waiting + crowding) * failing;
+  return (timeCost + farCost) * suspicion;
+}
+
 /** Up to `count` distinct rows, each as likely as any other. */
 function pickDistinct(
   rows: readonly WorkerRow[],
--- a/src/node-attempts.ts
+++ b/src/node-attempts.ts
@@ -1,9 +1,9 @@
 /**
  * Joins the question about an attempt in doubt with the transport that asks it.
  */
-import {SealError} from './coordination/attempt-sender.js';
+import {SealError} from './protocol/seal.js';
 import type {Attempt} from './protocol/attempt.js';
-import type {SealOutcome, SealResult} from './state/attempt-registry.js';
+import type {SealOutcome, SealResult} from './protocol/seal.js';
 import {AskError, askSealAttempt} from './transport/attempt-service.js';
 
 /**
--- a/src/node-process.ts
+++ b/src/node-process.ts
@@ -5,11 +5,13 @@
 import {randomUUID} from 'node:crypto';
 import type {Server} from 'node:http';
 import type {ConnectRouter} from '@connectrpc/connect';
+import {connectNodeAdapter} from '@connectrpc/connect-node';
 import {AttemptRunner} from './coordination/attempt-runner.js';
 import {AttemptSender} from './coordination/attempt-sender.js';
 import {CrashQuarantine} from './coordination/crash-quarantine.js';
 import {Entry} from './coordination/entry.js';
 import {Gate} from './coordination/gate.js';
+import {RouteSplitter} from './coordination/route-split.js';
 import type {KeyedRequest} from './coordination/key-home.js';
 import {KeyHomes} from './key-homes.js';
 import type {Membership} from './coordination/membership.js';
@@ -48,6 +50,7 @@
 import {createLogger} from './transport/logger.js';
 import {registerMembershipService} from './transport/membership-service.js';
 import {Metrics} from './transport/metrics.js';
+import {createOwnProtocol} from './transport/own-caller-protocol.js';
 import {PeerClients} from './transport/peer-client.js';
 import {createPeerServer} from './transport/peer-listener.js';
 import {reportProcess} from './transport/process-report.js';
@@ -72,6 +75,7 @@
   private readonly attemptRunner;
   private readonly attemptSender;
   private readonly entry;
+  private readonly splitter = new RouteSplitter();
   private readonly keyHomes;
   private readonly membership: Membership;
   private readonly callerServer: Server;
@@ -190,7 +194,11 @@
         announce: announcement => this.gate.announce(announcement),
         hostAddress: parseAddress(node.callerAddress).host,
       }),
-      findProfile: service => this.state.findProfile(service),
+      protocol: createOwnProtocol({
+        findProfile: service => this.state.findProfile(service),
+        findRoute: (host, path) => this.state.routes.find(host, path),
+        chooseService: rule => this.splitter.chooseService(rule),
+      }),
       handleRequest: (request, signal) => this.handleRequest(request, signal),
       handleRefusal: (refusal, requestId) => {
         this.metrics.count(`refusals.${refusal.reason}`);
@@ -213,7 +221,10 @@
         }
         return this.attemptRunner.run(attempt, signal, handleAdmitted);
       },
-      registerServices: router => this.registerServices(router),
+      handleCall: connectNodeAdapter({
+        routes: router => this.registerServices(router),
+      }),
+      acknowledgeIntervalMs: settings.connections.acknowledgeInterval,
     });
     this.planned = new NodeStop({
       settings: settings.stop,
--- a/src/protocol/configuration.ts
+++ b/src/protocol/configuration.ts
@@ -21,12 +21,14 @@
     'allowed: a lower case letter, then letters, digits and "-", at most 63',
   );
 
-/** How an entry chooses a worker; the last three are baselines. */
+/** How an entry chooses a worker; three of them are baselines. */
 export const BALANCING_POLICIES = [
   'adaptive',
   'random',
   'round-robin',
   'least-in-flight',
+  // By the pace that workers tell, for workers that share their hosts.
+  'paced',
 ] as const;
 
 const routeSchema = z.strictObject({
@@ -50,6 +52,8 @@
   queueWait: buildDurationSchema(0, MINUTE_MS).prefault('200ms'),
   /** Concurrent requests that a cold worker bears. */
   coldConcurrency: z.int().min(1).max(1000).default(1),
+  /** Requests per second that a cold worker bears; no such bound without. */
+  coldRate: z.number().positive().optional(),
   /** Concurrent requests of one caller at one entry. */
   callerConcurrency: z.int().min(1).max(100_000).default(256),
 });
@@ -59,6 +63,10 @@
   maxAttempts: z.int().min(1).max(10).default(3),
   /** Retries as a share of the calls of the service at one entry. */
   budgetPercent: z.number().min(0).max(100).default(10),
+  /** Retries that an entry may save up; bounds a burst of them. */
+  budgetBurst: z.number().min(0).max(1000).default(20),
+  /** Whether a gate's refusal for lack of room draws on the budget. */
+  paysForRefusals: z.boolean().default(true),
 });
 
 const hedgingSchema = z.strictObject({
@@ -134,13 +142,58 @@
   version: z.string().min(1).max(64).optional(),
 });
 
-/** Profiles and the services that pick them. */
+const routeTargetSchema = z.strictObject({
+  service: nameSchema,
+  /** Share of the route's requests, against the sum of all weights. */
+  weight: z.number().positive().default(1),
+});
+
+/** A route by host and path, which goes before the first path segment. */
+const routeRuleSchema = z.strictObject({
+  name: z.string().min(1).max(128),
+  /** Value of the Host header, without a port. */
+  host: z.string().min(1).max(255),
+  /** Begins and ends with a slash; the longest that fits wins. */
+  pathPrefix: z.string().regex(/^\/(.*\/)?$/, 'allowed: "/" or "/name/"'),
+  targets: z.array(routeTargetSchema).min(1),
+  /** Whether running twice does no harm. */
+  idempotent: z.boolean(),
+  timeLimit: buildDurationSchema(1, HOUR_MS),
+  /** Time after which an answer is late. */
+  targetLatency: buildDurationSchema(1, HOUR_MS).optional(),
+  /** Workers that one request may be sent to. */
+  maxAttempts: z.int().min(1).max(100).optional(),
+  /** Importance among requests of a service; 0 is the highest. */
+  rank: z.int().min(0).max(1000).default(0),
+});
+
+/** What callers may send and how long connections of theirs may idle. */
+const callerLimitsSchema = z.strictObject({
+  maxHeader: buildSizeSchema(1024, MIB).prefault('16KiB'),
+  headerTimeout: buildDurationSchema(100, 10 * MINUTE_MS).prefault('10s'),
+  idleTimeout: buildDurationSchema(100, HOUR_MS).prefault('75s'),
+});
+
+/** Profiles, the services that pick them, and routes that lead to services. */
 export const configurationSchema = z
   .strictObject({
     profiles: z.record(nameSchema, profileSchema),
     services: z.record(nameSchema, serviceSchema),
+    routes: z.array(routeRuleSchema).default([]),
+    callers: callerLimitsSchema.prefault({}),
   })
   .superRefine((configuration, context) => {
+    configuration.routes.forEach(({targets}, index) => {
+      for (const {service} of targets) {
+        if (service in configuration.services) continue;
+        const known = Object.keys(configuration.services).join(', ') || 'none';
+        context.addIssue({
+          code: 'custom',
+          path: ['routes', index, 'targets'],
+          message: `no service "${service}"; allowed: ${known}`,
+        });
+      }
+    });
     for (const [name, service] of Object.entries(configuration.services)) {
       if (!(service.profile in configuration.profiles)) {
         const known = Object.keys(configuration.profiles).join(', ') || 'none';
@@ -153,6 +206,8 @@
     }
   });
 
+export type RouteRule = z.output<typeof routeRuleSchema>;
+export type CallerLimits = z.output<typeof callerLimitsSchema>;
 export type Route = z.output<typeof routeSchema>;
 export type Profile = z.output<typeof profileSchema>;
 export type BalancingPolicy = Profile['balancing'];
--- a/src/protocol/headers.ts
+++ b/src/protocol/headers.ts
@@ -16,6 +16,18 @@
 export const VERDICT = 'sequoiaspool-verdict';
 /** Stable code of a refusal, see reasons.ts. */
 export const REASON = 'sequoiaspool-reason';
+/** Id of the request on the way between nodes. */
+export const PEER_REQUEST_ID = 'sequoiaspool-request-id';
+/** Milliseconds until the deadline on the way between nodes. */
+export const PEER_REMAINING = 'sequoiaspool-remaining-ms';
+/** Caller of the request on the way between nodes. */
+export const PEER_CALLER = 'sequoiaspool-caller';
+/** Rank of the request on the way between nodes. */
+export const PEER_RANK = 'sequoiaspool-rank';
+/** Milliseconds until an answer is late, on the way between nodes. */
+export const PEER_TARGET = 'sequoiaspool-target-ms';
+/** Signature of an upstream's answer on the way between nodes. */
+export const PEER_SIGNATURE = 'sequoiaspool-signature';
 /** Id of one attempt; the gate echoes it and the entry compares. */
 export const ATTEMPT_ID = 'sequoiaspool-attempt-id';
 /** Node id of the entry that sends the attempt. */
--- /dev/null
+++ b/src/protocol/route-table.ts
@@ -0,0 +1,50 @@
+/**
+ * Routes by host and path prefix. A table is built once per configuration,
+ * because a lookup happens for each request and must not walk all routes.
+ */
+import type {RouteRule} from './configuration.js';
+
+const PORT_PATTERN = /:\d+$/;
+
+/** The routes of one configuration. */
+export class RouteTable {
+  /** Rules by prefix, by host in lower case. */
+  private readonly byHost = new Map<string, Map<string, RouteRule>>();
+
+  constructor(rules: readonly RouteRule[]) {
+    for (const rule of rules) {
+      const host = rule.host.toLowerCase();
+      let byPrefix = this.byHost.get(host);
+      if (!byPrefix) this.byHost.set(host, (byPrefix = new Map()));
+      byPrefix.set(rule.pathPrefix, rule);
+    }
+  }
+
+  /** Whether there is no route at all. */
+  get isEmpty(): boolean {
+    return this.byHost.size === 0;
+  }
+
+  /**
+   * Finds the route with the longest prefix of a path; undefined without one.
+   *
+   * @param host value of the Host header, with or without a port.
+   * @param target path of the request, with or without a query.
+   */
+  find(host: string, target: string): RouteRule | undefined {
+    const byPrefix = this.byHost.get(
+      host.replace(PORT_PATTERN, '').toLowerCase(),
+    );
+    if (!byPrefix) return undefined;
+    const queryAt = target.indexOf('?');
+    const path = queryAt < 0 ? target : target.slice(0, queryAt);
+    let end = path.lastIndexOf('/');
+    while (end >= 0) {
+      const rule = byPrefix.get(path.slice(0, end + 1));
+      if (rule) return rule;
+      if (end === 0) return undefined;
+      end = path.lastIndexOf('/', end - 1);
+    }
+    return undefined;
+  }
+}
--- a/src/protocol/service-request.ts
+++ b/src/protocol/service-request.ts
@@ -37,6 +37,12 @@
   readonly route: string;
   /** Whether running twice does no harm. */
   readonly idempotent: boolean;
+  /** Importance among requests of its service; 0 is the highest. */
+  readonly rank: number;
+  /** Workers that it may be sent to at most; the profile decides without. */
+  readonly maxAttempts?: number;
+  /** Time on the clock of `performance.now()` after which an answer is late. */
+  readonly targetAt?: number;
   /** Value of `Idempotency-Key` of a request that is not idempotent. */
   readonly key?: string;
   /** Digest of service, method, path and held body. */
@@ -49,6 +55,8 @@
   readonly status: number;
   readonly headers: Headers;
   readonly body: Body;
+  /** Signature by which the upstream vouches for the answer, if it signs. */
+  readonly signature?: string;
 }
 
 /** Whether the request can be sent again: nothing beyond memory was read. */
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -83,6 +83,8 @@
       connectTimeout: buildDurationSchema(10, MINUTE_MS).prefault('250ms'),
       /** Silence after which an unacknowledged attempt is sealed. */
       acknowledgeTimeout: buildDurationSchema(5, MINUTE_MS).prefault('100ms'),
+      /** Pause between a gate's acknowledgements of one attempt. */
+      acknowledgeInterval: buildDurationSchema(5, MINUTE_MS).prefault('25ms'),
       /** Idle time after which a kept connection is closed. */
       idleTimeout: buildDurationSchema(100, 10 * MINUTE_MS).prefault('30s'),
     })
--- a/src/protocol/worker-load.ts
+++ b/src/protocol/worker-load.ts
@@ -28,6 +28,26 @@
   readonly serviceTimeUs: number;
   /** Failures among recent answers, from 0 to 1. */
   readonly failureShare: number;
+  /** How long work takes on the host now against its usual time; 1 is usual. */
+  readonly pace: number;
+}
+
+/** Figures that an upstream itself adds to its answers. */
+export interface UpstreamFigures {
+  readonly running: number;
+  readonly waiting: number;
+  readonly slots: number;
+  /** As in WorkerLoad. */
+  readonly pace: number;
+}
+
+/** What a health path told of an upstream. */
+export interface ProbeAnswer {
+  readonly status: number;
+  /** Process that answered, when it says so. */
+  readonly instanceId?: string;
+  /** Milliseconds for which the upstream says that it stays cold. */
+  readonly coldMs?: number;
 }
 
 const STATES = new Set<string>(Object.values(WorkerState));
@@ -41,6 +61,7 @@
     load.limit,
     Math.round(load.serviceTimeUs),
     load.failureShare.toFixed(3),
+    load.pace.toFixed(2),
   ].join(' ');
 }
 
@@ -52,16 +73,11 @@
   const [state, ...numbers] = parts;
   if (state === undefined || !STATES.has(state)) return undefined;
   const values = numbers.map(Number);
-  if (values.length !== 5 || values.some(value => !(value >= 0))) {
+  if (values.length !== 6 || values.some(value => !(value >= 0))) {
     return undefined;
   }
-  const [inFlight, queued, limit, serviceTimeUs, failureShare] = values as [
-    number,
-    number,
-    number,
-    number,
-    number,
-  ];
+  const [inFlight, queued, limit, serviceTimeUs, failureShare, pace] =
+    values as [number, number, number, number, number, number];
   return {
     state: state as WorkerState,
     inFlight,
@@ -69,5 +85,6 @@
     limit,
     serviceTimeUs,
     failureShare,
+    pace,
   };
 }
--- a/src/state/attempt-registry.ts
+++ b/src/state/attempt-registry.ts
@@ -5,24 +5,8 @@
  */
 import type {AttemptAnswer} from '../protocol/attempt.js';
 import {Reason, RefusalError} from '../protocol/reasons.js';
-
-/** What became of an attempt that an entry asks about. */
-export const SealOutcome = {
-  /** It did not run here and never will. */
-  NOT_RUN: 'not-run',
-  RUNNING: 'running',
-  /** It ran; its answer may still be held. */
-  RAN: 'ran',
-  MAY_HAVE_RUN: 'may-have-run',
-} as const;
-
-export type SealOutcome = (typeof SealOutcome)[keyof typeof SealOutcome];
-
-/** Answer to an entry that asks about an attempt. */
-export interface SealResult {
-  readonly outcome: SealOutcome;
-  readonly answer?: AttemptAnswer;
-}
+import type {SealResult} from '../protocol/seal.js';
+import {SealOutcome} from '../protocol/seal.js';
 
 /** An attempt's registration; exactly one of the calls ends it. */
 export interface AttemptHandle {
--- a/src/state/state-store.ts
+++ b/src/state/state-store.ts
@@ -3,11 +3,17 @@
  * questions that the other layers ask of it.
  */
 import Emittery from 'emittery';
-import type {Configuration, Profile} from '../protocol/configuration.js';
+import type {
+  CallerLimits,
+  Configuration,
+  Profile,
+} from '../protocol/configuration.js';
 import {configurationSchema} from '../protocol/configuration.js';
 import type {LoggedRecord} from '../protocol/records.js';
+import {RouteTable} from '../protocol/route-table.js';
 import {FoldOutcome, foldRecord} from './fold-record.js';
 import type {
+  DataCentreState,
   FoldedState,
   HomeList,
   Move,
@@ -38,6 +44,7 @@
   readonly events = new Emittery<StateEvents>();
   private folded: FoldedState = EMPTY_STATE;
   private configuration: Configuration | undefined;
+  private routeTable: RouteTable | undefined;
   private kept: LoggedRecord[] = [];
   private confirmedAt = -Infinity;
 
@@ -63,6 +70,22 @@
     return this.configuration?.services[service]?.version;
   }
 
+  /** Whether any configuration is in force. */
+  get isConfigured(): boolean {
+    return this.configuration !== undefined;
+  }
+
+  /** Routes of the configuration in force. */
+  get routes(): RouteTable {
+    this.routeTable ??= new RouteTable(this.configuration?.routes ?? []);
+    return this.routeTable;
+  }
+
+  /** Limits on callers; undefined before the first configuration. */
+  get callerLimits(): CallerLimits | undefined {
+    return this.configuration?.callers;
+  }
+
   /** Names of the services that are configured. */
   listServices(): string[] {
     return Object.keys(this.configuration?.services ?? {});
@@ -138,6 +161,28 @@
     return true;
   }
 
+  /** Puts a configuration in force that another source than the log brought. */
+  setConfiguration(configuration: Configuration): void {
+    this.configuration = configuration;
+    this.routeTable = undefined;
+    this.applyChange({});
+  }
+
+  /** Replaces the data centres that are out, from another source. */
+  setDataCentresOut(names: ReadonlySet<string>): void {
+    const dataCentres: Record<string, DataCentreState> = {};
+    for (const name of names) dataCentres[name] = {isOut: true, number: 0};
+    this.applyChange({dataCentres});
+  }
+
+  /** Takes over a service's move from another source; undefined ends it. */
+  setMove(service: string, move: Move | undefined): void {
+    const moves = {...this.folded.moves};
+    if (move) moves[service] = move;
+    else delete moves[service];
+    this.applyChange({moves});
+  }
+
   /**
    * Age in milliseconds of the newest proof that this node had read the log to
    * its tail; infinite when it never had.
@@ -152,6 +197,12 @@
     this.confirmedAt = Math.max(this.confirmedAt, at);
   }
 
+  private applyChange(change: Partial<FoldedState>): void {
+    const version = this.folded.version + 1;
+    this.folded = {...this.folded, ...change, version};
+    void this.events.emit('changed', version);
+  }
+
   private announce(before: FoldedState): void {
     const {configuration, version} = this.folded;
     if (
@@ -160,6 +211,7 @@
     ) {
       const result = configurationSchema.safeParse(configuration.input);
       if (result.success) this.configuration = result.data;
+      this.routeTable = undefined;
     }
     if (version > before.version) void this.events.emit('changed', version);
   }
--- a/src/test/admission_test.ts
+++ b/src/test/admission_test.ts
@@ -1,8 +1,8 @@
 /** Admission refuses truly and at once, and shares the queue among callers. */
 import {describe, expect, it} from 'vitest';
-import type {Slot} from '../coordination/admission.js';
 import {Admission} from '../coordination/admission.js';
 import {SlotOutcome} from '../coordination/concurrency-limit.js';
+import type {Slot} from '../coordination/worker-admission.js';
 import {profileSchema} from '../protocol/configuration.js';
 import type {RefusalError} from '../protocol/reasons.js';
 import type {WorkerState} from '../protocol/worker-load.js';
@@ -28,7 +28,8 @@
   admit(caller: string, timeLimitMs = 1000): Promise<Slot> {
     const deadline = this.now + timeLimitMs;
     const {signal} = new AbortController();
-    return this.admission.admit({caller, route: 'r', deadline}, signal);
+    const request = {caller, route: 'r', deadline, rank: 0};
+    return this.admission.admit(request, signal);
   }
 
   /** Reason for which a request is refused, or `admitted`. */
--- a/src/test/data-centre_test.ts
+++ b/src/test/data-centre_test.ts
@@ -175,6 +175,7 @@
   deadline: Infinity,
   route: 'default',
   idempotent: true,
+  rank: 0,
   fingerprint: '',
   body: EMPTY_BODY,
 };
@@ -210,7 +211,7 @@
           ran += 1;
           return {status: 200, headers: {}, body: EMPTY_BODY};
         },
-        sendProbe: async () => 200,
+        sendProbe: async () => ({status: 200}),
         close: async () => {},
       }),
       state,
--- a/src/test/key-home-simulation.ts
+++ b/src/test/key-home-simulation.ts
@@ -206,6 +206,7 @@
       deadline: performance.now() + DEADLINE_MS,
       route: 'default',
       idempotent: false,
+      rank: 0,
       key: this.key,
       fingerprint: 'same',
       body: EMPTY_BODY,
--- a/src/transport/caller-listener.ts
+++ b/src/transport/caller-listener.ts
@@ -6,8 +6,6 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import restana from 'restana';
-import type {Profile} from '../protocol/configuration.js';
-import {REQUEST_ID, VERDICT} from '../protocol/headers.js';
 import {
   createProblem,
   Reason,
@@ -15,16 +13,11 @@
   toRefusal,
 } from '../protocol/reasons.js';
 import type {
+  Headers,
   ServiceAnswer,
   ServiceRequest,
 } from '../protocol/service-request.js';
-import {Verdict} from '../protocol/verdict.js';
 import {writeAnswer, writeRefusal} from './answer-writer.js';
-import {
-  parseTarget,
-  readRequestId,
-  readServiceRequest,
-} from './request-reader.js';
 
 const MAX_HEADER_BYTES = 16 * 1024;
 /** Longest time for a caller to send its request's headers. */
@@ -56,10 +49,30 @@
   readonly handle: (request: OwnRequest) => OwnAnswer | Promise<OwnAnswer>;
 }
 
+/** The form in which callers and an entry speak. */
+export interface CallerProtocol {
+  /** Id of a request for logs and explanations. */
+  readId(message: IncomingMessage): string;
+  /**
+   * Reads a request and finds its route.
+   *
+   * @throws RefusalError with verdict `not-run`.
+   */
+  readRequest(message: IncomingMessage, id: string): Promise<ServiceRequest>;
+  /** Headers of the system's own in an answer. */
+  buildAnswerHeaders(id: string, answer: ServiceAnswer): Headers;
+  writeRefusal(
+    response: ServerResponse,
+    refusal: RefusalError,
+    id: string,
+    extra: Headers,
+  ): void;
+}
+
 /** What the listener hands requests to. */
 export interface CallerHandlers {
   readonly ownRoutes: readonly OwnRoute[];
-  findProfile(service: string): Profile | undefined;
+  readonly protocol: CallerProtocol;
   handleRequest(
     request: ServiceRequest,
     signal: AbortSignal,
@@ -135,8 +148,9 @@
   message: IncomingMessage,
   response: ServerResponse,
 ): Promise<void> {
-  const id = readRequestId(message);
-  const extra: Record<string, string> = {};
+  const {protocol} = handlers;
+  const id = protocol.readId(message);
+  const extra: Headers = {};
   if (handlers.isStopping()) extra['connection'] = 'close';
   const abort = new AbortController();
   response.once('close', () => {
@@ -146,22 +160,18 @@
   });
   response.on('error', () => {});
   try {
-    const target = parseTarget(message.url ?? '/');
-    const profile = handlers.findProfile(target.service);
-    if (!profile) {
-      throw new RefusalError(Reason.UNKNOWN_SERVICE, 'not-run', target.service);
-    }
-    const request = await readServiceRequest(message, id, target, profile);
+    const request = await protocol.readRequest(message, id);
     const answer = await handlers.handleRequest(request, abort.signal);
-    extra[REQUEST_ID] = id;
-    extra[VERDICT] = Verdict.RAN;
+    Object.assign(extra, protocol.buildAnswerHeaders(id, answer));
+    // An answer that came before the whole body leaves the rest unread.
+    if (!message.complete) extra['connection'] = 'close';
     await writeAnswer(response, answer, extra);
   } catch (error) {
     const refusal = toRefusal(error);
     handlers.handleRefusal(refusal, id);
     // The rest of an unread body would be taken for the next request.
     if (!message.complete) extra['connection'] = 'close';
-    writeRefusal(response, refusal, id, extra);
+    protocol.writeRefusal(response, refusal, id, extra);
   }
 }
 
--- a/src/transport/gate-client.ts
+++ b/src/transport/gate-client.ts
@@ -125,14 +125,20 @@
     const remainingMs = Math.max(1, request.deadline - performance.now());
     const headers: Headers = {
       ...request.headers,
-      [headerNames.TIME_LIMIT]: String(Math.round(remainingMs)),
-      [headerNames.CALLER_ID]: request.caller,
+      [headerNames.PEER_REQUEST_ID]: request.id,
+      [headerNames.PEER_REMAINING]: String(Math.round(remainingMs)),
+      [headerNames.PEER_CALLER]: request.caller,
+      [headerNames.PEER_RANK]: String(request.rank),
       [headerNames.ATTEMPT_ID]: attempt.id,
       [headerNames.ENTRY_NODE]: this.nodeId,
       [headerNames.GATE_INCARNATION]: String(attempt.target.incarnation),
       [headerNames.FINGERPRINT]: request.fingerprint,
       [headerNames.ROUTE]: request.route,
     };
+    if (request.targetAt !== undefined) {
+      const targetMs = Math.round(request.targetAt - performance.now());
+      headers[headerNames.PEER_TARGET] = String(targetMs);
+    }
     if (request.idempotent) headers[headerNames.IDEMPOTENT] = '1';
     if (request.body.rest) headers[headerNames.STREAMED] = '1';
     if (attempt.version) headers[headerNames.SERVICE_VERSION] = attempt.version;
@@ -182,12 +188,14 @@
     throw new AttemptError(readReason(reason), verdict, detail, load);
   }
   const version = findHeader(headers, headerNames.SERVICE_VERSION);
+  const signature = findHeader(headers, headerNames.PEER_SIGNATURE);
   return {
     status,
     headers: copyEndToEndHeaders(headers),
     body,
     ...(load ? {load} : {}),
     ...(version ? {version} : {}),
+    ...(signature === undefined ? {} : {signature}),
   };
 }
 
--- /dev/null
+++ b/src/transport/peer-exchange.ts
@@ -0,0 +1,232 @@
+/**
+ * Calls between nodes that need no more than JSON: news, and the question what
+ * became of an attempt. Load goes as datagrams, since the next one makes up
+ * for a lost one. Each question about an attempt goes out on a connection of
+ * its own, because the one that the attempt went on is in doubt.
+ */
+import type {Socket} from 'node:dgram';
+import {createSocket} from 'node:dgram';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {Agent, Client, request} from 'undici';
+import {z} from 'zod';
+import {SealError} from '../protocol/seal.js';
+import type {Attempt, AttemptAnswer} from '../protocol/attempt.js';
+import {parseAddress} from '../protocol/node-identity.js';
+import type {LoadBeacon, PeerNews} from '../protocol/peer-messages.js';
+import {
+  formatBeacon,
+  parseBeacon,
+  peerNewsSchema,
+} from '../protocol/peer-messages.js';
+import {SealOutcome} from '../protocol/seal.js';
+import type {SealResult} from '../protocol/seal.js';
+
+const NEWS_PATH = '/peers/news';
+const SEAL_PATH = '/peers/seal';
+const STATUS_OK = 200;
+const STATUS_BAD = 400;
+const STATUS_UNKNOWN = 404;
+const STATUS_GONE = 410;
+/** Longest wait for a connection to another node, some round trips. */
+const CONNECT_TIMEOUT_MS = 300;
+/** Longest wait for news; a node that is busy for longer counts as silent. */
+const NEWS_TIMEOUT_MS = 800;
+/** Time beyond the wait in which a gate must have said what it knows. */
+const SEAL_MARGIN_MS = 300;
+/** Idle time after which a connection for news is closed. */
+const IDLE_TIMEOUT_MS = 5000;
+/** Far above any news; bounds what a stray sender may make a node read. */
+const MAX_BODY_BYTES = 8 * 1024 * 1024;
+
+const answerSchema = z.object({
+  status: z.int(),
+  headers: z.record(z.string(), z.union([z.string(), z.array(z.string())])),
+  body: z.base64(),
+  signature: z.string().optional(),
+});
+
+const sealQuestionSchema = z.object({
+  attemptId: z.string(),
+  incarnation: z.int(),
+  waitMs: z.number().min(0),
+});
+
+const sealReplySchema = z.object({
+  outcome: z.enum(SealOutcome),
+  answer: answerSchema.optional(),
+});
+
+/** What the calls of other nodes are handed to. */
+export interface PeerCallHandlers {
+  readonly incarnation: number;
+  handleNews(news: PeerNews): PeerNews;
+  seal(attemptId: string, waitMs: number): Promise<SealResult>;
+}
+
+type CallHandler = (
+  handlers: PeerCallHandlers,
+  body: unknown,
+) => Promise<{status: number; body: unknown}>;
+
+const CALL_HANDLERS: Readonly<Record<string, CallHandler>> = {
+  [NEWS_PATH]: async (handlers, body) => ({
+    status: STATUS_OK,
+    body: handlers.handleNews(peerNewsSchema.parse(body)),
+  }),
+  [SEAL_PATH]: async (handlers, body) => {
+    const question = sealQuestionSchema.parse(body);
+    if (question.incarnation !== handlers.incarnation) {
+      return {status: STATUS_GONE, body: {}};
+    }
+    const {attemptId, waitMs} = question;
+    const {outcome, answer} = await handlers.seal(attemptId, waitMs);
+    const held = answer && buildAnswer(answer);
+    return {status: STATUS_OK, body: {outcome, ...(held && {answer: held})}};
+  },
+};
+
+/** Serves a call of another node. */
+export async function servePeerCall(
+  handlers: PeerCallHandlers,
+  message: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  const handle = CALL_HANDLERS[message.url ?? ''];
+  response.on('error', () => {});
+  if (!handle) {
+    response.writeHead(STATUS_UNKNOWN).end();
+    return;
+  }
+  try {
+    const reply = await handle(handlers, await readJson(message));
+    const text = JSON.stringify(reply.body);
+    response.writeHead(reply.status, {'content-type': 'application/json'});
+    response.end(text);
+  } catch (error) {
+    response.writeHead(STATUS_BAD).end(String(error));
+  }
+}
+
+/** Calls to other nodes. */
+export class PeerExchange {
+  private readonly agent = new Agent({
+    connections: 1,
+    keepAliveTimeout: IDLE_TIMEOUT_MS,
+    connect: {timeout: CONNECT_TIMEOUT_MS},
+  });
+  private socket: Socket | undefined;
+
+  async sendNews(peerAddress: string, news: PeerNews): Promise<PeerNews> {
+    const {statusCode, body} = await request(
+      `http://${peerAddress}${NEWS_PATH}`,
+      {
+        method: 'POST',
+        body: JSON.stringify(news),
+        dispatcher: this.agent,
+        signal: AbortSignal.timeout(NEWS_TIMEOUT_MS),
+      },
+    );
+    const reply = await body.text();
+    if (statusCode !== STATUS_OK) throw new Error(`status ${statusCode}`);
+    return peerNewsSchema.parse(JSON.parse(reply));
+  }
+
+  sendBeacon(beaconAddress: string, beacon: LoadBeacon): void {
+    const {host, port} = parseAddress(beaconAddress);
+    this.socket?.send(formatBeacon(beacon), port, host);
+  }
+
+  /** Receives beacons at an address, which also becomes their sender. */
+  start(
+    beaconAddress: string,
+    handleBeacon: (beacon: LoadBeacon) => void,
+  ): Promise<void> {
+    const {host, port} = parseAddress(beaconAddress);
+    const socket = createSocket('udp4');
+    // A datagram that can't be sent is lost like any other.
+    socket.on('error', () => {});
+    socket.on('message', text => {
+      const beacon = parseBeacon(text.toString());
+      if (beacon) handleBeacon(beacon);
+    });
+    return new Promise((resolve, reject) => {
+      socket.once('error', reject);
+      socket.bind(port, host, () => {
+        socket.off('error', reject);
+        this.socket = socket;
+        resolve();
+      });
+    });
+  }
+
+  close(): void {
+    this.socket?.close();
+    this.socket = undefined;
+    void this.agent.destroy();
+  }
+}
+
+/**
+ * Asks the gate of an attempt what became of it.
+ *
+ * @throws SealError
+ */
+export async function askSeal(
+  attempt: Attempt,
+  waitMs: number,
+): Promise<SealResult> {
+  const {peerAddress, incarnation} = attempt.target;
+  const client = new Client(`http://${peerAddress}`, {
+    connect: {timeout: CONNECT_TIMEOUT_MS},
+  });
+  const question = {attemptId: attempt.id, incarnation, waitMs};
+  try {
+    const {statusCode, body} = await client.request({
+      method: 'POST',
+      path: SEAL_PATH,
+      body: JSON.stringify(question),
+      signal: AbortSignal.timeout(Math.ceil(waitMs) + SEAL_MARGIN_MS),
+    });
+    const reply = await body.text();
+    if (statusCode === STATUS_GONE) throw new SealError(true, 'restarted');
+    const {outcome, answer} = sealReplySchema.parse(JSON.parse(reply));
+    return {outcome, ...(answer ? {answer: readAnswer(answer)} : {})};
+  } catch (error) {
+    if (error instanceof SealError) throw error;
+    const {code} = error as NodeJS.ErrnoException;
+    throw new SealError(code === 'ECONNREFUSED', String(error));
+  } finally {
+    void client.destroy();
+  }
+}
+
+function buildAnswer(answer: AttemptAnswer): z.input<typeof answerSchema> {
+  const {status, headers, body, signature} = answer;
+  return {
+    status,
+    headers,
+    body: body.held.toString('base64'),
+    ...(signature === undefined ? {} : {signature}),
+  };
+}
+
+function readAnswer(answer: z.output<typeof answerSchema>): AttemptAnswer {
+  const {status, headers, body, signature} = answer;
+  return {
+    status,
+    headers,
+    body: {held: Buffer.from(body, 'base64')},
+    ...(signature === undefined ? {} : {signature}),
+  };
+}
+
+async function readJson(message: IncomingMessage): Promise<unknown> {
+  const parts: Buffer[] = [];
+  let size = 0;
+  for await (const part of message as AsyncIterable<Buffer>) {
+    size += part.length;
+    if (size > MAX_BODY_BYTES) throw new Error('body too long');
+    parts.push(part);
+  }
+  return JSON.parse(Buffer.concat(parts).toString()) as unknown;
+}
--- a/src/transport/peer-listener.ts
+++ b/src/transport/peer-listener.ts
@@ -1,12 +1,11 @@
 /**
- * Listener for other nodes: attempts over plain HTTP, all else over Connect.
+ * Listener for other nodes: attempts over plain HTTP; all else goes to the
+ * handler that the node brings, such as one for Connect calls.
  * An attempt is acknowledged at once and again while it runs, so that its
  * sender can tell a silent connection from a slow worker.
  */
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
-import type {ConnectRouter} from '@connectrpc/connect';
-import {connectNodeAdapter} from '@connectrpc/connect-node';
 import type {AttemptAnswer} from '../protocol/attempt.js';
 import {AttemptError} from '../protocol/attempt.js';
 import * as headerNames from '../protocol/headers.js';
@@ -25,8 +24,6 @@
 const KEEP_ALIVE_TIMEOUT_MS = 120_000;
 /** Answers faster than this need no acknowledgement of their own. */
 const ACKNOWLEDGE_DELAY_MS = 5;
-/** Pause between two acknowledgements; below half of any sender's timeout. */
-const ACKNOWLEDGE_INTERVAL_MS = 25;
 
 /** An attempt as a gate receives it. */
 export interface ReceivedAttempt {
@@ -47,13 +44,17 @@
     signal: AbortSignal,
     handleAdmitted: () => void,
   ): Promise<AttemptAnswer>;
-  /** Registers the Connect services of other modules. */
-  readonly registerServices: (router: ConnectRouter) => void;
+  /** Serves whatever is no attempt. */
+  readonly handleCall: (
+    message: IncomingMessage,
+    response: ServerResponse,
+  ) => void;
+  /** Milliseconds between acknowledgements; below half a sender's timeout. */
+  readonly acknowledgeIntervalMs: number;
 }
 
 /** Creates the server; the caller makes it listen. */
 export function createPeerServer(handlers: PeerHandlers): Server {
-  const handleCall = connectNodeAdapter({routes: handlers.registerServices});
   return createServer(
     {
       maxHeaderSize: MAX_HEADER_BYTES,
@@ -65,7 +66,7 @@
       if (message.url?.startsWith(ATTEMPT_PATH)) {
         void serveAttempt(handlers, message, response);
       } else {
-        handleCall(message, response);
+        handlers.handleCall(message, response);
       }
     },
   );
@@ -79,7 +80,10 @@
   const id = findHeader(message.headers as Headers, headerNames.ATTEMPT_ID);
   const extra: Headers = {[headerNames.ATTEMPT_ID]: id ?? ''};
   const abort = new AbortController();
-  const stopAcknowledging = sendAcknowledgements(response);
+  const stopAcknowledging = sendAcknowledgements(
+    response,
+    handlers.acknowledgeIntervalMs,
+  );
   response.once('close', () => {
     stopAcknowledging();
     if (!response.writableFinished) {
@@ -97,6 +101,9 @@
     stopAcknowledging();
     addLoadHeader(extra, answer.load);
     if (answer.version) extra[headerNames.SERVICE_VERSION] = answer.version;
+    if (answer.signature !== undefined) {
+      extra[headerNames.PEER_SIGNATURE] = answer.signature;
+    }
     extra[headerNames.VERDICT] = Verdict.RAN;
     await writeAnswer(response, answer, extra);
   } catch (error) {
@@ -108,11 +115,14 @@
 }
 
 /** Acknowledges until the answer begins; returns the function that ends it. */
-function sendAcknowledgements(response: ServerResponse): () => void {
+function sendAcknowledgements(
+  response: ServerResponse,
+  intervalMs: number,
+): () => void {
   let timer: NodeJS.Timeout;
   const run = (): void => {
     sendAcknowledgement(response);
-    timer = setTimeout(run, ACKNOWLEDGE_INTERVAL_MS);
+    timer = setTimeout(run, intervalMs);
   };
   timer = setTimeout(run, ACKNOWLEDGE_DELAY_MS);
   return () => clearTimeout(timer);
@@ -138,8 +148,10 @@
   );
   const received = message.headers as Headers;
   const find = (name: string): string => findHeader(received, name) ?? '';
-  const remainingMs = Number(find(headerNames.TIME_LIMIT)) || 0;
-  const deadline = performance.now() + remainingMs;
+  const now = performance.now();
+  const remainingMs = Number(find(headerNames.PEER_REMAINING)) || 0;
+  const deadline = now + remainingMs;
+  const targetMs = find(headerNames.PEER_TARGET);
   const hasBody =
     received['transfer-encoding'] !== undefined ||
     (received['content-length'] ?? '0') !== '0';
@@ -154,15 +166,17 @@
     ...(version ? {version} : {}),
     ...(epoch ? {keyHomeEpoch: Number(epoch)} : {}),
     request: {
-      id: find(headerNames.REQUEST_ID),
+      id: find(headerNames.PEER_REQUEST_ID),
       service: target.service,
       method: message.method ?? 'GET',
       path: target.path,
       headers: copyEndToEndHeaders(received),
-      caller: find(headerNames.CALLER_ID),
+      caller: find(headerNames.PEER_CALLER),
       deadline,
       route: find(headerNames.ROUTE),
       idempotent,
+      rank: Number(find(headerNames.PEER_RANK)) || 0,
+      ...(targetMs ? {targetAt: now + Number(targetMs)} : {}),
       ...(key && !idempotent ? {key} : {}),
       fingerprint: find(headerNames.FINGERPRINT),
       body: hasBody ? await readHeldBody(message) : EMPTY_BODY,
--- a/src/transport/request-reader.ts
+++ b/src/transport/request-reader.ts
@@ -5,7 +5,7 @@
 import {createHash, randomUUID} from 'node:crypto';
 import type {IncomingMessage} from 'node:http';
 import {Transform} from 'node:stream';
-import type {Profile} from '../protocol/configuration.js';
+import type {Profile, RouteRule} from '../protocol/configuration.js';
 import {
   CALLER_ID,
   IDEMPOTENCY_KEY,
@@ -13,6 +13,7 @@
   TIME_LIMIT,
 } from '../protocol/headers.js';
 import {Reason, RefusalError} from '../protocol/reasons.js';
+import type {RouteMatch} from '../protocol/routes.js';
 import {findRoute} from '../protocol/routes.js';
 import type {
   Body,
@@ -33,6 +34,11 @@
   readonly path: string;
 }
 
+/** A target with the route by host and path that led to it, if one did. */
+export interface RoutedTarget extends ServiceTarget {
+  readonly rule?: RouteRule;
+}
+
 /** Splits a request's target into service and path. */
 export function parseTarget(url: string): ServiceTarget {
   const end = url.search(/[/?]/) === 0 ? findSegmentEnd(url) : 0;
@@ -62,16 +68,17 @@
 export async function readServiceRequest(
   message: IncomingMessage,
   id: string,
-  target: ServiceTarget,
+  target: RoutedTarget,
   profile: Profile,
 ): Promise<ServiceRequest> {
   const method = message.method ?? 'GET';
-  const route = findRoute(profile, method, target.path);
+  const route = findPolicy(target, profile, method);
   const headers = copyEndToEndHeaders(message.headers);
   headers[REQUEST_ID] = id;
   const timeLimitMs = readTimeLimit(headers, route.timeLimitMs, profile);
   const key = readKey(headers);
-  const deadline = performance.now() + timeLimitMs;
+  const now = performance.now();
+  const deadline = now + timeLimitMs;
   const body = await readBody(message, profile);
   return {
     id,
@@ -83,12 +90,37 @@
     deadline,
     route: route.name,
     idempotent: route.idempotent,
+    ...buildRank(target.rule, now),
     ...(key !== undefined && !route.idempotent ? {key} : {}),
     fingerprint: computeFingerprint(target, method, headers, body),
     body,
   };
 }
 
+function findPolicy(
+  target: RoutedTarget,
+  profile: Profile,
+  method: string,
+): RouteMatch {
+  if (!target.rule) return findRoute(profile, method, target.path);
+  const {name, idempotent, timeLimit} = target.rule;
+  return {name, idempotent, timeLimitMs: timeLimit};
+}
+
+/** What a route says of the request's importance and tries. */
+export function buildRank(
+  rule: RouteRule | undefined,
+  now: number,
+): Pick<ServiceRequest, 'rank' | 'maxAttempts' | 'targetAt'> {
+  if (!rule) return {rank: 0};
+  const {rank, maxAttempts, targetLatency} = rule;
+  return {
+    rank,
+    ...(maxAttempts === undefined ? {} : {maxAttempts}),
+    ...(targetLatency === undefined ? {} : {targetAt: now + targetLatency}),
+  };
+}
+
 function readTimeLimit(
   headers: Headers,
   defaultMs: number,
@@ -123,7 +155,12 @@
   return message.socket.remoteAddress ?? 'unknown';
 }
 
-async function readBody(
+/**
+ * Reads a body, or its beginning when it is long.
+ *
+ * @throws RefusalError with verdict `not-run`.
+ */
+export async function readBody(
   message: IncomingMessage,
   profile: Profile,
 ): Promise<Body> {
@@ -186,7 +223,7 @@
 }
 
 /** Digest that tells equal requests across resends. */
-function computeFingerprint(
+export function computeFingerprint(
   target: ServiceTarget,
   method: string,
   headers: Headers,
--- a/src/transport/upstream-client.ts
+++ b/src/transport/upstream-client.ts
@@ -7,38 +7,53 @@
  * A worker does not acknowledge requests, so a connection that went silent
  * looks like a slow worker; hedging at the entry covers both.
  */
+import type {Readable} from 'node:stream';
 import {Client, Pool} from 'undici';
 import type {AttemptAnswer} from '../protocol/attempt.js';
 import {AttemptError} from '../protocol/attempt.js';
-import * as headerNames from '../protocol/headers.js';
 import {Reason, RefusalError} from '../protocol/reasons.js';
-import type {Headers, ServiceRequest} from '../protocol/service-request.js';
+import type {ServiceRequest} from '../protocol/service-request.js';
 import {readHeldBody} from '../protocol/service-request.js';
-import {readVerdict, Verdict} from '../protocol/verdict.js';
+import {Verdict} from '../protocol/verdict.js';
+import type {ProbeAnswer, UpstreamFigures} from '../protocol/worker-load.js';
 import type {ExchangeResponse} from './http-exchange.js';
 import {ExchangeError, runExchange} from './http-exchange.js';
-import {copyEndToEndHeaders, findHeader} from './message-headers.js';
+import {copyEndToEndHeaders} from './message-headers.js';
+import type {AnswerFault, UpstreamProtocol} from './upstream-protocol.js';
+import {OWN_UPSTREAM_PROTOCOL} from './upstream-protocol.js';
 
-const SERVICE_UNAVAILABLE = 503;
+/** Idle time of a connection; longer ones meet the upstream's own close. */
 const IDLE_TIMEOUT_MS = 10_000;
 
+/** What a client may be given beside the upstream's address. */
+export interface UpstreamClientOptions {
+  readonly protocol?: UpstreamProtocol;
+  readonly idleTimeoutMs?: number;
+}
+
 /** Connections to one worker. */
 export class UpstreamClient {
+  private handleFigures: (figures: UpstreamFigures) => void = () => {};
   private readonly pool: Pool;
+  private readonly probes: Client;
   private readonly origin: string;
+  private readonly protocol: UpstreamProtocol;
 
   constructor(
     address: string,
     slots: number,
     private readonly connectTimeoutMs: number,
+    options: UpstreamClientOptions = {},
   ) {
     this.origin = `http://${address}`;
-    this.pool = new Pool(this.origin, {
-      connections: slots,
+    this.protocol = options.protocol ?? OWN_UPSTREAM_PROTOCOL;
+    const connection = {
       pipelining: 1,
-      keepAliveTimeout: IDLE_TIMEOUT_MS,
+      keepAliveTimeout: options.idleTimeoutMs ?? IDLE_TIMEOUT_MS,
       connect: {timeout: connectTimeoutMs},
-    });
+    };
+    this.pool = new Pool(this.origin, {connections: slots, ...connection});
+    this.probes = new Client(this.origin, connection);
   }
 
   /**
@@ -61,35 +76,43 @@
   }
 
   /**
-   * Asks the worker's health path. Resolves with the HTTP status.
+   * Asks the worker's health path.
    *
    * @throws AttemptError when no answer came.
    */
-  async sendProbe(path: string, signal: AbortSignal): Promise<number> {
-    const client = this.openClient();
+  async sendProbe(path: string, signal: AbortSignal): Promise<ProbeAnswer> {
     try {
       const response = await runExchange(
-        client,
+        this.probes,
         {
           method: 'GET',
           path,
-          headers: {[headerNames.PROBE]: '1'},
+          headers: this.protocol.buildProbeHeaders(),
           body: null,
         },
         signal,
       );
       response.body.on('error', () => {}).resume();
-      return response.status;
+      this.readFigures(response);
+      return this.protocol.readProbe(response.status, response.headers);
     } catch (error) {
       throw buildUpstreamError(error);
-    } finally {
-      void client.close();
     }
   }
 
+  /** Calls back with the figures that the worker tells of itself. */
+  watchFigures(handler: (figures: UpstreamFigures) => void): void {
+    this.handleFigures = handler;
+  }
+
   /** Closes kept connections once their requests have ended. */
   async close(): Promise<void> {
-    await this.pool.close();
+    await Promise.all([this.pool.close(), this.probes.close()]);
+  }
+
+  private readFigures(response: ExchangeResponse): void {
+    const figures = this.protocol.readFigures(response.headers);
+    if (figures) this.handleFigures(figures);
   }
 
   private openClient(): Client {
@@ -110,12 +133,13 @@
         {
           method: request.method,
           path: request.path,
-          headers: buildHeaders(request),
+          headers: this.protocol.buildHeaders(request),
           body: buildBody(request),
         },
         signal,
       );
-      return await readUpstreamAnswer(request, response);
+      this.readFigures(response);
+      return await readUpstreamAnswer(this.protocol, request, response);
     } catch (error) {
       if (error instanceof AttemptError) throw error;
       throw buildUpstreamError(error);
@@ -123,14 +147,6 @@
   }
 }
 
-function buildHeaders(request: ServiceRequest): Headers {
-  const remainingMs = Math.max(1, request.deadline - performance.now());
-  return {
-    ...request.headers,
-    [headerNames.TIME_LIMIT]: String(Math.round(remainingMs)),
-  };
-}
-
 function buildBody(
   request: ServiceRequest,
 ): Buffer | AsyncIterable<Buffer> | null {
@@ -142,22 +158,33 @@
   })();
 }
 
+/** Cuts the connection after a wrong answer, whose end can't be trusted. */
+function closeBody(body: Readable, fault: AnswerFault): void {
+  body.on('error', () => {});
+  if (fault.reason === Reason.WRONG_ANSWER) body.destroy();
+  else body.resume();
+}
+
 async function readUpstreamAnswer(
+  protocol: UpstreamProtocol,
   request: ServiceRequest,
   response: ExchangeResponse,
 ): Promise<AttemptAnswer> {
   const {headers, status} = response;
-  checkOwner(request, response);
-  const isShed =
-    status === SERVICE_UNAVAILABLE &&
-    readVerdict(findHeader(headers, headerNames.VERDICT)) === Verdict.NOT_RUN;
-  if (isShed) {
-    response.body.on('error', () => {}).resume();
-    throw new AttemptError(Reason.WORKER_SHED, Verdict.NOT_RUN, 'worker shed');
+  const fault = protocol.findFault(request, status, headers);
+  if (fault) {
+    closeBody(response.body, fault);
+    throw new AttemptError(fault.reason, fault.verdict, fault.detail);
   }
+  const signature = protocol.readSignature(headers);
   try {
     const body = await readHeldBody(response.body);
-    return {status, headers: copyEndToEndHeaders(headers), body};
+    return {
+      status,
+      headers: copyEndToEndHeaders(headers),
+      body,
+      ...(signature === undefined ? {} : {signature}),
+    };
   } catch (error) {
     throw new AttemptError(
       Reason.TRUNCATED_ANSWER,
@@ -167,21 +194,6 @@
   }
 }
 
-/**
- * A worker that answers out of turn would hand one caller's answer to another;
- * one that echoes the request id can be caught at it.
- */
-function checkOwner(request: ServiceRequest, response: ExchangeResponse): void {
-  const echoed = findHeader(response.headers, headerNames.REQUEST_ID);
-  if (echoed === undefined || echoed === request.id) return;
-  response.body.on('error', () => {}).destroy();
-  throw new AttemptError(
-    Reason.WRONG_ANSWER,
-    Verdict.MAY_HAVE_RUN,
-    `worker answered request ${echoed}`,
-  );
-}
-
 function buildUpstreamError(error: unknown): AttemptError {
   const sent = !(error instanceof ExchangeError) || error.sent;
   const detail = `worker: ${String(error)}`;
