--- a/src/coordination/gate.ts
+++ b/src/coordination/gate.ts
@@ -77,6 +77,7 @@
     const known = this.workers.get(announcement.service);
     const isSameProcess =
       known?.announcement.address === announcement.address &&
+      known.announcement.instanceId === announcement.instanceId &&
       known.announcement.version === announcement.version;
     if (known && !isSameProcess) this.removeWorker(known);
     const worker = isSameProcess
--- a/src/coordination/slot-admission.ts
+++ b/src/coordination/slot-admission.ts
@@ -239,7 +239,7 @@
     return new Promise((resolve, reject) => {
       const handleAbort = (): void => {
         if (this.queue.remove(entry)) {
-          entry.reject(new RefusalError(Reason.CALLER_GONE));
+          entry.reject(findAbortRefusal(signal));
         }
       };
       const settle = (): void =>
@@ -375,6 +375,14 @@
   }
 }
 
+/** A deadline that passed and a caller that left end a wait differently. */
+function findAbortRefusal(signal: AbortSignal): RefusalError {
+  const reason: unknown = signal.reason;
+  return reason instanceof RefusalError
+    ? reason
+    : new RefusalError(Reason.CALLER_GONE);
+}
+
 function buildFull(isCold: boolean, waitMs: number): RefusalError {
   const reason = isCold ? Reason.WORKER_COLD : Reason.QUEUE_TIMEOUT;
   const retryAfterMs = Math.max(0, Math.round(waitMs));
--- /dev/null
+++ b/src/directory-node.ts
@@ -0,0 +1,413 @@
+/**
+ * A node on a platform that keeps what must last in a store of its own and
+ * brings an adapter. What such a platform makes needless is not started: no
+ * log of our own, no homes of keys, no membership over the platform's log.
+ */
+import type {Server} from 'node:http';
+import {createServer} from 'node:http';
+import {randomUUID} from 'node:crypto';
+import {AttemptRunner} from './coordination/attempt-runner.js';
+import {AttemptSender} from './coordination/attempt-sender.js';
+import {CrashQuarantine} from './coordination/crash-quarantine.js';
+import {Entry} from './coordination/entry.js';
+import {Gate} from './coordination/gate.js';
+import {KeyedFollower} from './coordination/keyed-follower.js';
+import {OperatorViews} from './coordination/operator-view.js';
+import {PeerDirectory} from './coordination/peer-directory.js';
+import {RouteSplitter} from './coordination/route-split.js';
+import {SlotAdmission} from './coordination/slot-admission.js';
+import {WorkerReports} from './coordination/worker-reports.js';
+import type {NodeAdapter, NodePort} from './node-adapter.js';
+import {describeReadiness, NodeStop} from './node-stop.js';
+import type {Announcement} from './protocol/announcement.js';
+import type {Attempt, AttemptAnswer} from './protocol/attempt.js';
+import type {DirectorySettings} from './protocol/directory-settings.js';
+import type {NodeIdentity} from './protocol/node-identity.js';
+import {createIncarnation, parseAddress} from './protocol/node-identity.js';
+import {Reason, RefusalError, toRefusal} from './protocol/reasons.js';
+import type {
+  ServiceAnswer,
+  ServiceRequest,
+} from './protocol/service-request.js';
+import {nodeSettingsSchema} from './protocol/settings.js';
+import {Verdict} from './protocol/verdict.js';
+import {formatWorkerLoad} from './protocol/worker-load.js';
+import type {WorkerState} from './protocol/worker-load.js';
+import {AttemptRegistry} from './state/attempt-registry.js';
+import {CrashTable} from './state/crash-table.js';
+import {Explanations} from './state/explanations.js';
+import {KeyedRecords} from './state/keyed-records.js';
+import {StateStore} from './state/state-store.js';
+import {WorkerTable} from './state/worker-table.js';
+import {createCallerServer} from './transport/caller-listener.js';
+import {GateClient} from './transport/gate-client.js';
+import {LineWriter} from './transport/line-writer.js';
+import type {LogContext} from './transport/logger.js';
+import {createLogger} from './transport/logger.js';
+import {Metrics} from './transport/metrics.js';
+import {
+  askSeal,
+  PeerExchange,
+  servePeerCall,
+} from './transport/peer-exchange.js';
+import {createPeerServer} from './transport/peer-listener.js';
+import {UpstreamClient} from './transport/upstream-client.js';
+
+const STDOUT = 1;
+/** Longest wait for a connection to a worker on the same host. */
+const UPSTREAM_CONNECT_MS = 300;
+/** Upstreams may drop idle connections early; longer ones are not used. */
+const UPSTREAM_IDLE_MS = 3000;
+/** Time between looks whether the worker's figures are too old. */
+const PROBE_CHECK_MS = 50;
+/** Parts of the grace time for callers to leave and for work to end. */
+const LINGER_PART = 0.42;
+const DRAIN_PART = 0.4;
+/** Silence after which a sent attempt is asked for on a new connection. */
+const ACKNOWLEDGE_TIMEOUT = '500ms';
+/** Pause between acknowledgements; two fit into the timeout. */
+const ACKNOWLEDGE_INTERVAL_MS = 200;
+/** Margin by which an entry keeps connections longer than callers may. */
+const IDLE_MARGIN_MS = 1000;
+
+const connectionSettings = nodeSettingsSchema.shape.connections.parse({
+  acknowledgeTimeout: ACKNOWLEDGE_TIMEOUT,
+  connectTimeout: '300ms',
+  idleTimeout: '8s',
+});
+
+/** A running node. */
+export class DirectoryNode {
+  private readonly identity: NodeIdentity;
+  private readonly logger;
+  private readonly metrics = new Metrics();
+  private readonly state = new StateStore(undefined);
+  private readonly workers = new WorkerTable();
+  private readonly records = new KeyedRecords();
+  private readonly views: OperatorViews;
+  private readonly follower: KeyedFollower;
+  private readonly peers = new PeerExchange();
+  private readonly directory: PeerDirectory;
+  private readonly gateClient: GateClient;
+  private readonly gate: Gate;
+  private readonly reports: WorkerReports;
+  private readonly attempts = new AttemptRegistry();
+  private readonly attemptRunner: AttemptRunner;
+  private readonly attemptSender: AttemptSender;
+  private readonly crashTable = new CrashTable();
+  private readonly splitter = new RouteSplitter();
+  private readonly entry: Entry;
+  private readonly port: NodePort;
+  private readonly callerServer: Server;
+  private readonly peerServer: Server;
+  private readonly planned: NodeStop;
+
+  constructor(
+    private readonly settings: DirectorySettings,
+    private readonly adapter: NodeAdapter,
+  ) {
+    const {node} = settings;
+    const writer = new LineWriter(STDOUT);
+    this.logger = createLogger(node.id, settings.logging, line =>
+      writer.write(line),
+    );
+    this.identity = {
+      nodeId: node.id,
+      incarnation: createIncarnation(Date.now(), Math.random),
+      dataCentre: node.dataCentre,
+      callerAddress: node.callerAddress,
+      peerAddress: node.peerAddress,
+    };
+    this.port = this.createPort();
+    this.views = new OperatorViews(this.state, (text, context) =>
+      this.log(text, context),
+    );
+    this.follower = this.createFollower();
+    this.gateClient = new GateClient(node.id, connectionSettings);
+    this.gate = this.createGate();
+    this.reports = new WorkerReports(
+      this.gate,
+      service => this.state.findProfile(service) !== undefined,
+    );
+    this.directory = this.createDirectory();
+    this.attemptRunner = new AttemptRunner(
+      this.identity.incarnation,
+      this.attempts,
+      (request, version, signal, handleAdmitted) =>
+        this.gate.runAttempt(request, version, signal, handleAdmitted),
+    );
+    this.attemptSender = new AttemptSender(
+      (attempt, signal, handleSilence) =>
+        this.gateClient.sendAttempt(attempt, signal, handleSilence),
+      askSeal,
+      name => this.metrics.count(`attempts.${name}`),
+    );
+    this.entry = this.createEntry();
+    this.callerServer = this.createCallerServer();
+    this.peerServer = this.createPeerServer();
+    const {grace} = settings.limits;
+    this.planned = new NodeStop({
+      settings: {
+        lingerTime: grace * LINGER_PART,
+        drainTimeout: grace * DRAIN_PART,
+      },
+      membership: this.directory,
+      callerServer: this.callerServer,
+      peerServer: this.peerServer,
+      closeClients: () => this.closeClients(),
+      handleStep: (step, isComplete) =>
+        this.logger.write('info', 'stop', {step, isComplete}),
+    });
+  }
+
+  /** Listens, finds the other nodes and begins to work. */
+  async start(): Promise<void> {
+    const {node} = this.settings;
+    await startListening(this.peerServer, node.peerAddress);
+    await this.peers.start(node.beaconAddress, beacon =>
+      this.directory.handleBeacon(beacon),
+    );
+    await startListening(this.callerServer, node.callerAddress);
+    for (const {server, address} of this.adapter.createServers(this.port)) {
+      await startListening(server, address);
+    }
+    await startListening(this.createMetricsServer(), node.metricsAddress);
+    this.records.events.on('changed', () => this.applyRecords());
+    this.state.events.on('changed', () => this.reports.refresh());
+    this.gate.events.on('workersChanged', () => this.updateWorkers());
+    this.follower.start();
+    this.directory.start();
+    this.log('started', {incarnation: this.identity.incarnation});
+  }
+
+  /** Takes note of changed settings; addresses hold until the next start. */
+  handleSettings(settings: DirectorySettings): void {
+    const isSame = JSON.stringify(settings) === JSON.stringify(this.settings);
+    this.log('settings read again', {isSame: isSame ? 1 : 0});
+  }
+
+  /** Stops without cutting a request. */
+  async stop(): Promise<void> {
+    this.log('stopping', {});
+    await this.planned.run();
+    this.log('stopped', {});
+  }
+
+  private createPort(): NodePort {
+    return {
+      isConfigured: () => this.state.isConfigured,
+      findProfile: service => this.state.findProfile(service),
+      findRoute: (host, path) => this.state.routes.find(host, path),
+      chooseService: rule => this.splitter.chooseService(rule),
+      describeReadiness: () =>
+        describeReadiness(this.planned.isStopping, this.isReady()),
+      handleReport: report => this.reports.handleReport(report),
+      handleLeave: instanceId => this.reports.handleLeave(instanceId),
+      count: name => this.metrics.count(name),
+      log: (text, context) => this.log(text, context),
+    };
+  }
+
+  private createFollower(): KeyedFollower {
+    return new KeyedFollower({
+      topic: this.adapter.operatorTopic,
+      records: this.records,
+      pollWaitMs: this.settings.store.pollWait,
+      random: Math.random,
+      handleAvailability: (isAvailable, detail) => {
+        const text = isAvailable ? 'store answers' : 'store is away';
+        this.metrics.count(isAvailable ? 'store.back' : 'store.away');
+        this.logger.write('warn', text, {detail});
+      },
+    });
+  }
+
+  private createGate(): Gate {
+    return new Gate(
+      announcement => this.openUpstream(announcement),
+      this.state,
+      this.identity.dataCentre,
+      new CrashQuarantine(this.crashTable),
+      {
+        createAdmission: (announcement, limits) => {
+          const admission = new SlotAdmission(announcement.slots, limits);
+          admission.handleChange = () => this.directory.scheduleBeacon();
+          return admission;
+        },
+        probeCheckMs: PROBE_CHECK_MS,
+      },
+    );
+  }
+
+  private openUpstream(announcement: Announcement): UpstreamClient {
+    const {address, slots} = announcement;
+    return new UpstreamClient(address, slots, UPSTREAM_CONNECT_MS, {
+      protocol: this.adapter.createUpstreamProtocol(announcement),
+      idleTimeoutMs: UPSTREAM_IDLE_MS,
+    });
+  }
+
+  private createDirectory(): PeerDirectory {
+    return new PeerDirectory({
+      identity: this.identity,
+      beaconAddress: this.settings.node.beaconAddress,
+      workers: this.workers,
+      directory: this.adapter.directory,
+      calls: this.peers,
+      records: this.records,
+      random: Math.random,
+      listLoads: () =>
+        this.gate.listWorkers().flatMap(({service}) => {
+          const load = this.gate.findLoad(service);
+          return load ? [[service, formatWorkerLoad(load)] as const] : [];
+        }),
+      listMoves: () => [],
+      handleMoves: () => {},
+      handleLaterRecords: () => this.follower.checkNow(),
+      report: (text, context) => this.log(text, context),
+    });
+  }
+
+  private createEntry(): Entry {
+    return new Entry({
+      dataCentre: this.identity.dataCentre,
+      state: this.state,
+      workers: this.workers,
+      explanations: new Explanations(),
+      sendAttempt: (attempt, signal) => this.sendAttempt(attempt, signal),
+      random: Math.random,
+      createAttemptId: randomUUID,
+      count: name => this.metrics.count(name),
+      isQuarantined: fingerprint => this.crashTable.isQuarantined(fingerprint),
+      selectWorkers: (service, rows) => [...rows],
+    });
+  }
+
+  private createCallerServer(): Server {
+    return createCallerServer({
+      ownRoutes: [],
+      protocol: this.adapter.createCallerProtocol(this.port),
+      handleRequest: (request, signal) => this.handleRequest(request, signal),
+      handleRefusal: (refusal, requestId) =>
+        this.recordRefusal(refusal, requestId),
+      isStopping: () => this.planned.isStopping,
+    });
+  }
+
+  private createPeerServer(): Server {
+    const handlers = {
+      incarnation: this.identity.incarnation,
+      handleNews: this.directory.handleNews.bind(this.directory),
+      seal: this.attempts.seal.bind(this.attempts),
+    };
+    return createPeerServer({
+      handleAttempt: async (attempt, signal, handleAdmitted) => {
+        if (this.planned.isRefusingAttempts) {
+          throw new RefusalError(Reason.NODE_STOPPING);
+        }
+        return this.attemptRunner.run(attempt, signal, handleAdmitted);
+      },
+      handleCall: (message, response) =>
+        void servePeerCall(handlers, message, response),
+      acknowledgeIntervalMs: ACKNOWLEDGE_INTERVAL_MS,
+    });
+  }
+
+  private createMetricsServer(): Server {
+    return createServer((message, response) => {
+      void this.metrics
+        .formatText()
+        .then(text => response.end(text))
+        .catch(() => response.destroy());
+    });
+  }
+
+  private async handleRequest(
+    request: ServiceRequest,
+    signal: AbortSignal,
+  ): Promise<ServiceAnswer> {
+    const startedAt = performance.now();
+    const {service, route} = request;
+    let verdict: Verdict = Verdict.RAN;
+    try {
+      const answer = await this.entry.handleRequest(request, signal);
+      this.metrics.count(`verdicts.${verdict}`);
+      return answer;
+    } catch (error) {
+      ({verdict} = toRefusal(error));
+      throw error;
+    } finally {
+      const elapsedMs = performance.now() - startedAt;
+      this.metrics.recordLatency({service, route, verdict}, elapsedMs);
+    }
+  }
+
+  private async sendAttempt(
+    attempt: Attempt,
+    signal: AbortSignal,
+  ): Promise<AttemptAnswer> {
+    if (attempt.target.nodeId === this.identity.nodeId) {
+      return this.gate.runAttempt(attempt.request, attempt.version, signal);
+    }
+    return this.attemptSender.sendAttempt(attempt, signal);
+  }
+
+  private recordRefusal(refusal: RefusalError, requestId: string): void {
+    const {reason, verdict, detail, retryAfterMs = -1} = refusal;
+    this.metrics.count(`refusals.${reason}`);
+    this.metrics.count(`verdicts.${verdict}`);
+    const context = {requestId, reason, verdict, detail, retryAfterMs};
+    this.logger.write('info', 'refused', context);
+  }
+
+  private applyRecords(): void {
+    const view = this.adapter.readOperatorRecords(
+      this.records.list(),
+      this.port,
+    );
+    this.views.apply(view);
+    const {callerLimits} = this.state;
+    if (!callerLimits) return;
+    const {idleTimeout, headerTimeout} = callerLimits;
+    this.callerServer.keepAliveTimeout = idleTimeout + IDLE_MARGIN_MS;
+    this.callerServer.headersTimeout = headerTimeout;
+  }
+
+  private updateWorkers(): void {
+    this.directory.updateWorkers(
+      this.gate.listWorkers().map(({service, version, slots, state}) => ({
+        service,
+        version,
+        slots,
+        state: state as WorkerState,
+      })),
+    );
+  }
+
+  private isReady(): boolean {
+    return this.state.isConfigured && this.directory.hasJoined;
+  }
+
+  private log(
+    text: string,
+    context: Readonly<Record<string, string | number>>,
+  ): void {
+    this.logger.write('info', text, context as LogContext);
+  }
+
+  private async closeClients(): Promise<void> {
+    this.follower.stop();
+    await this.gateClient.close();
+    await this.gate.close();
+    this.peers.close();
+    await this.adapter.close();
+    await this.metrics.close();
+  }
+}
+
+function startListening(server: Server, address: string): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(parseAddress(address), () => resolve());
+  });
+}
--- a/src/node-process.ts
+++ b/src/node-process.ts
@@ -54,6 +54,7 @@
 import {PeerClients} from './transport/peer-client.js';
 import {createPeerServer} from './transport/peer-listener.js';
 import {reportProcess} from './transport/process-report.js';
+import {createStatsdSender} from './transport/statsd-sender.js';
 import {UpstreamClient} from './transport/upstream-client.js';
 
 /** A running node. */
@@ -93,7 +94,12 @@
       peerAddress: node.peerAddress,
     };
     this.logger = createLogger(node.id, settings.logging);
-    this.metrics = new Metrics(node.id, settings.metrics);
+    const {statsdAddress: address, prefix} = settings.metrics;
+    this.metrics = new Metrics(
+      address === undefined
+        ? undefined
+        : createStatsdSender(node.id, {address, prefix}),
+    );
     this.explanations = new Explanations(createStepLogger(this.logger));
     this.peers = new PeerClients(settings.connections.localAddress);
     this.sharedState = new SharedState({
--- a/src/node-stop.ts
+++ b/src/node-stop.ts
@@ -4,7 +4,6 @@
  * is on its way on an open connection.
  */
 import type {Server} from 'node:http';
-import type {Membership} from './coordination/membership.js';
 import type {NodeSettings} from './protocol/settings.js';
 import type {OwnAnswer} from './transport/caller-listener.js';
 import {ConnectionCloser} from './transport/connection-closer.js';
@@ -16,10 +15,17 @@
 /** Work of another module that a stop waits for. */
 export type StopTask = () => Promise<void>;
 
+/** This node among the others. */
+export interface LeavingMember {
+  /** Tells the others that this node takes no more attempts. */
+  leave(): Promise<void>;
+  stop(): void;
+}
+
 /** What a stop works with. */
 export interface NodeStopParts {
   readonly settings: NodeSettings['stop'];
-  readonly membership: Membership;
+  readonly membership: LeavingMember;
   readonly callerServer: Server;
   readonly peerServer: Server;
   /** Closes the connections to other nodes, the upstream and the metrics. */
--- a/src/protocol/announcement.ts
+++ b/src/protocol/announcement.ts
@@ -16,6 +16,8 @@
   state: z.enum(['cold', 'ready', 'draining']).default('cold'),
   /** Time after which silence means that the worker is gone. */
   ttlMs: z.int().min(100).max(600_000).default(10_000),
+  /** Names the worker's process, so that another at its address is told apart. */
+  instanceId: z.string().min(1).max(128).optional(),
 });
 
 export type Announcement = z.output<typeof announcementSchema>;
--- a/src/transport/metrics.ts
+++ b/src/transport/metrics.ts
@@ -1,34 +1,71 @@
 /**
- * Counters, sent to StatsD by hot-shots and kept as totals for the status
- * path. Each refusal and retry reason has a counter of its own.
+ * Counters and latency histograms of one node, by prom-client: as totals for
+ * the status path, as text for collectors, and to a sender if there is one.
+ * Each refusal and retry reason has a counter of its own.
  */
-import {StatsD} from 'hot-shots';
-import type {NodeSettings} from '../protocol/settings.js';
-import {parseAddress} from '../protocol/node-identity.js';
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 
-/** Counters are sent together until a datagram of this size is full. */
-const DATAGRAM_BYTES = 1400;
+/** Bounds of the histograms in seconds, from a local answer to a deadline. */
+const LATENCY_BOUNDS_S = [
+  0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1, 1.5, 2, 5,
+];
+const MS_PER_SECOND = 1000;
 
-/** Counters of one node. */
+/** Takes counters to another system. */
+export interface MetricsSender {
+  increment(name: string, amount: number): void;
+  close(): Promise<void>;
+}
+
+/** Metrics of one node. */
 export class Metrics {
   private readonly totals = new Map<string, number>();
-  private readonly client: StatsD | undefined;
-
-  constructor(nodeId: string, settings: NodeSettings['metrics']) {
-    if (settings.statsdAddress === undefined) return;
-    this.client = new StatsD({
-      ...parseAddress(settings.statsdAddress),
-      prefix: settings.prefix,
-      globalTags: {node: nodeId},
-      maxBufferSize: DATAGRAM_BYTES,
-      errorHandler: () => {},
-    });
-  }
+  private readonly registry = new Registry();
+  private readonly events = new Counter({
+    name: 'sequoiaspool_events_total',
+    help: 'Decisions and events by name',
+    labelNames: ['name'],
+    registers: [this.registry],
+  });
+  private readonly latency = new Histogram({
+    name: 'sequoiaspool_request_seconds',
+    help: 'Time from taking a request to its answer or refusal',
+    labelNames: ['service', 'route', 'verdict'],
+    buckets: LATENCY_BOUNDS_S,
+    registers: [this.registry],
+  });
+
+  constructor(private readonly sender?: MetricsSender) {}
 
   /** Adds to a counter, such as `refusals.queue-full`. */
   count(name: string, amount = 1): void {
     this.totals.set(name, (this.totals.get(name) ?? 0) + amount);
-    this.client?.increment(name, amount);
+    this.events.inc({name}, amount);
+    this.sender?.increment(name, amount);
+  }
+
+  /** Adds the time that one request took, in milliseconds. */
+  recordLatency(
+    labels: {
+      readonly service: string;
+      readonly route: string;
+      readonly verdict: string;
+    },
+    elapsedMs: number,
+  ): void {
+    this.latency.observe({...labels}, elapsedMs / MS_PER_SECOND);
+  }
+
+  /** Adds a figure that is read whenever the text is asked for. */
+  watch(name: string, help: string, read: () => number): void {
+    new Gauge({
+      name: `sequoiaspool_${name}`,
+      help,
+      registers: [this.registry],
+      collect() {
+        this.set(read());
+      },
+    });
   }
 
   /** Totals since the start of the process. */
@@ -36,11 +73,13 @@
     return Object.fromEntries([...this.totals].sort());
   }
 
-  /** Sends what is left and closes the socket. */
-  close(): Promise<void> {
-    return new Promise(resolve => {
-      if (this.client) this.client.close(() => resolve());
-      else resolve();
-    });
+  /** All metrics in the text format of Prometheus. */
+  formatText(): Promise<string> {
+    return this.registry.metrics();
+  }
+
+  /** Sends what is left. */
+  async close(): Promise<void> {
+    await this.sender?.close();
   }
 }
