--- a/src/coordination/peer-directory.ts
+++ b/src/coordination/peer-directory.ts
@@ -67,8 +67,6 @@
   name: PeerName;
   news: NodeNews | undefined;
   heardAt: number;
-  /** What it said of the records that it knows. */
-  recordsEnd: number;
   isAsked: boolean;
   askedAt: number;
   failures: number;
@@ -84,6 +82,8 @@
 /** Longest pause between two questions to a node that does not answer. */
 const MOST_ASK_PAUSE_MS = 2000;
 const LEAST_ASK_PAUSE_MS = 250;
+/** Time in which the store usually tells all nodes of a new record. */
+const BEHIND_MS = 250;
 /** Silence after which a node is forgotten; the store still lists it. */
 const FORGET_MS = 60_000;
 /** Pause between two looks at the store while nobody answers. */
@@ -101,6 +101,8 @@
   private hasListed = false;
   private beaconTimer: NodeJS.Timeout | undefined;
   private checkTimer: NodeJS.Timeout | undefined;
+  private behindTimer: NodeJS.Timeout | undefined;
+  private isBehind = false;
   private lastBeaconAt = -Infinity;
   private listedAt = -Infinity;
 
@@ -121,6 +123,7 @@
     this.abort.abort();
     clearInterval(this.checkTimer);
     clearTimeout(this.beaconTimer);
+    clearTimeout(this.behindTimer);
   }
 
   /** Tells all nodes that this one takes no more attempts. */
@@ -163,7 +166,7 @@
   /** Takes news of another node and returns this node's own. */
   handleNews(news: PeerNews): PeerNews {
     this.recordNews(news);
-    return this.buildNews(news.recordsEnd);
+    return this.buildNews(news.wantsRecords ? news.recordsEnd : undefined);
   }
 
   /** Takes a datagram of another node. */
@@ -224,7 +227,6 @@
       name: {nodeId, incarnation, peerAddress},
       news: undefined,
       heardAt: performance.now(),
-      recordsEnd: 0,
       isAsked: false,
       askedAt: -Infinity,
       failures: 0,
@@ -239,7 +241,7 @@
     peer.askedAt = performance.now();
     const {revision} = this;
     try {
-      const news = this.buildNews(peer.recordsEnd);
+      const news = this.buildNews();
       const {peerAddress} = peer.name;
       this.recordNews(await this.options.calls.sendNews(peerAddress, news));
       peer.failures = 0;
@@ -265,7 +267,6 @@
         name: {nodeId, incarnation, peerAddress},
         news: undefined,
         heardAt: 0,
-        recordsEnd: 0,
         isAsked: false,
         askedAt: -Infinity,
         failures: 0,
@@ -309,12 +310,20 @@
     }
   }
 
-  /** Fetches what another node knows and this one does not. */
+  /**
+   * Another node knows later records. Usually the store tells this node of
+   * them in a moment; it is looked for elsewhere only after that.
+   */
   private checkRecords(peer: Peer, recordsEnd: number): void {
-    peer.recordsEnd = recordsEnd;
-    if (recordsEnd <= this.options.records.end) return;
-    this.options.handleLaterRecords();
-    void this.ask(peer);
+    const {records} = this.options;
+    if (recordsEnd <= records.end || this.behindTimer) return;
+    this.behindTimer = setTimeout(() => {
+      this.behindTimer = undefined;
+      if (recordsEnd <= records.end) return;
+      this.options.handleLaterRecords();
+      this.isBehind = true;
+      void this.ask(peer).then(() => (this.isBehind = false));
+    }, BEHIND_MS);
   }
 
   private recordLoad(nodeId: string, service: string, load: WorkerLoad): void {
@@ -396,15 +405,16 @@
     };
   }
 
-  /** News for a node that knows the records up to an offset. */
-  private buildNews(recordsEnd: number): PeerNews {
+  /** News, with the records from an offset on when they are asked for. */
+  private buildNews(recordsFrom = Infinity): PeerNews {
     const {records, listMoves, random} = this.options;
     const names = [...this.peers.values()].map(({name}) => name);
     return {
       node: this.describe(),
       peers: pickRandom(names, MAX_TOLD_PEERS, random),
       recordsEnd: records.end,
-      records: records.list().filter(({offset}) => offset >= recordsEnd),
+      wantsRecords: this.isBehind,
+      records: records.list().filter(({offset}) => offset >= recordsFrom),
       moves: listMoves(),
     };
   }
--- a/src/coordination/version-moves.ts
+++ b/src/coordination/version-moves.ts
@@ -55,6 +55,17 @@
   readonly report: (text: string, bad: BadMove) => void;
   /** Versions of the workers on this host, by service. */
   readonly findLocalVersion: (service: string) => string | undefined;
+  /** Clock that moves' times are on; the host's without. */
+  readonly now?: () => number;
+  /** Version that serves while no move runs; the configured one without. */
+  readonly findBaseVersion?: (service: string) => string | undefined;
+  /**
+   * Whether only the first of the nodes beside a new version judges it. That
+   * is cheap where a lost step costs little because it is told, not logged.
+   */
+  readonly hasOneJudge?: boolean;
+  /** Called when this node judges a move for the first time. */
+  readonly handleStart?: (service: string) => Promise<void>;
 }
 
 const CHECK_INTERVAL_MS = 500;
@@ -64,6 +75,8 @@
 const SHARES_PERCENT = [10, 25, 50, 100];
 /** Part of a move's time that its steps are spread over at least. */
 const PACED_PART = 0.5;
+/** Part of a move's time after which a sound version is taken as good. */
+const LATE_PART = 0.75;
 /** Time after a move's end at which nodes without the new version end it. */
 const OVERDUE_MS = 5000;
 /** Peers that a first report of badness goes to; each passes it on once. */
@@ -79,6 +92,8 @@
   private timer: NodeJS.Timeout | undefined;
   private isStopped = false;
 
+  private readonly startedMoves = new Set<string>();
+
   constructor(private readonly options: VersionMovesOptions) {}
 
   /** Starts to check the running moves. */
@@ -110,7 +125,8 @@
     const move = state.findMove(service);
     const wanted = move
       ? this.chooseVersion(service, move)
-      : state.findServiceVersion(service);
+      : (this.options.findBaseVersion?.(service) ??
+        state.findServiceVersion(service));
     if (wanted === undefined) return [...rows];
     const isWanted = (row: WorkerRow): boolean => row.version === wanted;
     const matching = rows.filter(isWanted);
@@ -164,13 +180,42 @@
     const bad = this.badMoves.get(move.moveId);
     if (bad) return this.endMove(service, move, 'taken-back', bad.evidence);
     const isBeside = this.options.findLocalVersion(service) === move.toVersion;
-    if (isBeside) return this.checkEvidence(service, move);
-    if (Date.now() > move.doneByMs + OVERDUE_MS) {
+    if (isBeside && this.isJudge(service, move)) {
+      await this.markStart(service, move);
+      return this.checkEvidence(service, move);
+    }
+    if (this.readClock() > move.doneByMs + OVERDUE_MS) {
       const evidence = 'not proved good by its time';
       return this.endMove(service, move, 'taken-back', evidence);
     }
   }
 
+  private readClock(): number {
+    return this.options.now?.() ?? Date.now();
+  }
+
+  /** The first by id of the nodes that answer, where only one judges. */
+  private isJudge(service: string, move: Move): boolean {
+    const {hasOneJudge, workers, nodeId} = this.options;
+    if (!hasOneJudge) return true;
+    return !workers
+      .listWorkers(service)
+      .some(
+        ({version, isSuspect, target}) =>
+          version === move.toVersion && !isSuspect && target.nodeId < nodeId,
+      );
+  }
+
+  private async markStart(service: string, move: Move): Promise<void> {
+    if (this.startedMoves.has(move.moveId)) return;
+    this.startedMoves.add(move.moveId);
+    try {
+      await this.options.handleStart?.(service);
+    } catch {
+      this.options.count('moves.start-not-told');
+    }
+  }
+
   /**
    * Evidence about the new version counts from the newest step on; the old
    * one's is kept through the move, since in the end it gets no traffic.
@@ -178,7 +223,7 @@
   private recordStep(service: string, move: Move): void {
     if (this.seenNumbers.get(service) === move.number) return;
     this.seenNumbers.set(service, move.number);
-    this.steppedAt.set(service, Date.now());
+    this.steppedAt.set(service, this.readClock());
     const isStart = move.sharePercent === 0;
     const isNew = this.options.findLocalVersion(service) === move.toVersion;
     if (isStart || isNew) this.options.evidence.clear(service);
@@ -208,12 +253,17 @@
     move: Move,
     judged: JudgedVersion,
   ): Promise<void> {
-    const isGood = judged.judgement === Judgement.GOOD;
-    if (!isGood && Date.now() > move.doneByMs) {
+    const isGood =
+      judged.judgement === Judgement.GOOD ||
+      (judged.isSound && this.isLate(move));
+    if (!isGood && this.readClock() > move.doneByMs) {
       const evidence = `not proved good by its time: ${judged.evidence}`;
       return this.endMove(service, move, 'taken-back', evidence);
     }
     if (!isGood || !this.isPaced(service, move)) return;
+    if (judged.isSound && this.isLate(move)) {
+      return this.endMove(service, move, 'done', judged.evidence);
+    }
     const next = SHARES_PERCENT.find(share => share > move.sharePercent);
     if (next === undefined) {
       return this.endMove(service, move, 'done', judged.evidence);
@@ -228,11 +278,17 @@
     });
   }
 
+  /** Whether no time is left to prove each route by itself. */
+  private isLate(move: Move): boolean {
+    const totalMs = move.doneByMs - move.startedAtMs;
+    return this.readClock() > move.startedAtMs + totalMs * LATE_PART;
+  }
+
   /** Steps are spread over a part of the time, so that lateness shows. */
   private isPaced(service: string, move: Move): boolean {
     const totalMs = move.doneByMs - move.startedAtMs;
     const stepMs = (totalMs * PACED_PART) / (SHARES_PERCENT.length + 1);
-    return Date.now() - (this.steppedAt.get(service) ?? 0) >= stepMs;
+    return this.readClock() - (this.steppedAt.get(service) ?? 0) >= stepMs;
   }
 
   private async readEvidence(
--- /dev/null
+++ b/src/directory-moves.ts
@@ -0,0 +1,67 @@
+/**
+ * Joins the parts by which a node with a directory takes part in moves.
+ */
+import {randomUUID} from 'node:crypto';
+import type {MoveOutcomes} from './coordination/ordered-moves.js';
+import {OrderedMoves} from './coordination/ordered-moves.js';
+import type {MoveCalls} from './coordination/version-moves.js';
+import {VersionMoves} from './coordination/version-moves.js';
+import type {NodeIdentity} from './protocol/node-identity.js';
+import type {StateStore} from './state/state-store.js';
+import {VersionEvidence} from './state/version-evidence.js';
+import type {WorkerTable} from './state/worker-table.js';
+
+/** What a node's moves are joined with. */
+export interface DirectoryMovesOptions {
+  readonly identity: NodeIdentity;
+  readonly state: StateStore;
+  readonly workers: WorkerTable;
+  readonly calls: MoveCalls;
+  readonly outcomes: MoveOutcomes;
+  /** Tells all nodes of a change. */
+  readonly push: () => void;
+  readonly count: (name: string) => void;
+  readonly report: (
+    text: string,
+    context: Readonly<Record<string, string | number>>,
+  ) => void;
+  readonly findLocalVersion: (service: string) => string | undefined;
+}
+
+/** One node's part in moves. */
+export class DirectoryMoves {
+  readonly evidence = new VersionEvidence();
+  readonly orders: OrderedMoves;
+  readonly versions: VersionMoves;
+
+  constructor(options: DirectoryMovesOptions) {
+    const {identity, state, workers, outcomes, push, report} = options;
+    const readClock = (): number => performance.now();
+    this.orders = new OrderedMoves({
+      state,
+      workers,
+      outcomes,
+      now: readClock,
+      push,
+      report,
+    });
+    this.versions = new VersionMoves({
+      nodeId: identity.nodeId,
+      peerAddress: identity.peerAddress,
+      state,
+      workers,
+      evidence: this.evidence,
+      calls: options.calls,
+      appendRecord: record => this.orders.appendRecord(record),
+      createId: randomUUID,
+      random: Math.random,
+      count: options.count,
+      report: (text, bad) => report(text, {...bad}),
+      findLocalVersion: options.findLocalVersion,
+      now: readClock,
+      findBaseVersion: service => this.orders.findBaseVersion(service),
+      hasOneJudge: true,
+      handleStart: service => this.orders.writeStart(service),
+    });
+  }
+}
--- a/src/directory-node.ts
+++ b/src/directory-node.ts
@@ -4,7 +4,6 @@
  * log of our own, no homes of keys, no membership over the platform's log.
  */
 import type {Server} from 'node:http';
-import {createServer} from 'node:http';
 import {randomUUID} from 'node:crypto';
 import {AttemptRunner} from './coordination/attempt-runner.js';
 import {AttemptSender} from './coordination/attempt-sender.js';
@@ -12,15 +11,20 @@
 import {Entry} from './coordination/entry.js';
 import {Gate} from './coordination/gate.js';
 import {KeyedFollower} from './coordination/keyed-follower.js';
+import type {WorkerConnection} from './coordination/local-worker.js';
+import {createObservedConnection} from './coordination/observed-connection.js';
 import {OperatorViews} from './coordination/operator-view.js';
 import {PeerDirectory} from './coordination/peer-directory.js';
 import {RouteSplitter} from './coordination/route-split.js';
 import {SlotAdmission} from './coordination/slot-admission.js';
+import type {BadMove} from './coordination/version-moves.js';
 import {WorkerReports} from './coordination/worker-reports.js';
+import {DirectoryMoves} from './directory-moves.js';
 import type {NodeAdapter, NodePort} from './node-adapter.js';
 import {describeReadiness, NodeStop} from './node-stop.js';
 import type {Announcement} from './protocol/announcement.js';
 import type {Attempt, AttemptAnswer} from './protocol/attempt.js';
+import {AttemptError} from './protocol/attempt.js';
 import type {DirectorySettings} from './protocol/directory-settings.js';
 import type {NodeIdentity} from './protocol/node-identity.js';
 import {createIncarnation, parseAddress} from './protocol/node-identity.js';
@@ -44,7 +48,7 @@
 import {LineWriter} from './transport/line-writer.js';
 import type {LogContext} from './transport/logger.js';
 import {createLogger} from './transport/logger.js';
-import {Metrics} from './transport/metrics.js';
+import {createMetricsServer, Metrics} from './transport/metrics.js';
 import {
   askSeal,
   PeerExchange,
@@ -96,6 +100,7 @@
   private readonly attemptSender: AttemptSender;
   private readonly crashTable = new CrashTable();
   private readonly splitter = new RouteSplitter();
+  private readonly moves: DirectoryMoves;
   private readonly entry: Entry;
   private readonly port: NodePort;
   private readonly callerServer: Server;
@@ -134,7 +139,7 @@
       this.identity.incarnation,
       this.attempts,
       (request, version, signal, handleAdmitted) =>
-        this.gate.runAttempt(request, version, signal, handleAdmitted),
+        this.runOnWorker(request, version, signal, handleAdmitted),
     );
     this.attemptSender = new AttemptSender(
       (attempt, signal, handleSilence) =>
@@ -142,6 +147,19 @@
       askSeal,
       name => this.metrics.count(`attempts.${name}`),
     );
+    this.moves = new DirectoryMoves({
+      identity: this.identity,
+      state: this.state,
+      workers: this.workers,
+      calls: this.peers,
+      outcomes: adapter.moveOutcomes,
+      push: () => void this.directory.push(),
+      count: name => this.metrics.count(name),
+      report: (text, context) => this.log(text, context),
+      findLocalVersion: service =>
+        this.gate.listWorkers().find(worker => worker.service === service)
+          ?.version,
+    });
     this.entry = this.createEntry();
     this.callerServer = this.createCallerServer();
     this.peerServer = this.createPeerServer();
@@ -171,10 +189,15 @@
     for (const {server, address} of this.adapter.createServers(this.port)) {
       await startListening(server, address);
     }
-    await startListening(this.createMetricsServer(), node.metricsAddress);
+    await startListening(
+      createMetricsServer(this.metrics),
+      node.metricsAddress,
+    );
     this.records.events.on('changed', () => this.applyRecords());
     this.state.events.on('changed', () => this.reports.refresh());
     this.gate.events.on('workersChanged', () => this.updateWorkers());
+    this.workers.events.on('changed', () => this.updateVersions());
+    this.moves.versions.start();
     this.follower.start();
     this.directory.start();
     this.log('started', {incarnation: this.identity.incarnation});
@@ -239,12 +262,18 @@
     );
   }
 
-  private openUpstream(announcement: Announcement): UpstreamClient {
+  private openUpstream(announcement: Announcement): WorkerConnection {
     const {address, slots} = announcement;
-    return new UpstreamClient(address, slots, UPSTREAM_CONNECT_MS, {
+    const client = new UpstreamClient(address, slots, UPSTREAM_CONNECT_MS, {
       protocol: this.adapter.createUpstreamProtocol(announcement),
       idleTimeoutMs: UPSTREAM_IDLE_MS,
     });
+    return createObservedConnection(
+      client,
+      announcement,
+      seen => this.moves.evidence.record(seen),
+      () => this.metrics.count('probes.sent'),
+    );
   }
 
   private createDirectory(): PeerDirectory {
@@ -261,8 +290,8 @@
           const load = this.gate.findLoad(service);
           return load ? [[service, formatWorkerLoad(load)] as const] : [];
         }),
-      listMoves: () => [],
-      handleMoves: () => {},
+      listMoves: () => this.moves.orders.listNews(),
+      handleMoves: moves => this.moves.orders.handleNews(moves),
       handleLaterRecords: () => this.follower.checkNow(),
       report: (text, context) => this.log(text, context),
     });
@@ -279,7 +308,8 @@
       createAttemptId: randomUUID,
       count: name => this.metrics.count(name),
       isQuarantined: fingerprint => this.crashTable.isQuarantined(fingerprint),
-      selectWorkers: (service, rows) => [...rows],
+      selectWorkers: (service, rows) =>
+        this.moves.versions.selectWorkers(service, rows),
     });
   }
 
@@ -299,6 +329,8 @@
       incarnation: this.identity.incarnation,
       handleNews: this.directory.handleNews.bind(this.directory),
       seal: this.attempts.seal.bind(this.attempts),
+      readEvidence: this.moves.evidence.read.bind(this.moves.evidence),
+      handleBadness: (bad: BadMove) => this.moves.versions.handleBadness(bad),
     };
     return createPeerServer({
       handleAttempt: async (attempt, signal, handleAdmitted) => {
@@ -313,15 +345,6 @@
     });
   }
 
-  private createMetricsServer(): Server {
-    return createServer((message, response) => {
-      void this.metrics
-        .formatText()
-        .then(text => response.end(text))
-        .catch(() => response.destroy());
-    });
-  }
-
   private async handleRequest(
     request: ServiceRequest,
     signal: AbortSignal,
@@ -347,11 +370,25 @@
     signal: AbortSignal,
   ): Promise<AttemptAnswer> {
     if (attempt.target.nodeId === this.identity.nodeId) {
-      return this.gate.runAttempt(attempt.request, attempt.version, signal);
+      return this.runOnWorker(attempt.request, attempt.version, signal);
     }
     return this.attemptSender.sendAttempt(attempt, signal);
   }
 
+  /** Runs a request on the local worker unless its version was found bad. */
+  private async runOnWorker(
+    request: ServiceRequest,
+    version: string | undefined,
+    signal: AbortSignal,
+    handleAdmitted?: () => void,
+  ): Promise<AttemptAnswer> {
+    const isBad =
+      version !== undefined &&
+      !this.moves.versions.isAllowed(request.service, version);
+    if (isBad) throw new AttemptError(Reason.WRONG_VERSION, 'not-run', version);
+    return this.gate.runAttempt(request, version, signal, handleAdmitted);
+  }
+
   private recordRefusal(refusal: RefusalError, requestId: string): void {
     const {reason, verdict, detail, retryAfterMs = -1} = refusal;
     this.metrics.count(`refusals.${reason}`);
@@ -366,6 +403,7 @@
       this.port,
     );
     this.views.apply(view);
+    this.moves.orders.applyOrders(view.moveOrders);
     const {callerLimits} = this.state;
     if (!callerLimits) return;
     const {idleTimeout, headerTimeout} = callerLimits;
@@ -384,6 +422,12 @@
     );
   }
 
+  private updateVersions(): void {
+    for (const service of this.state.listServices()) {
+      this.moves.orders.updateVersions(service);
+    }
+  }
+
   private isReady(): boolean {
     return this.state.isConfigured && this.directory.hasJoined;
   }
@@ -396,6 +440,7 @@
   }
 
   private async closeClients(): Promise<void> {
+    this.moves.versions.stop();
     this.follower.stop();
     await this.gateClient.close();
     await this.gate.close();
--- a/src/node-adapter.ts
+++ b/src/node-adapter.ts
@@ -6,6 +6,7 @@
  */
 import type {Server} from 'node:http';
 import type {KeyedTopic} from './coordination/keyed-follower.js';
+import type {MoveOutcomes} from './coordination/ordered-moves.js';
 import type {OperatorView} from './coordination/operator-view.js';
 import type {NodeDirectory} from './coordination/peer-directory.js';
 import type {
@@ -42,6 +43,7 @@
 export interface NodeAdapter {
   readonly operatorTopic: KeyedTopic;
   readonly directory: NodeDirectory;
+  readonly moveOutcomes: MoveOutcomes;
   createCallerProtocol(port: NodePort): CallerProtocol;
   createUpstreamProtocol(worker: Announcement): UpstreamProtocol;
   /** Reads what operators wrote; unreadable records are reported. */
--- a/src/protocol/configuration.ts
+++ b/src/protocol/configuration.ts
@@ -98,7 +98,9 @@
 
 const movesSchema = z.strictObject({
   /** Share of a version until it has proved good. */
-  trialPercent: z.number().min(0.1).max(5).default(5),
+  trialPercent: z.number().min(0.1).max(20).default(5),
+  /** Whether a route that hardly any request takes needs no proof. */
+  skipsRareRoutes: z.boolean().default(false),
   /** Answers per route that a step needs as evidence. */
   evidenceAnswers: z.int().min(1).max(100_000).default(20),
   /** Failures above the old version's share that count as bad, in percent. */
--- a/src/protocol/peer-messages.ts
+++ b/src/protocol/peer-messages.ts
@@ -38,8 +38,9 @@
   moveId: z.string(),
   fromVersion: z.string(),
   toVersion: z.string(),
-  startedAtMs: z.number(),
-  doneByMs: z.number(),
+  /** Milliseconds since the order, since clocks of hosts differ. */
+  elapsedMs: z.number(),
+  remainingMs: z.number(),
   sharePercent: z.number(),
   stage: z.enum(['running', 'done', 'taken-back']),
   evidence: z.string(),
@@ -53,7 +54,9 @@
   peers: z.array(peerSchema),
   /** Offset up to which the sender knows the operators' records. */
   recordsEnd: offsetSchema,
-  /** Records that the receiver lacked when it last told its offset. */
+  /** Whether the answer should bring the records from `recordsEnd` on. */
+  wantsRecords: z.boolean(),
+  /** Records that the receiver asked for. */
   records: z.array(
     z.object({
       key: z.string(),
--- a/src/transport/metrics.ts
+++ b/src/transport/metrics.ts
@@ -3,6 +3,8 @@
  * the status path, as text for collectors, and to a sender if there is one.
  * Each refusal and retry reason has a counter of its own.
  */
+import type {Server} from 'node:http';
+import {createServer} from 'node:http';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 
 /** Bounds of the histograms in seconds, from a local answer to a deadline. */
@@ -83,3 +85,13 @@
     await this.sender?.close();
   }
 }
+
+/** Creates a server that answers any request with the metrics as text. */
+export function createMetricsServer(metrics: Metrics): Server {
+  return createServer((message, response) => {
+    void metrics
+      .formatText()
+      .then(text => response.end(text))
+      .catch(() => response.destroy());
+  });
+}
--- a/src/transport/peer-exchange.ts
+++ b/src/transport/peer-exchange.ts
@@ -20,17 +20,20 @@
 } from '../protocol/peer-messages.js';
 import {SealOutcome} from '../protocol/seal.js';
 import type {SealResult} from '../protocol/seal.js';
+import type {WireEvidence} from './move-service.js';
 
 const NEWS_PATH = '/peers/news';
 const SEAL_PATH = '/peers/seal';
+const EVIDENCE_PATH = '/peers/evidence';
+const BADNESS_PATH = '/peers/badness';
 const STATUS_OK = 200;
 const STATUS_BAD = 400;
 const STATUS_UNKNOWN = 404;
 const STATUS_GONE = 410;
 /** Longest wait for a connection to another node, some round trips. */
 const CONNECT_TIMEOUT_MS = 300;
-/** Longest wait for news; a node that is busy for longer counts as silent. */
-const NEWS_TIMEOUT_MS = 800;
+/** Longest wait for an answer; a node busy for longer counts as silent. */
+const CALL_TIMEOUT_MS = 800;
 /** Time beyond the wait in which a gate must have said what it knows. */
 const SEAL_MARGIN_MS = 300;
 /** Idle time after which a connection for news is closed. */
@@ -56,11 +59,40 @@
   answer: answerSchema.optional(),
 });
 
+const evidenceQuestionSchema = z.object({service: z.string()});
+
+const routeFiguresSchema = z.object({
+  route: z.string(),
+  answers: z.number(),
+  failures: z.number(),
+  recentAnswers: z.number(),
+  recentFailures: z.number(),
+  recentDurationsMs: z.array(z.number()),
+  recentCancelledMs: z.array(z.number()),
+});
+
+const evidenceSchema = z.object({
+  version: z.string(),
+  routes: z.array(routeFiguresSchema),
+});
+
+const badMoveSchema = z.object({
+  service: z.string(),
+  moveId: z.string(),
+  evidence: z.string(),
+});
+
+type Evidence = z.output<typeof evidenceSchema>;
+type BadMove = z.output<typeof badMoveSchema>;
+
 /** What the calls of other nodes are handed to. */
 export interface PeerCallHandlers {
   readonly incarnation: number;
   handleNews(news: PeerNews): PeerNews;
   seal(attemptId: string, waitMs: number): Promise<SealResult>;
+  /** What this gate saw of its worker. */
+  readEvidence(service: string): WireEvidence | undefined;
+  handleBadness(bad: BadMove): Promise<void>;
 }
 
 type CallHandler = (
@@ -83,8 +115,27 @@
     const held = answer && buildAnswer(answer);
     return {status: STATUS_OK, body: {outcome, ...(held && {answer: held})}};
   },
+  [EVIDENCE_PATH]: async (handlers, body) => {
+    const {service} = evidenceQuestionSchema.parse(body);
+    const evidence = formatEvidence(handlers.readEvidence(service));
+    return {status: STATUS_OK, body: evidence};
+  },
+  [BADNESS_PATH]: async (handlers, body) => {
+    void handlers.handleBadness(badMoveSchema.parse(body));
+    return {status: STATUS_OK, body: {}};
+  },
 };
 
+/** Durations go as whole milliseconds; a judgement needs no more. */
+function formatEvidence(evidence: WireEvidence | undefined): Evidence {
+  const routes = (evidence?.routes ?? []).map(seen => ({
+    ...seen,
+    recentDurationsMs: seen.recentDurationsMs.map(Math.round),
+    recentCancelledMs: seen.recentCancelledMs.map(Math.round),
+  }));
+  return {version: evidence?.version ?? '', routes};
+}
+
 /** Serves a call of another node. */
 export async function servePeerCall(
   handlers: PeerCallHandlers,
@@ -117,18 +168,21 @@
   private socket: Socket | undefined;
 
   async sendNews(peerAddress: string, news: PeerNews): Promise<PeerNews> {
-    const {statusCode, body} = await request(
-      `http://${peerAddress}${NEWS_PATH}`,
-      {
-        method: 'POST',
-        body: JSON.stringify(news),
-        dispatcher: this.agent,
-        signal: AbortSignal.timeout(NEWS_TIMEOUT_MS),
-      },
+    return peerNewsSchema.parse(
+      await this.sendCall(peerAddress, NEWS_PATH, news),
     );
-    const reply = await body.text();
-    if (statusCode !== STATUS_OK) throw new Error(`status ${statusCode}`);
-    return peerNewsSchema.parse(JSON.parse(reply));
+  }
+
+  /** Asks a gate what it saw of its worker. */
+  async readEvidence(peerAddress: string, service: string): Promise<Evidence> {
+    const question = {service};
+    const reply = await this.sendCall(peerAddress, EVIDENCE_PATH, question);
+    return evidenceSchema.parse(reply);
+  }
+
+  /** Tells a node that a version is bad. */
+  async pushBadness(peerAddress: string, bad: BadMove): Promise<void> {
+    await this.sendCall(peerAddress, BADNESS_PATH, bad);
   }
 
   sendBeacon(beaconAddress: string, beacon: LoadBeacon): void {
@@ -159,6 +213,25 @@
     });
   }
 
+  /** Rejects when the other node did not answer in time, or in vain. */
+  private async sendCall(
+    peerAddress: string,
+    path: string,
+    body: unknown,
+  ): Promise<unknown> {
+    const reply = await request(`http://${peerAddress}${path}`, {
+      method: 'POST',
+      body: JSON.stringify(body),
+      dispatcher: this.agent,
+      signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
+    });
+    const text = await reply.body.text();
+    if (reply.statusCode !== STATUS_OK) {
+      throw new Error(`status ${reply.statusCode}`);
+    }
+    return JSON.parse(text) as unknown;
+  }
+
   close(): void {
     this.socket?.close();
     this.socket = undefined;
