--- a/src/coordination/call.ts
+++ b/src/coordination/call.ts
@@ -171,7 +171,9 @@
     this.explainer.add(kind, {node: row.target.nodeId, version: row.version});
     try {
       const answer = await this.options.sendAttempt(attempt, signal);
-      this.figures.attemptTimes.record(performance.now() - startedAt);
+      if (this.profile.hedging.enabled) {
+        this.figures.attemptTimes.record(performance.now() - startedAt);
+      }
       recordLoad(row, answer.load);
       // A streamed answer keeps its slot until it has gone through.
       answer.body.rest?.once('close', end);
--- a/src/coordination/entry.ts
+++ b/src/coordination/entry.ts
@@ -68,7 +68,7 @@
       throw new RefusalError(Reason.QUARANTINED);
     }
     const figures = this.findFigures(request.service, profile);
-    startCall(figures, request, profile);
+    startCall(figures, request, profile, this.computeBurst(profile));
     const abort = new AbortController();
     const handleGone = (): void => abort.abort(signal.reason);
     signal.addEventListener('abort', handleGone, {once: true});
@@ -86,11 +86,18 @@
     }
   }
 
+  /** Retries that this entry may save up. */
+  private computeBurst({retries}: Profile): number {
+    const nodes = this.options.workers.listNodes().length;
+    const entries = retries.sharesBurst ? Math.max(1, nodes) : 1;
+    return retries.budgetBurst / entries;
+  }
+
   private findFigures(service: string, profile: Profile): ServiceFigures {
     let figures = this.figuresByService.get(service);
     if (!figures) {
       figures = {
-        retries: new RetryBudget(profile.retries.budgetBurst),
+        retries: new RetryBudget(this.computeBurst(profile)),
         hedges: new TokenBudget(),
         attemptTimes: new QuantileWindow(),
         inFlightByCaller: new Map(),
@@ -107,14 +114,15 @@
   figures: ServiceFigures,
   request: ServiceRequest,
   profile: Profile,
+  retryBurst: number,
 ): void {
   const inFlight = figures.inFlightByCaller.get(request.caller) ?? 0;
   if (inFlight >= profile.limits.callerConcurrency) {
     throw new RefusalError(Reason.CALLER_LIMIT);
   }
   figures.inFlightByCaller.set(request.caller, inFlight + 1);
-  const {budgetPercent, budgetBurst} = profile.retries;
-  figures.retries.recordCall(request.caller, budgetPercent, budgetBurst);
+  const {budgetPercent} = profile.retries;
+  figures.retries.recordCall(request.caller, budgetPercent, retryBurst);
   if (request.idempotent) {
     figures.hedges.add(profile.hedging.budgetPercent / 100);
   }
--- a/src/coordination/peer-directory.ts
+++ b/src/coordination/peer-directory.ts
@@ -73,7 +73,7 @@
 }
 
 /** Least pause between two beacons. */
-const BEACON_PAUSE_MS = 40;
+const BEACON_PAUSE_MS = 60;
 /** Pause after which a beacon is sent though nothing changed. */
 const BEACON_INTERVAL_MS = 500;
 /** Silence after which a node is asked whether it is there. */
--- a/src/coordination/slot-admission.ts
+++ b/src/coordination/slot-admission.ts
@@ -39,6 +39,8 @@
 const LATE_RANK = 1_000_000;
 /** Service time assumed before the first answer. */
 const UNKNOWN_SERVICE_MS = 100;
+/** Times that a request may take as long as usual and still be in time. */
+const SERVICE_MARGIN = 1.3;
 /** Time that a worker takes to notice that a request was cancelled. */
 const CANCELLATION_MS = 25;
 /** Age at which told figures are old while requests come. */
@@ -47,6 +49,10 @@
 const IDLE_FIGURES_AGE_MS = 1000;
 /** Time after a request during which more are expected. */
 const ACTIVE_MS = 1000;
+/** Change of the load, in parts of the limit, that others are told at once. */
+const TOLD_BUSY_SHARE = 0.45;
+/** Change of the pace, as a logarithm, that others are told at once. */
+const TOLD_PACE_CHANGE = 0.25;
 /** Lost connections in a row after which the worker may be another process. */
 const LOST_STREAK = 2;
 /** Refused connections are looked into again after this time. */
@@ -70,6 +76,7 @@
   private timer: NodeJS.Timeout | undefined;
   /** Called when the figures changed in a way that others should know. */
   handleChange: () => void = () => {};
+  private toldLoad: WorkerLoad | undefined;
 
   constructor(
     slots: number,
@@ -107,7 +114,7 @@
     this.isDraining = state === WorkerState.DRAINING;
     if (this.isDraining) this.refuseAll(Reason.WORKER_DRAINING);
     this.serveQueue();
-    this.handleChange();
+    this.sendChange();
   }
 
   resetToCold(): void {
@@ -125,13 +132,13 @@
     this.unreachableUntil = this.now() + UNREACHABLE_MS;
     this.cold.reset();
     this.refuseAll(Reason.WORKER_GONE);
-    this.handleChange();
+    this.sendChange();
   }
 
   recordFigures(figures: UpstreamFigures): void {
     this.pace = figures.pace;
     this.figuresAt = this.now();
-    this.handleChange();
+    this.sendChange();
   }
 
   hasStaleFigures(lastProbeAt: number): boolean {
@@ -156,6 +163,23 @@
     return this.enqueue(request, signal, now);
   }
 
+  /** Small changes wait for the next regular word, for words cost bytes. */
+  private sendChange(): void {
+    const {load, toldLoad} = this;
+    const busy = (load.inFlight + load.queued) / load.limit;
+    const toldBusy = toldLoad
+      ? (toldLoad.inFlight + toldLoad.queued) / toldLoad.limit
+      : Infinity;
+    const paceChange = load.pace / (toldLoad?.pace ?? Infinity);
+    const isNews =
+      load.state !== toldLoad?.state ||
+      Math.abs(busy - toldBusy) >= TOLD_BUSY_SHARE ||
+      Math.abs(Math.log(paceChange)) >= TOLD_PACE_CHANGE;
+    if (!isNews) return;
+    this.toldLoad = load;
+    this.handleChange();
+  }
+
   private findState(): WorkerState {
     const now = this.now();
     if (this.isDraining) return WorkerState.DRAINING;
@@ -210,7 +234,8 @@
     const dueAt = this.isLate(request, now)
       ? request.deadline
       : (request.targetAt ?? request.deadline);
-    return Math.min(this.limits.queueWait, dueAt - now - serviceMs);
+    const spareMs = dueAt - now - serviceMs * SERVICE_MARGIN;
+    return Math.min(this.limits.queueWait, spareMs);
   }
 
   private isLate(request: AdmissionRequest, now: number): boolean {
@@ -260,7 +285,7 @@
       };
       signal.addEventListener('abort', handleAbort, {once: true});
       this.queue.add(entry);
-      this.handleChange();
+      this.sendChange();
       this.watchQueue();
     });
   }
@@ -272,7 +297,7 @@
     const running = this.inFlight;
     const pace = this.pace;
     let isReleased = false;
-    this.handleChange();
+    this.sendChange();
     return {
       release: outcome => {
         if (isReleased) return;
@@ -291,7 +316,7 @@
   private endRun(): void {
     this.inFlight -= 1;
     this.serveQueue();
-    this.handleChange();
+    this.sendChange();
   }
 
   private record(
--- a/src/protocol/configuration.ts
+++ b/src/protocol/configuration.ts
@@ -65,6 +65,8 @@
   budgetPercent: z.number().min(0).max(100).default(10),
   /** Retries that an entry may save up; bounds a burst of them. */
   budgetBurst: z.number().min(0).max(1000).default(20),
+  /** Whether that bound is for all entries together. */
+  sharesBurst: z.boolean().default(false),
   /** Whether a gate's refusal for lack of room draws on the budget. */
   paysForRefusals: z.boolean().default(true),
 });
--- a/src/transport/logger.ts
+++ b/src/transport/logger.ts
@@ -33,6 +33,8 @@
   writeLine: (line: string) => void = line =>
     void process.stderr.write(`${line}\n`),
 ): Logger {
+  // The library writes nothing unless this is set, whatever the level.
+  process.env['ROARR_LOG'] ??= 'true';
   ROARR.write = writeLine;
   const bound = new LineBound();
   const log = Roarr.child({node: nodeId});
