--- a/src/coordination/call.ts
+++ b/src/coordination/call.ts
@@ -168,7 +168,7 @@
       isEnded = true;
       row.inFlightHere -= 1;
     };
-    this.explainer.add(kind, {node: row.target.nodeId, version: row.version});
+    this.explainer.add(kind, describeChoice(row, startedAt));
     try {
       const answer = await this.options.sendAttempt(attempt, signal);
       if (this.profile.hedging.enabled) {
@@ -247,6 +247,20 @@
   }
 }
 
+/** What a choice rested on, and how old that was. */
+function describeChoice(
+  row: WorkerRow,
+  now: number,
+): Readonly<Record<string, string | number>> {
+  const {target, version, inFlightHere, observed} = row;
+  const chosen = {node: target.nodeId, version, inFlightHere};
+  if (!observed) return chosen;
+  const {figures, at} = observed;
+  const {state, inFlight, queued, limit, pace} = figures;
+  const ageMs = Math.round(now - at);
+  return {...chosen, state, inFlight, queued, limit, pace, ageMs};
+}
+
 function recordLoad(row: WorkerRow, load: AttemptAnswer['load']): void {
   if (!load) return;
   row.observed = {
--- a/src/directory-node.ts
+++ b/src/directory-node.ts
@@ -100,6 +100,7 @@
   private readonly attemptSender: AttemptSender;
   private readonly crashTable = new CrashTable();
   private readonly splitter = new RouteSplitter();
+  private readonly explanations = new Explanations();
   private readonly moves: DirectoryMoves;
   private readonly entry: Entry;
   private readonly port: NodePort;
@@ -302,7 +303,7 @@
       dataCentre: this.identity.dataCentre,
       state: this.state,
       workers: this.workers,
-      explanations: new Explanations(),
+      explanations: this.explanations,
       sendAttempt: (attempt, signal) => this.sendAttempt(attempt, signal),
       random: Math.random,
       createAttemptId: randomUUID,
@@ -362,6 +363,15 @@
     } finally {
       const elapsedMs = performance.now() - startedAt;
       this.metrics.recordLatency({service, route, verdict}, elapsedMs);
+      this.log('request', {
+        requestId: request.id,
+        service,
+        route,
+        rank: request.rank,
+        verdict,
+        elapsedMs: Math.round(elapsedMs),
+        steps: this.explanations.formatSteps(request.id),
+      });
     }
   }
 
--- a/src/state/explanations.ts
+++ b/src/state/explanations.ts
@@ -3,7 +3,8 @@
  * went where it went. Bounded: the oldest request is forgotten first.
  */
 
-const MAX_REQUESTS = 5000;
+/** Requests remembered; some minutes of an ordinary node's. */
+const MAX_REQUESTS = 1000;
 
 /** One step on a request's way. */
 export interface ExplanationStep {
@@ -57,6 +58,19 @@
     return new RequestExplainer(explanation, this.handleStep);
   }
 
+  /** Formats a request's way for one line of a log. */
+  formatSteps(requestId: string): string {
+    const steps = this.byId.get(requestId)?.steps ?? [];
+    return steps
+      .map(({atMs, kind, detail}) => {
+        const values = Object.entries(detail)
+          .filter(([, value]) => value !== undefined && value !== '')
+          .map(([name, value]) => `${name}=${String(value)}`);
+        return `${atMs}ms ${[kind, ...values].join(' ')}`;
+      })
+      .join('; ');
+  }
+
   /** Finds the explanation of a recent request. */
   find(requestId: string): Explanation | undefined {
     return this.byId.get(requestId);
--- a/src/transport/http-exchange.ts
+++ b/src/transport/http-exchange.ts
@@ -5,6 +5,7 @@
  */
 import {Readable} from 'node:stream';
 import type {Dispatcher} from 'undici';
+import {buildConnector} from 'undici';
 import type {Headers} from '../protocol/service-request.js';
 
 /** A request as written to the wire. */
@@ -40,6 +41,32 @@
   }
 }
 
+let isConnectionFailing = false;
+
+/**
+ * Creates the function by which a client connects. The client takes a reset
+ * for the proper end of a body without a length; only the socket tells, and
+ * just before the client hears of it.
+ */
+export function createConnector(
+  timeoutMs: number,
+  localAddress?: string,
+): buildConnector.connector {
+  const connect = buildConnector({
+    timeout: timeoutMs,
+    ...(localAddress === undefined ? {} : {localAddress}),
+  });
+  return (target, callback) =>
+    connect(target, (...result) => {
+      const [, socket] = result;
+      socket?.prependListener('error', () => {
+        isConnectionFailing = true;
+        queueMicrotask(() => (isConnectionFailing = false));
+      });
+      callback(...result);
+    });
+}
+
 /** Body of a response; destroying it closes the connection. */
 class ResponseBody extends Readable {
   constructor(private readonly controller: Dispatcher.DispatchController) {
@@ -122,7 +149,8 @@
       },
       onResponseEnd: () => {
         clear();
-        body?.push(null);
+        if (isConnectionFailing) body?.destroy(new Error('reset in the body'));
+        else body?.push(null);
       },
       onResponseError: (started, error) => {
         clear();
--- a/src/transport/logger.ts
+++ b/src/transport/logger.ts
@@ -2,6 +2,7 @@
  * JSON log lines by roarr, with the node's name in each. A request's id and
  * service go into the context of lines about it.
  */
+import './enable-logs.js';
 import {ROARR, Roarr} from 'roarr';
 import type {NodeSettings} from '../protocol/settings.js';
 
@@ -33,8 +34,6 @@
   writeLine: (line: string) => void = line =>
     void process.stderr.write(`${line}\n`),
 ): Logger {
-  // The library writes nothing unless this is set, whatever the level.
-  process.env['ROARR_LOG'] ??= 'true';
   ROARR.write = writeLine;
   const bound = new LineBound();
   const log = Roarr.child({node: nodeId});
--- a/src/transport/upstream-client.ts
+++ b/src/transport/upstream-client.ts
@@ -17,7 +17,7 @@
 import {Verdict} from '../protocol/verdict.js';
 import type {ProbeAnswer, UpstreamFigures} from '../protocol/worker-load.js';
 import type {ExchangeResponse} from './http-exchange.js';
-import {ExchangeError, runExchange} from './http-exchange.js';
+import {createConnector, ExchangeError, runExchange} from './http-exchange.js';
 import {copyEndToEndHeaders} from './message-headers.js';
 import type {AnswerFault, UpstreamProtocol} from './upstream-protocol.js';
 import {OWN_UPSTREAM_PROTOCOL} from './upstream-protocol.js';
@@ -50,7 +50,7 @@
     const connection = {
       pipelining: 1,
       keepAliveTimeout: options.idleTimeoutMs ?? IDLE_TIMEOUT_MS,
-      connect: {timeout: connectTimeoutMs},
+      connect: createConnector(connectTimeoutMs),
     };
     this.pool = new Pool(this.origin, {connections: slots, ...connection});
     this.probes = new Client(this.origin, connection);
@@ -118,7 +118,7 @@
   private openClient(): Client {
     return new Client(this.origin, {
       pipelining: 1,
-      connect: {timeout: this.connectTimeoutMs},
+      connect: createConnector(this.connectTimeoutMs),
     });
   }
 
