Take a body without a length for whole only when its connection ends properly

Ruled out: the gate's own hop, which always frames. Change: the connector marks a connection that errs or ends without its other side; a body that ends then is cut, not whole.

--- a/src/coordination/call.ts
+++ b/src/coordination/call.ts
@@ -25,8 +25,6 @@
 import {findRetryCost, findStatusRetryCost} from './retry-rules.js';
 import {chooseWorker} from './worker-choice.js';
 
-/** Retries that cost no budget, such as after a worker that left. */
-const MAX_FREE_RETRIES = 10;
 const HEDGE_COST = 1;
 const US_PER_MS = 1000;
 
@@ -212,7 +210,7 @@
     if (cost === undefined) return false;
     if (cost === 0) {
       this.freeRetries += 1;
-      if (this.freeRetries > MAX_FREE_RETRIES) return false;
+      if (this.freeRetries > this.profile.retries.maxRefusals) return false;
     } else {
       const {maxAttempts} = this.profile.retries;
       const most = this.request.maxAttempts ?? maxAttempts;
--- a/src/protocol/configuration.ts
+++ b/src/protocol/configuration.ts
@@ -65,6 +65,8 @@
   budgetPercent: z.number().min(0).max(100).default(10),
   /** Retries that an entry may save up; bounds a burst of them. */
   budgetBurst: z.number().min(0).max(1000).default(20),
+  /** Gates that one request may ask in vain without cost. */
+  maxRefusals: z.int().min(0).max(100).default(10),
   /** Whether that bound is for all entries together. */
   sharesBurst: z.boolean().default(false),
   /** Whether a gate's refusal for lack of room draws on the budget. */
--- /dev/null
+++ b/src/test/unframed-answer_test.ts
@@ -0,0 +1,108 @@
+/** A body without a length is whole only when its connection ends properly. */
+import {createServer} from 'node:net';
+import type {AddressInfo, Server, Socket} from 'node:net';
+import {afterEach, describe, expect, it} from 'vitest';
+import type {AttemptError} from '../protocol/attempt.js';
+import type {ServiceRequest} from '../protocol/service-request.js';
+import {EMPTY_BODY} from '../protocol/service-request.js';
+import {UpstreamClient} from '../transport/upstream-client.js';
+
+const CONNECT_TIMEOUT_MS = 1000;
+const DEADLINE_MS = 5000;
+/** Time for the first part to arrive before the connection ends. */
+const PAUSE_MS = 50;
+const NO_PAUSE_MS = 0;
+
+interface EndCase {
+  readonly name: string;
+  readonly head: string;
+  readonly end: (socket: Socket) => void;
+  readonly pauseMs: number;
+  readonly idempotent: boolean;
+  readonly expected: string;
+}
+
+const UNFRAMED = 'HTTP/1.1 200 OK\r\n\r\nfirst part';
+const CLOSING = 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nfirst part';
+
+const CASES: readonly EndCase[] = [UNFRAMED, CLOSING].flatMap(head =>
+  [true, false].flatMap(idempotent => [
+    {
+      name: 'ended',
+      head,
+      pauseMs: PAUSE_MS,
+      idempotent,
+      end: (socket: Socket) => void socket.end(),
+      expected: 'first part',
+    },
+    {
+      name: 'reset',
+      head,
+      pauseMs: PAUSE_MS,
+      idempotent,
+      end: (socket: Socket) => void socket.resetAndDestroy(),
+      expected: 'truncated-answer may-have-run',
+    },
+    {
+      name: 'ended at once',
+      head,
+      pauseMs: NO_PAUSE_MS,
+      idempotent,
+      end: (socket: Socket) => void socket.end(),
+      expected: 'first part',
+    },
+  ]),
+);
+
+let server: Server | undefined;
+
+afterEach(() => server?.close());
+
+function startServer({head, end, pauseMs}: EndCase): Promise<string> {
+  server = createServer(socket => {
+    socket.on('error', () => {});
+    socket.once('data', () => {
+      socket.write(head);
+      setTimeout(() => end(socket), pauseMs);
+    });
+  });
+  return new Promise(resolve => {
+    server!.listen(0, '127.0.0.1', () => {
+      const {port} = server!.address() as AddressInfo;
+      resolve(`127.0.0.1:${port}`);
+    });
+  });
+}
+
+function buildRequest(idempotent: boolean): ServiceRequest {
+  return {
+    id: 'r1',
+    service: 'desk',
+    method: 'GET',
+    path: '/',
+    headers: {},
+    caller: 'c',
+    deadline: performance.now() + DEADLINE_MS,
+    route: 'r',
+    idempotent,
+    rank: 0,
+    fingerprint: 'f',
+    body: EMPTY_BODY,
+  };
+}
+
+describe('a body without a length', () => {
+  it.each(CASES)('$name, idempotent $idempotent: $expected', async endCase => {
+    const address = await startServer(endCase);
+    const client = new UpstreamClient(address, 1, CONNECT_TIMEOUT_MS);
+    const {signal} = new AbortController();
+    const outcome = await client
+      .sendRequest(buildRequest(endCase.idempotent), signal)
+      .then(
+        answer => answer.body.held.toString(),
+        (error: AttemptError) => `${error.reason} ${error.verdict}`,
+      );
+    expect(outcome).toBe(endCase.expected);
+    await client.close();
+  });
+});
--- a/src/transport/http-exchange.ts
+++ b/src/transport/http-exchange.ts
@@ -41,12 +41,19 @@
   }
 }
 
+/** True while the listeners of a connection that was reset are called. */
 let isConnectionFailing = false;
 
+function markFailing(): void {
+  isConnectionFailing = true;
+  queueMicrotask(() => (isConnectionFailing = false));
+}
+
 /**
  * Creates the function by which a client connects. The client takes a reset
  * for the proper end of a body without a length; only the socket tells, and
- * just before the client hears of it.
+ * just before the client hears of it: by an error, or, when the error was
+ * lost, by an end at which the connection has no other side any more.
  */
 export function createConnector(
   timeoutMs: number,
@@ -59,9 +66,9 @@
   return (target, callback) =>
     connect(target, (...result) => {
       const [, socket] = result;
-      socket?.prependListener('error', () => {
-        isConnectionFailing = true;
-        queueMicrotask(() => (isConnectionFailing = false));
+      socket?.prependListener('error', markFailing);
+      socket?.prependListener('end', () => {
+        if (socket.remotePort === undefined) markFailing();
       });
       callback(...result);
     });
