--- /dev/null
+++ b/src/test/keyed-records_test.ts
@@ -0,0 +1,160 @@
+/** What a node knows of operators' records never goes back. */
+import {describe, expect, it} from 'vitest';
+import type {KeyedPage, KeyedTopic} from '../coordination/keyed-follower.js';
+import {
+  KeyedFollower,
+  StoreUnavailableError,
+} from '../coordination/keyed-follower.js';
+import {waitFor} from '../measure/wait-for.js';
+import type {KeyedRecord, KeyedSnapshot} from '../state/keyed-records.js';
+import {KeyedRecords} from '../state/keyed-records.js';
+
+interface StepCase {
+  readonly name: string;
+  readonly steps: ReadonlyArray<
+    {records: KeyedRecord[]; end?: number} | {snapshot: KeyedSnapshot}
+  >;
+  readonly values: Record<string, string | undefined>;
+}
+
+describe('records of keys', () => {
+  const cases: readonly StepCase[] = [
+    {
+      name: 'the later offset holds, whatever the order',
+      steps: [
+        {records: [{key: 'a', offset: 5, value: 'new'}]},
+        {records: [{key: 'a', offset: 3, value: 'old'}]},
+      ],
+      values: {a: 'new'},
+    },
+    {
+      name: 'a snapshot without a key drops it',
+      steps: [
+        {records: [{key: 'a', offset: 1, value: 'x'}]},
+        {snapshot: {records: [], end: 4}},
+      ],
+      values: {a: undefined},
+    },
+    {
+      name: 'an old snapshot drops nothing that is newer',
+      steps: [
+        {records: [{key: 'a', offset: 9, value: 'x'}]},
+        {snapshot: {records: [], end: 4}},
+      ],
+      values: {a: 'x'},
+    },
+    {
+      name: 'a dropped key stays dropped for older records',
+      steps: [
+        {records: [{key: 'a', offset: 7}]},
+        {records: [{key: 'a', offset: 6, value: 'x'}]},
+      ],
+      values: {a: undefined},
+    },
+  ];
+  it.each(cases)('$name', ({steps, values}) => {
+    const records = new KeyedRecords();
+    for (const step of steps) {
+      if ('snapshot' in step) records.applySnapshot(step.snapshot);
+      else records.applyRecords(step.records, step.end);
+    }
+    for (const [key, value] of Object.entries(values)) {
+      expect(records.find(key)?.value).toBe(value);
+    }
+  });
+});
+
+/** A topic that answers from a list of scripted reads. */
+class ScriptedTopic implements KeyedTopic {
+  newestReads = 0;
+
+  constructor(
+    private readonly newest: KeyedSnapshot[],
+    private readonly pages: Array<KeyedPage | undefined | 'away' | 'silent'>,
+  ) {}
+
+  async readNewest(): Promise<KeyedSnapshot> {
+    this.newestReads += 1;
+    return this.newest.length > 1 ? this.newest.shift()! : this.newest[0]!;
+  }
+
+  read(
+    from: number,
+    waitMs: number,
+    signal?: AbortSignal,
+  ): Promise<KeyedPage | undefined> {
+    const page = this.pages.length > 0 ? this.pages.shift() : 'silent';
+    if (page === 'away') {
+      return Promise.reject(new StoreUnavailableError('away'));
+    }
+    if (page !== 'silent') return Promise.resolve(page);
+    return new Promise((resolve, reject) => {
+      const fail = (): void => reject(new StoreUnavailableError('aborted'));
+      signal?.addEventListener('abort', fail, {once: true});
+    });
+  }
+}
+
+const FIRST: KeyedSnapshot = {
+  records: [{key: 'a', offset: 0, value: '1'}],
+  end: 1,
+};
+const LATER: KeyedSnapshot = {
+  records: [{key: 'a', offset: 4, value: '2'}],
+  end: 5,
+};
+
+interface FollowCase {
+  readonly name: string;
+  readonly newest: KeyedSnapshot[];
+  readonly pages: Array<KeyedPage | undefined | 'away' | 'silent'>;
+  readonly checksNow?: boolean;
+}
+
+describe('following a topic', () => {
+  const cases: readonly FollowCase[] = [
+    {
+      name: 'a record is appended',
+      newest: [FIRST],
+      pages: [{records: [{key: 'a', offset: 1, value: '2'}], next: 2, end: 2}],
+    },
+    {
+      name: 'what follows was dropped',
+      newest: [FIRST, LATER],
+      pages: [undefined],
+    },
+    {
+      name: 'the store is away for two reads',
+      newest: [FIRST],
+      pages: [
+        'away',
+        'away',
+        {records: [{key: 'a', offset: 1, value: '2'}], next: 2, end: 2},
+      ],
+    },
+    {
+      name: 'a read goes silent and another node knows more',
+      newest: [FIRST, LATER],
+      pages: ['silent'],
+      checksNow: true,
+    },
+  ];
+  it.each(cases)('$name: the newest is known', async row => {
+    const records = new KeyedRecords();
+    const follower = new KeyedFollower({
+      topic: new ScriptedTopic([...row.newest], [...row.pages]),
+      records,
+      pollWaitMs: 1000,
+      random: () => 0,
+      handleAvailability: () => {},
+    });
+    follower.start();
+    await waitFor('the first record', () => records.find('a') !== undefined);
+    if (row.checksNow) {
+      await new Promise(resolve => setImmediate(resolve));
+      follower.checkNow();
+    }
+    await waitFor('the newest', () => records.find('a')?.value === '2');
+    follower.stop();
+  });
+});
--- /dev/null
+++ b/src/test/slot-admission_test.ts
@@ -0,0 +1,204 @@
+/**
+ * Heavy days at one worker: more comes than can be served in time. The worker
+ * is cold, or slow, or full; who runs, who waits and who is refused at once?
+ */
+import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
+import {SlotOutcome} from '../coordination/concurrency-limit.js';
+import {SlotAdmission} from '../coordination/slot-admission.js';
+import type {Slot} from '../coordination/worker-admission.js';
+import {profileSchema} from '../protocol/configuration.js';
+import type {RefusalError} from '../protocol/reasons.js';
+
+const SLOTS = 5;
+/** Four fifths of the slots, before anything is learnt. */
+const FIRST_LIMIT = 4;
+const SERVICE_MS = 100;
+const TARGET_MS = 600;
+const DEADLINE_MS = 1500;
+const COLD_RATE = 5;
+
+beforeEach(
+  () => void vi.useFakeTimers({toFake: ['setTimeout', 'clearTimeout']}),
+);
+afterEach(() => void vi.useRealTimers());
+
+class Bench {
+  now = 0;
+  readonly admission: SlotAdmission;
+
+  constructor(limits: Record<string, unknown> = {}) {
+    const profile = profileSchema.parse({limits: {queueWait: '2s', ...limits}});
+    this.admission = new SlotAdmission(SLOTS, profile.limits, () => this.now);
+    this.admission.update(SLOTS, 'ready', profile.limits);
+    this.admission.recordProbeAnswer({status: 200});
+  }
+
+  admit(rank = 1, targetMs = TARGET_MS): Promise<Slot> {
+    const request = {
+      caller: 'c',
+      route: 'r',
+      rank,
+      targetAt: this.now + targetMs,
+      deadline: this.now + DEADLINE_MS,
+    };
+    return this.admission.admit(request, new AbortController().signal);
+  }
+
+  async fill(count = FIRST_LIMIT): Promise<Slot[]> {
+    const slots: Slot[] = [];
+    for (let index = 0; index < count; index++) slots.push(await this.admit());
+    return slots;
+  }
+
+  /** Makes the service time known. */
+  async learn(): Promise<void> {
+    const slot = await this.admit();
+    this.now += SERVICE_MS;
+    slot.release(SlotOutcome.SUCCESS);
+  }
+}
+
+/** Lets all that waits on promises run, so that order is the queue's. */
+function waitForPromises(): Promise<void> {
+  return new Promise(resolve => setImmediate(resolve));
+}
+
+function findOutcome(slot: Promise<Slot>): Promise<string> {
+  return slot.then(
+    () => 'admitted',
+    (error: RefusalError) => `${error.reason} ${error.verdict}`,
+  );
+}
+
+describe('a full worker', () => {
+  const cases = [
+    {name: 'in time after a short wait', targetMs: 600, isRefused: false},
+    {name: 'too late for its target', targetMs: 150, isRefused: true},
+  ];
+  it.each(cases)('$name', async ({targetMs, isRefused}) => {
+    const bench = new Bench();
+    await bench.learn();
+    const [first] = await bench.fill();
+    const waiting = findOutcome(bench.admit(1, targetMs));
+    first!.release(SlotOutcome.SUCCESS);
+    expect(await waiting).toBe(
+      isRefused ? 'queue-timeout not-run' : 'admitted',
+    );
+  });
+
+  it('tells with a refusal when there is room again', async () => {
+    const bench = new Bench();
+    await bench.learn();
+    await bench.fill();
+    const refusal = await bench.admit(1, 110).catch((e: RefusalError) => e);
+    expect((refusal as RefusalError).retryAfterMs).toBeGreaterThan(0);
+  });
+
+  it('serves the important first, whenever it came', async () => {
+    const bench = new Bench();
+    await bench.learn();
+    const running = await bench.fill();
+    const order: string[] = [];
+    const waiting = [2, 1, 0].map(rank =>
+      bench.admit(rank).then(slot => {
+        order.push(String(rank));
+        return slot;
+      }),
+    );
+    await waitForPromises();
+    for (const slot of running) slot.release(SlotOutcome.SUCCESS);
+    await Promise.all(waiting);
+    expect(order).toEqual(['0', '1', '2']);
+  });
+
+  it('lets what is late already run only after what is in time', async () => {
+    const bench = new Bench();
+    await bench.learn();
+    const running = await bench.fill();
+    const order: string[] = [];
+    const late = bench.admit(0, 1).then(() => void order.push('late'));
+    const inTime = bench.admit(5).then(() => void order.push('in time'));
+    await waitForPromises();
+    for (const slot of running) slot.release(SlotOutcome.SUCCESS);
+    await Promise.all([late, inTime]);
+    expect(order).toEqual(['in time', 'late']);
+  });
+
+  it('refuses a request at its turn that can no longer be in time', async () => {
+    const bench = new Bench();
+    await bench.learn();
+    await bench.fill();
+    const waiting = findOutcome(bench.admit());
+    bench.now += TARGET_MS;
+    vi.advanceTimersByTime(TARGET_MS);
+    expect(await waiting).toBe('queue-timeout not-run');
+  });
+});
+
+describe('a cold worker', () => {
+  const cases = [
+    {name: 'says that it is cold', coldMs: 3000, ageMs: 0, admitted: 5},
+    {name: 'was warm a moment ago', coldMs: 0, ageMs: 100, admitted: 20},
+    {name: 'may have turned cold since', coldMs: 0, ageMs: 500, admitted: 5},
+  ];
+  it.each(cases)('$name: $admitted of 20', async row => {
+    const bench = new Bench({coldRate: COLD_RATE, queueWait: '0ms'});
+    bench.admission.recordProbeAnswer({status: 200, coldMs: row.coldMs});
+    bench.now += row.ageMs;
+    let admitted = 0;
+    for (let index = 0; index < 20; index++) {
+      const slot = await bench.admit().catch(() => undefined);
+      slot?.release(SlotOutcome.SUCCESS);
+      if (slot) admitted += 1;
+    }
+    expect(admitted).toBe(row.admitted);
+  });
+
+  it('gets no more in any second than it bears, over many seconds', async () => {
+    const bench = new Bench({coldRate: COLD_RATE, queueWait: '0ms'});
+    bench.admission.resetToCold();
+    const sentAt: number[] = [];
+    for (; bench.now < 5000; bench.now += 20) {
+      const slot = await bench.admit().catch(() => undefined);
+      if (slot) sentAt.push(bench.now);
+      slot?.release(SlotOutcome.SUCCESS);
+    }
+    const most = Math.max(
+      ...sentAt.map(
+        from => sentAt.filter(at => at >= from && at < from + 1000).length,
+      ),
+    );
+    expect(most).toBe(COLD_RATE);
+  });
+});
+
+describe('a worker that leaves or is gone', () => {
+  const cases: ReadonlyArray<{
+    name: string;
+    act: (bench: Bench) => void;
+    reason: string;
+  }> = [
+    {
+      name: 'drains',
+      act: bench => {
+        const {limits} = profileSchema.parse({});
+        bench.admission.update(SLOTS, 'draining', limits);
+      },
+      reason: 'worker-draining not-run',
+    },
+    {
+      name: 'accepts no connection',
+      act: bench => bench.admission.recordUnreachable(),
+      reason: 'worker-gone not-run',
+    },
+  ];
+  it.each(cases)('$name: those that wait are told at once', async row => {
+    const bench = new Bench();
+    await bench.learn();
+    await bench.fill();
+    const waiting = findOutcome(bench.admit());
+    row.act(bench);
+    expect(await waiting).toBe(row.reason);
+    expect(await findOutcome(bench.admit())).toBe(row.reason);
+  });
+});
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -9,7 +9,7 @@
 
 export default defineConfig({
   test: {
-    include: ['src/test/**/*_test.ts'],
+    include: ['src/test/**/*_test.ts', 'platform/test/**/*_test.ts'],
     testTimeout: TEST_LIMIT_MS,
     hookTimeout: TEST_LIMIT_MS,
     pool: 'forks',
