--- /dev/null
+++ b/src/test/ordered-moves_test.ts
@@ -0,0 +1,190 @@
+/**
+ * Moves by orders in the platform's store: every node starts by itself, steps
+ * spread from node to node, and the outcome that the store holds counts.
+ */
+import {describe, expect, it} from 'vitest';
+import {StoreUnavailableError} from '../coordination/keyed-follower.js';
+import type {MoveOrder} from '../coordination/operator-view.js';
+import type {MoveStage} from '../coordination/ordered-moves.js';
+import {OrderedMoves} from '../coordination/ordered-moves.js';
+import {StateStore} from '../state/state-store.js';
+import {WorkerTable} from '../state/worker-table.js';
+
+const ORDER: MoveOrder = {
+  moveId: 'desk-4',
+  service: 'desk',
+  toVersion: 'v2',
+  durationMs: 12_000,
+};
+
+/** One node over a store that all nodes share. */
+class Node {
+  now = 0;
+  readonly state = new StateStore(undefined);
+  readonly workers = new WorkerTable();
+  readonly moves: OrderedMoves;
+
+  constructor(
+    store: {stage?: MoveStage; isAway?: boolean},
+    versions: readonly string[] = ['v1', 'v1', 'v2'],
+  ) {
+    versions.forEach((version, index) =>
+      this.workers.update({
+        nodeId: `n${index}`,
+        incarnation: 1,
+        peerAddress: `127.0.0.1:${index}`,
+        dataCentre: 'dc',
+        workers: [{service: 'desk', version, slots: 2, state: 'ready'}],
+      }),
+    );
+    this.moves = new OrderedMoves({
+      state: this.state,
+      workers: this.workers,
+      outcomes: {
+        read: async () => {
+          if (store.isAway) throw new StoreUnavailableError('away');
+          return store.stage;
+        },
+        write: async (order, stage) => {
+          if (store.isAway) throw new StoreUnavailableError('away');
+          const hasEnded = store.stage && store.stage !== 'running';
+          if (!hasEnded) store.stage = stage;
+          return store.stage!;
+        },
+      },
+      now: () => this.now,
+      push: () => {},
+      report: () => {},
+    });
+  }
+
+  get move() {
+    return this.state.findMove('desk')!;
+  }
+
+  step(sharePercent: number) {
+    return this.moves.appendRecord({
+      ...this.buildBase(),
+      kind: 'move-step',
+      sharePercent,
+    });
+  }
+
+  end(outcome: 'done' | 'taken-back') {
+    return this.moves.appendRecord({
+      ...this.buildBase(),
+      kind: 'move-end',
+      outcome,
+    });
+  }
+
+  private buildBase() {
+    return {
+      id: 'x',
+      author: 'n0',
+      writtenAtMs: 0,
+      buildsOn: this.move.number,
+      service: 'desk',
+      moveId: this.move.moveId,
+      evidence: 'e',
+    };
+  }
+}
+
+describe('an order', () => {
+  it('starts from the version that served before', () => {
+    const node = new Node({}, ['v1', 'v1']);
+    node.moves.updateVersions('desk');
+    node.moves.applyOrders([ORDER]);
+    expect(node.move).toMatchObject({
+      fromVersion: 'v1',
+      toVersion: 'v2',
+      stage: 'running',
+      doneByMs: 12_000,
+    });
+    expect(node.moves.findBaseVersion('desk')).toBe('v1');
+  });
+
+  it('holds back a version that nobody ordered', () => {
+    const node = new Node({}, ['v1', 'v1', 'v3']);
+    node.moves.updateVersions('desk');
+    expect(node.moves.findBaseVersion('desk')).toBe('v1');
+  });
+
+  const written: ReadonlyArray<[MoveStage | undefined, MoveStage, string]> = [
+    [undefined, 'running', 'v1'],
+    ['running', 'running', 'v1'],
+    ['done', 'done', 'v2'],
+    ['taken-back', 'taken-back', 'v1'],
+  ];
+  it.each(written)(
+    'that stands at %s when a node starts',
+    async (stage, expected, base) => {
+      const node = new Node(stage ? {stage} : {});
+      node.moves.applyOrders([ORDER]);
+      await new Promise(resolve => setImmediate(resolve));
+      expect(node.move.stage).toBe(expected);
+      expect(node.moves.findBaseVersion('desk')).toBe(base);
+    },
+  );
+});
+
+describe('news of a move', () => {
+  it('a step is taken over, and an older one is not', async () => {
+    const store = {};
+    const [one, other] = [new Node(store), new Node(store)];
+    for (const node of [one, other]) node.moves.applyOrders([ORDER]);
+    const before = one.moves.listNews();
+    await one.step(25);
+    other.moves.handleNews(one.moves.listNews());
+    other.moves.handleNews(before);
+    expect(other.move.sharePercent).toBe(25);
+  });
+
+  it('a node that starts late learns how old the order is', () => {
+    const store = {};
+    const [one, late] = [new Node(store), new Node(store)];
+    one.moves.applyOrders([ORDER]);
+    one.now = 9000;
+    late.now = 500_000;
+    late.moves.applyOrders([ORDER]);
+    late.moves.handleNews(one.moves.listNews());
+    expect(late.move.doneByMs - late.now).toBe(3000);
+  });
+
+  it('an end holds against a later step', async () => {
+    const store = {};
+    const [one, other] = [new Node(store), new Node(store)];
+    for (const node of [one, other]) node.moves.applyOrders([ORDER]);
+    await one.end('taken-back');
+    await other.step(25);
+    await other.step(50);
+    other.moves.handleNews(one.moves.listNews());
+    one.moves.handleNews(other.moves.listNews());
+    expect([one.move.stage, other.move.stage]).toEqual([
+      'taken-back',
+      'taken-back',
+    ]);
+  });
+});
+
+describe('an outcome', () => {
+  it('is what the store holds, when two nodes judge differently', async () => {
+    const store = {};
+    const [one, other] = [new Node(store), new Node(store)];
+    for (const node of [one, other]) node.moves.applyOrders([ORDER]);
+    await one.end('taken-back');
+    await other.end('done');
+    expect(other.move.stage).toBe('taken-back');
+  });
+
+  it('waits for the store, and the move goes on meanwhile', async () => {
+    const store = {isAway: true};
+    const node = new Node(store);
+    node.moves.applyOrders([ORDER]);
+    await expect(node.end('done')).rejects.toThrow('away');
+    expect(node.move.stage).toBe('running');
+    store.isAway = false;
+    expect(await node.end('done')).toBe('accepted');
+  });
+});
