Load less into a node: the HTTP client's core only, no histograms without hedging

The client's entry module also loads fetch, and with it Node's own second copy. Change: the bundle takes the client's core; quantile windows are made only where a node hedges. Nodes that are gone are no longer named to others.

--- a/scripts/build-platform.js
+++ b/scripts/build-platform.js
@@ -3,12 +3,22 @@
  * a host needs beside Node.js.
  */
 import {mkdirSync} from 'node:fs';
+import {resolve} from 'node:path';
 import {build} from 'esbuild';
 
 const banner =
   "import {createRequire as createRequireForBundle} from 'node:module';" +
   'const require = createRequireForBundle(import.meta.url);';
 
+/** Takes the slim part of undici wherever the package is imported. */
+const slimUndici = {
+  name: 'slim-undici',
+  setup: ({onResolve}) =>
+    onResolve({filter: /^undici$/}, () => ({
+      path: resolve('scripts/slim-undici.js'),
+    })),
+};
+
 mkdirSync('target', {recursive: true});
 await build({
   entryPoints: ['platform/main.ts'],
@@ -20,5 +30,6 @@
   minifyWhitespace: true,
   minifySyntax: true,
   logLevel: 'warning',
+  plugins: [slimUndici],
   banner: {js: banner},
 });
--- /dev/null
+++ b/scripts/slim-undici.js
@@ -0,0 +1,15 @@
+/**
+ * The part of undici that a node uses. The package's entry also loads fetch,
+ * caches and mocks, and with them a second copy inside Node.js: some ten
+ * megabytes of memory in each process.
+ */
+import Agent from 'undici/lib/dispatcher/agent.js';
+import Client from 'undici/lib/dispatcher/client.js';
+import Dispatcher from 'undici/lib/dispatcher/dispatcher.js';
+import Pool from 'undici/lib/dispatcher/pool.js';
+import * as api from 'undici/lib/api/index.js';
+import buildConnector from 'undici/lib/core/connect.js';
+
+Object.assign(Dispatcher.prototype, api.default ?? api);
+
+export {Agent, buildConnector, Client, Pool};
--- a/src/coordination/call.ts
+++ b/src/coordination/call.ts
@@ -111,7 +111,7 @@
       hedging.enabled && this.request.idempotent && isResendable(this.request);
     if (!canHedge) return this.runAttempt(row, this.abort.signal, 'attempt');
     const remainingMs = this.request.deadline - performance.now();
-    const usualMs = this.figures.attemptTimes.compute(hedging.quantile);
+    const usualMs = this.figures.attemptTimes?.compute(hedging.quantile);
     // With few figures, early enough for a second try within the deadline.
     const delayMs = Math.min(usualMs ?? Infinity, remainingMs / 3);
     return this.runHedged(row, delayMs);
@@ -169,9 +169,7 @@
     this.explainer.add(kind, describeChoice(row, startedAt));
     try {
       const answer = await this.options.sendAttempt(attempt, signal);
-      if (this.profile.hedging.enabled) {
-        this.figures.attemptTimes.record(performance.now() - startedAt);
-      }
+      this.figures.attemptTimes?.record(performance.now() - startedAt);
       recordLoad(row, answer.load);
       // A streamed answer keeps its slot until it has gone through.
       answer.body.rest?.once('close', end);
--- a/src/coordination/entry.ts
+++ b/src/coordination/entry.ts
@@ -14,9 +14,15 @@
 import type {StateStore} from '../state/state-store.js';
 import type {WorkerRow, WorkerTable} from '../state/worker-table.js';
 import {Call} from './call.js';
-import {QuantileWindow} from './quantile-window.js';
 import {RetryBudget, TokenBudget} from './retry-budget.js';
 
+/** Times of recent attempts, for the moment of a hedge. */
+export interface AttemptTimes {
+  record(durationMs: number): void;
+  /** The quantile in milliseconds; undefined while samples are few. */
+  compute(quantile: number): number | undefined;
+}
+
 /** What an entry works with. */
 export interface EntryOptions {
   readonly dataCentre: string;
@@ -24,6 +30,7 @@
   readonly workers: WorkerTable;
   readonly explanations: Explanations;
   readonly sendAttempt: SendAttempt;
+  readonly createAttemptTimes?: () => AttemptTimes;
   readonly random: () => number;
   /** Id for the next attempt, unique among all nodes. */
   readonly createAttemptId: () => string;
@@ -42,7 +49,8 @@
 export interface ServiceFigures {
   readonly retries: RetryBudget;
   readonly hedges: TokenBudget;
-  readonly attemptTimes: QuantileWindow;
+  /** Absent where a node never hedges. */
+  readonly attemptTimes: AttemptTimes | undefined;
   readonly inFlightByCaller: Map<string, number>;
   turn: number;
 }
@@ -99,7 +107,7 @@
       figures = {
         retries: new RetryBudget(this.computeBurst(profile)),
         hedges: new TokenBudget(),
-        attemptTimes: new QuantileWindow(),
+        attemptTimes: this.options.createAttemptTimes?.(),
         inFlightByCaller: new Map(),
         turn: 0,
       };
--- a/src/coordination/peer-directory.ts
+++ b/src/coordination/peer-directory.ts
@@ -85,12 +85,17 @@
 /** Time in which the store usually tells all nodes of a new record. */
 const BEHIND_MS = 250;
 /** Silence after which a node is forgotten; the store still lists it. */
-const FORGET_MS = 60_000;
+const FORGET_MS = 20_000;
+/** Silence after which a node that said that it leaves is forgotten. */
+const LEFT_MS = 3000;
 /** Pause between two looks at the store while nobody answers. */
 const LONELY_LIST_MS = 1000;
 const LEAST_BACKOFF_MS = 200;
 const MOST_BACKOFF_MS = 1000;
 
+/** Nodes named in one message; enough for a newcomer to learn of all soon. */
+const MAX_TOLD_PEERS = 8;
+
 /** One node's view of the others. */
 export class PeerDirectory {
   private readonly peers = new Map<string, Peer>();
@@ -368,7 +373,8 @@
         MOST_ASK_PAUSE_MS,
         LEAST_ASK_PAUSE_MS * 2 ** Math.min(peer.failures, 4),
       );
-      if (silentMs > FORGET_MS) this.removePeer(peer);
+      const mostMs = peer.news?.isLeaving ? LEFT_MS : FORGET_MS;
+      if (silentMs > mostMs) this.removePeer(peer);
       else if (now - peer.askedAt > pauseMs) void this.ask(peer);
     }
     const isLonely = answering === 0 && now - this.listedAt > LONELY_LIST_MS;
@@ -408,7 +414,11 @@
   /** News, with the records from an offset on when they are asked for. */
   private buildNews(recordsFrom = Infinity): PeerNews {
     const {records, listMoves, random} = this.options;
-    const names = [...this.peers.values()].map(({name}) => name);
+    const now = performance.now();
+    // A node that is gone would be told of for ever by those told of it.
+    const names = [...this.peers.values()]
+      .filter(({news, heardAt}) => news && now - heardAt < SILENCE_MS)
+      .map(({name}) => name);
     return {
       node: this.describe(),
       peers: pickRandom(names, MAX_TOLD_PEERS, random),
@@ -419,6 +429,3 @@
     };
   }
 }
-
-/** Nodes named in one message; enough for a newcomer to learn of all soon. */
-const MAX_TOLD_PEERS = 8;
--- a/src/node-process.ts
+++ b/src/node-process.ts
@@ -11,6 +11,7 @@
 import {CrashQuarantine} from './coordination/crash-quarantine.js';
 import {Entry} from './coordination/entry.js';
 import {Gate} from './coordination/gate.js';
+import {QuantileWindow} from './coordination/quantile-window.js';
 import {RouteSplitter} from './coordination/route-split.js';
 import type {KeyedRequest} from './coordination/key-home.js';
 import {KeyHomes} from './key-homes.js';
@@ -160,6 +161,7 @@
       explanations: this.explanations,
       sendAttempt: (attempt, signal) => this.sendAttempt(attempt, signal),
       random: Math.random,
+      createAttemptTimes: () => new QuantileWindow(),
       createAttemptId: randomUUID,
       count: name => this.metrics.count(name),
       isQuarantined: fingerprint => this.crashTable.isQuarantined(fingerprint),
--- a/src/transport/peer-exchange.ts
+++ b/src/transport/peer-exchange.ts
@@ -7,7 +7,7 @@
 import type {Socket} from 'node:dgram';
 import {createSocket} from 'node:dgram';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {Agent, Client, request} from 'undici';
+import {Agent, Client} from 'undici';
 import {z} from 'zod';
 import {SealError} from '../protocol/seal.js';
 import type {Attempt, AttemptAnswer} from '../protocol/attempt.js';
@@ -219,10 +219,11 @@
     path: string,
     body: unknown,
   ): Promise<unknown> {
-    const reply = await request(`http://${peerAddress}${path}`, {
+    const reply = await this.agent.request({
+      origin: `http://${peerAddress}`,
+      path,
       method: 'POST',
       body: JSON.stringify(body),
-      dispatcher: this.agent,
       signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
     });
     const text = await reply.body.text();
