--- a/eslint.config.js
+++ b/eslint.config.js
@@ -30,15 +30,39 @@
   },
 });
 
+const sharedSyntax = [
+  {
+    selector: 'ExportDefaultDeclaration',
+    message: 'Use named exports.',
+  },
+  {
+    selector:
+      'MemberExpression[object.name=/^(it|test|describe)$/][property.name=/^(skip|only|todo|fails)$/]',
+    message: 'No skipped, focused or expected-to-fail tests.',
+  },
+];
+
+/** Names of calls, headers and fields on the users' platform. */
+const PLATFORM_NAMES =
+  '/sequoiaspool-(deadline-remaining-ms|response-signature|caller-service|target-instance|not-executed|server-load|cold-ms)|log-(append|read|newest)|non_idempotent|weighted_services|evacuate/i';
+
 export default [
-  {ignores: ['node_modules/**', 'dist/**', 'src/protocol/*_pb.ts']},
+  {
+    ignores: [
+      'node_modules/**',
+      'dist/**',
+      'target/**',
+      'journal/**',
+      'src/protocol/*_pb.ts',
+    ],
+  },
   ...gts,
   {
     files: ['**/*.js'],
     languageOptions: {sourceType: 'module'},
   },
   {
-    files: ['src/**/*.ts'],
+    files: ['src/**/*.ts', 'platform/**/*.ts'],
     rules: {
       '@typescript-eslint/consistent-type-imports': [
         'error',
@@ -62,24 +86,31 @@
       'n/no-unpublished-import': 'off',
       'n/no-process-exit': 'off',
       'n/no-unsupported-features/node-builtins': 'off',
-      'no-restricted-syntax': [
-        'error',
-        {
-          selector: 'ExportDefaultDeclaration',
-          message: 'Use named exports.',
-        },
-        {
-          selector:
-            'MemberExpression[object.name=/^(it|test|describe)$/][property.name=/^(skip|only|todo|fails)$/]',
-          message: 'No skipped, focused or expected-to-fail tests.',
-        },
-      ],
+      'no-restricted-syntax': ['error', ...sharedSyntax],
     },
   },
   {
     files: ['vitest.config.ts'],
     rules: {'n/no-unpublished-import': 'off'},
   },
+  {
+    // The platform's names are decoded in platform/ and known only there.
+    files: ['src/**/*.ts'],
+    rules: {
+      'no-restricted-syntax': [
+        'error',
+        ...sharedSyntax,
+        ...['Literal[value=', 'TemplateElement[value.raw='].map(kind => ({
+          selector: `${kind}${PLATFORM_NAMES}]`,
+          message: 'A name of the platform; translate it in platform/.',
+        })),
+      ],
+      'no-restricted-imports': [
+        'error',
+        {patterns: [{group: ['**/platform/*'], message: 'Use NodeAdapter.'}]},
+      ],
+    },
+  },
   forbidImports(
     ['src/protocol/**'],
     ['bin', 'transport', 'coordination', 'state', 'measure', 'test'],
