--- a/scripts/build.js
+++ b/scripts/build.js
@@ -3,7 +3,7 @@
  * so that a host needs node and the file only. Stand-ins and the local
  * deployment go to dist/dev/ and are not shipped.
  */
-import {readdirSync, rmSync} from 'node:fs';
+import {chmodSync, readdirSync, rmSync} from 'node:fs';
 import {build} from 'esbuild';
 
 const binaries = readdirSync('src/bin').filter(name => name.endsWith('.ts'));
@@ -13,6 +13,9 @@
   "import {createRequire as createRequireForBundle} from 'node:module';" +
   'const require = createRequireForBundle(import.meta.url);';
 
+/** Mode of a program that anybody may run. */
+const RUNNABLE = 0o755;
+
 const shared = {
   bundle: true,
   platform: 'node',
@@ -35,6 +38,7 @@
       ...shared,
       entryPoints: [`src/bin/${name}`],
       outfile: `dist/bin/${name.replace('.ts', '.js')}`,
+      banner: {js: `#!/usr/bin/env node\n${banner}`},
     }),
   ),
   ...devPrograms.map(name =>
@@ -50,3 +54,6 @@
     outfile: 'dist/index.js',
   }),
 ]);
+for (const name of binaries) {
+  chmodSync(`dist/bin/${name.replace('.ts', '.js')}`, RUNNABLE);
+}
--- /dev/null
+++ b/src/test/package_test.ts
@@ -0,0 +1,34 @@
+/** The package's commands run as installed, not only by way of node. */
+import {execFileSync} from 'node:child_process';
+import {mkdtempSync, rmSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {afterAll, beforeAll, describe, expect, it} from 'vitest';
+
+const COMMANDS = ['node', 'ctl', 'check', 'measure'];
+
+let folder: string;
+
+/** Packs what is built and unpacks it as an installation would. */
+beforeAll(() => {
+  folder = mkdtempSync(join(tmpdir(), 'sequoiaspool-'));
+  const [packed] = JSON.parse(
+    execFileSync(
+      'npm',
+      ['pack', '--json', '--ignore-scripts', '--pack-destination', folder],
+      {encoding: 'utf8'},
+    ),
+  ) as Array<{filename: string}>;
+  const archive = join(folder, packed!.filename);
+  execFileSync('tar', ['-xzf', archive, '-C', folder]);
+});
+
+afterAll(() => rmSync(folder, {recursive: true, force: true}));
+
+describe('an installed command', () => {
+  it.each(COMMANDS)('sequoiaspool-%s --help', name => {
+    const file = join(folder, 'package', 'dist', 'bin', `${name}.js`);
+    const help = execFileSync(file, ['--help'], {encoding: 'utf8'});
+    expect(help).toContain(`sequoiaspool-${name}`);
+  });
+});
