--- a/src/directory-node.ts
+++ b/src/directory-node.ts
@@ -7,33 +7,29 @@
 import {randomUUID} from 'node:crypto';
 import {AttemptRunner} from './coordination/attempt-runner.js';
 import {AttemptSender} from './coordination/attempt-sender.js';
-import {CrashQuarantine} from './coordination/crash-quarantine.js';
 import {Entry} from './coordination/entry.js';
-import {Gate} from './coordination/gate.js';
+import type {Gate} from './coordination/gate.js';
 import {KeyedFollower} from './coordination/keyed-follower.js';
-import type {WorkerConnection} from './coordination/local-worker.js';
-import {createObservedConnection} from './coordination/observed-connection.js';
 import {OperatorViews} from './coordination/operator-view.js';
 import {PeerDirectory} from './coordination/peer-directory.js';
 import {RouteSplitter} from './coordination/route-split.js';
-import {SlotAdmission} from './coordination/slot-admission.js';
 import type {BadMove} from './coordination/version-moves.js';
 import {WorkerReports} from './coordination/worker-reports.js';
+import {createDirectoryGate} from './directory-gate.js';
 import {DirectoryMoves} from './directory-moves.js';
 import type {NodeAdapter, NodePort} from './node-adapter.js';
 import {describeReadiness, NodeStop} from './node-stop.js';
-import type {Announcement} from './protocol/announcement.js';
 import type {Attempt, AttemptAnswer} from './protocol/attempt.js';
 import {AttemptError} from './protocol/attempt.js';
 import type {DirectorySettings} from './protocol/directory-settings.js';
+import {DIRECTORY_CONNECTIONS} from './protocol/directory-settings.js';
 import type {NodeIdentity} from './protocol/node-identity.js';
-import {createIncarnation, parseAddress} from './protocol/node-identity.js';
+import {createIncarnation} from './protocol/node-identity.js';
 import {Reason, RefusalError, toRefusal} from './protocol/reasons.js';
 import type {
   ServiceAnswer,
   ServiceRequest,
 } from './protocol/service-request.js';
-import {nodeSettingsSchema} from './protocol/settings.js';
 import {Verdict} from './protocol/verdict.js';
 import {formatWorkerLoad} from './protocol/worker-load.js';
 import type {WorkerState} from './protocol/worker-load.js';
@@ -55,31 +51,17 @@
   servePeerCall,
 } from './transport/peer-exchange.js';
 import {createPeerServer} from './transport/peer-listener.js';
-import {UpstreamClient} from './transport/upstream-client.js';
+import {startListening} from './transport/start-listening.js';
 
 const STDOUT = 1;
-/** Longest wait for a connection to a worker on the same host. */
-const UPSTREAM_CONNECT_MS = 300;
-/** Upstreams may drop idle connections early; longer ones are not used. */
-const UPSTREAM_IDLE_MS = 3000;
-/** Time between looks whether the worker's figures are too old. */
-const PROBE_CHECK_MS = 50;
 /** Parts of the grace time for callers to leave and for work to end. */
 const LINGER_PART = 0.42;
 const DRAIN_PART = 0.4;
-/** Silence after which a sent attempt is asked for on a new connection. */
-const ACKNOWLEDGE_TIMEOUT = '500ms';
 /** Pause between acknowledgements; two fit into the timeout. */
 const ACKNOWLEDGE_INTERVAL_MS = 200;
 /** Margin by which an entry keeps connections longer than callers may. */
 const IDLE_MARGIN_MS = 1000;
 
-const connectionSettings = nodeSettingsSchema.shape.connections.parse({
-  acknowledgeTimeout: ACKNOWLEDGE_TIMEOUT,
-  connectTimeout: '300ms',
-  idleTimeout: '8s',
-});
-
 /** A running node. */
 export class DirectoryNode {
   private readonly identity: NodeIdentity;
@@ -129,8 +111,16 @@
       this.log(text, context),
     );
     this.follower = this.createFollower();
-    this.gateClient = new GateClient(node.id, connectionSettings);
-    this.gate = this.createGate();
+    this.gateClient = new GateClient(node.id, DIRECTORY_CONNECTIONS);
+    this.gate = createDirectoryGate({
+      state: this.state,
+      dataCentre: node.dataCentre,
+      crashTable: this.crashTable,
+      createProtocol: worker => adapter.createUpstreamProtocol(worker),
+      handleChange: () => this.directory.scheduleBeacon(),
+      recordSeen: seen => this.moves.evidence.record(seen),
+      count: name => this.metrics.count(name),
+    });
     this.reports = new WorkerReports(
       this.gate,
       service => this.state.findProfile(service) !== undefined,
@@ -246,37 +236,6 @@
     });
   }
 
-  private createGate(): Gate {
-    return new Gate(
-      announcement => this.openUpstream(announcement),
-      this.state,
-      this.identity.dataCentre,
-      new CrashQuarantine(this.crashTable),
-      {
-        createAdmission: (announcement, limits) => {
-          const admission = new SlotAdmission(announcement.slots, limits);
-          admission.handleChange = () => this.directory.scheduleBeacon();
-          return admission;
-        },
-        probeCheckMs: PROBE_CHECK_MS,
-      },
-    );
-  }
-
-  private openUpstream(announcement: Announcement): WorkerConnection {
-    const {address, slots} = announcement;
-    const client = new UpstreamClient(address, slots, UPSTREAM_CONNECT_MS, {
-      protocol: this.adapter.createUpstreamProtocol(announcement),
-      idleTimeoutMs: UPSTREAM_IDLE_MS,
-    });
-    return createObservedConnection(
-      client,
-      announcement,
-      seen => this.moves.evidence.record(seen),
-      () => this.metrics.count('probes.sent'),
-    );
-  }
-
   private createDirectory(): PeerDirectory {
     return new PeerDirectory({
       identity: this.identity,
@@ -459,10 +418,3 @@
     await this.metrics.close();
   }
 }
-
-function startListening(server: Server, address: string): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(parseAddress(address), () => resolve());
-  });
-}
--- a/src/node-process.ts
+++ b/src/node-process.ts
@@ -55,6 +55,7 @@
 import {PeerClients} from './transport/peer-client.js';
 import {createPeerServer} from './transport/peer-listener.js';
 import {reportProcess} from './transport/process-report.js';
+import {startListening} from './transport/start-listening.js';
 import {createStatsdSender} from './transport/statsd-sender.js';
 import {UpstreamClient} from './transport/upstream-client.js';
 
@@ -385,10 +386,3 @@
   return (requestId, {kind, detail}) =>
     logger.write('debug', kind, {requestId, ...detail} as LogContext);
 }
-
-function startListening(server: Server, address: string): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(parseAddress(address), () => resolve());
-  });
-}
--- a/src/protocol/directory-settings.ts
+++ b/src/protocol/directory-settings.ts
@@ -5,7 +5,7 @@
  */
 import {z} from 'zod';
 import {buildDurationSchema} from './quantities.js';
-import {addressSchema} from './settings.js';
+import {addressSchema, nodeSettingsSchema} from './settings.js';
 
 const MINUTE_MS = 60_000;
 
@@ -55,3 +55,15 @@
 });
 
 export type DirectorySettings = z.output<typeof directorySettingsSchema>;
+
+/** Silence after which a sent attempt is asked for on a new connection. */
+const ACKNOWLEDGE_TIMEOUT = '500ms';
+
+/** Connections between nodes that have a directory. */
+export const DIRECTORY_CONNECTIONS = nodeSettingsSchema.shape.connections.parse(
+  {
+    acknowledgeTimeout: ACKNOWLEDGE_TIMEOUT,
+    connectTimeout: '300ms',
+    idleTimeout: '8s',
+  },
+);
--- a/src/test/ordered-moves_test.ts
+++ b/src/test/ordered-moves_test.ts
@@ -62,7 +62,7 @@
     return this.state.findMove('desk')!;
   }
 
-  step(sharePercent: number) {
+  appendStep(sharePercent: number) {
     return this.moves.appendRecord({
       ...this.buildBase(),
       kind: 'move-step',
@@ -70,7 +70,7 @@
     });
   }
 
-  end(outcome: 'done' | 'taken-back') {
+  appendEnd(outcome: 'done' | 'taken-back') {
     return this.moves.appendRecord({
       ...this.buildBase(),
       kind: 'move-end',
@@ -135,7 +135,7 @@
     const [one, other] = [new Node(store), new Node(store)];
     for (const node of [one, other]) node.moves.applyOrders([ORDER]);
     const before = one.moves.listNews();
-    await one.step(25);
+    await one.appendStep(25);
     other.moves.handleNews(one.moves.listNews());
     other.moves.handleNews(before);
     expect(other.move.sharePercent).toBe(25);
@@ -156,9 +156,9 @@
     const store = {};
     const [one, other] = [new Node(store), new Node(store)];
     for (const node of [one, other]) node.moves.applyOrders([ORDER]);
-    await one.end('taken-back');
-    await other.step(25);
-    await other.step(50);
+    await one.appendEnd('taken-back');
+    await other.appendStep(25);
+    await other.appendStep(50);
     other.moves.handleNews(one.moves.listNews());
     one.moves.handleNews(other.moves.listNews());
     expect([one.move.stage, other.move.stage]).toEqual([
@@ -173,8 +173,8 @@
     const store = {};
     const [one, other] = [new Node(store), new Node(store)];
     for (const node of [one, other]) node.moves.applyOrders([ORDER]);
-    await one.end('taken-back');
-    await other.end('done');
+    await one.appendEnd('taken-back');
+    await other.appendEnd('done');
     expect(other.move.stage).toBe('taken-back');
   });
 
@@ -182,9 +182,9 @@
     const store = {isAway: true};
     const node = new Node(store);
     node.moves.applyOrders([ORDER]);
-    await expect(node.end('done')).rejects.toThrow('away');
+    await expect(node.appendEnd('done')).rejects.toThrow('away');
     expect(node.move.stage).toBe('running');
     store.isAway = false;
-    expect(await node.end('done')).toBe('accepted');
+    expect(await node.appendEnd('done')).toBe('accepted');
   });
 });
--- a/src/test/slot-admission_test.ts
+++ b/src/test/slot-admission_test.ts
@@ -44,14 +44,14 @@
     return this.admission.admit(request, new AbortController().signal);
   }
 
-  async fill(count = FIRST_LIMIT): Promise<Slot[]> {
+  async takeSlots(count = FIRST_LIMIT): Promise<Slot[]> {
     const slots: Slot[] = [];
     for (let index = 0; index < count; index++) slots.push(await this.admit());
     return slots;
   }
 
   /** Makes the service time known. */
-  async learn(): Promise<void> {
+  async recordTime(): Promise<void> {
     const slot = await this.admit();
     this.now += SERVICE_MS;
     slot.release(SlotOutcome.SUCCESS);
@@ -77,8 +77,8 @@
   ];
   it.each(cases)('$name', async ({targetMs, isRefused}) => {
     const bench = new Bench();
-    await bench.learn();
-    const [first] = await bench.fill();
+    await bench.recordTime();
+    const [first] = await bench.takeSlots();
     const waiting = findOutcome(bench.admit(1, targetMs));
     first!.release(SlotOutcome.SUCCESS);
     expect(await waiting).toBe(
@@ -88,16 +88,16 @@
 
   it('tells with a refusal when there is room again', async () => {
     const bench = new Bench();
-    await bench.learn();
-    await bench.fill();
+    await bench.recordTime();
+    await bench.takeSlots();
     const refusal = await bench.admit(1, 110).catch((e: RefusalError) => e);
     expect((refusal as RefusalError).retryAfterMs).toBeGreaterThan(0);
   });
 
   it('serves the important first, whenever it came', async () => {
     const bench = new Bench();
-    await bench.learn();
-    const running = await bench.fill();
+    await bench.recordTime();
+    const running = await bench.takeSlots();
     const order: string[] = [];
     const waiting = [2, 1, 0].map(rank =>
       bench.admit(rank).then(slot => {
@@ -113,8 +113,8 @@
 
   it('lets what is late already run only after what is in time', async () => {
     const bench = new Bench();
-    await bench.learn();
-    const running = await bench.fill();
+    await bench.recordTime();
+    const running = await bench.takeSlots();
     const order: string[] = [];
     const late = bench.admit(0, 1).then(() => void order.push('late'));
     const inTime = bench.admit(5).then(() => void order.push('in time'));
@@ -126,8 +126,8 @@
 
   it('refuses a request at its turn that can no longer be in time', async () => {
     const bench = new Bench();
-    await bench.learn();
-    await bench.fill();
+    await bench.recordTime();
+    await bench.takeSlots();
     const waiting = findOutcome(bench.admit());
     bench.now += TARGET_MS;
     vi.advanceTimersByTime(TARGET_MS);
@@ -194,8 +194,8 @@
   ];
   it.each(cases)('$name: those that wait are told at once', async row => {
     const bench = new Bench();
-    await bench.learn();
-    await bench.fill();
+    await bench.recordTime();
+    await bench.takeSlots();
     const waiting = findOutcome(bench.admit());
     row.act(bench);
     expect(await waiting).toBe(row.reason);
--- /dev/null
+++ b/src/transport/start-listening.ts
@@ -0,0 +1,13 @@
+/**
+ * Makes a server listen at an address of the settings.
+ */
+import type {Server} from 'node:http';
+import {parseAddress} from '../protocol/node-identity.js';
+
+/** Resolves once the server listens; rejects when the address is taken. */
+export function startListening(server: Server, address: string): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(parseAddress(address), () => resolve());
+  });
+}
