Let one piece of code serve for bodies, load figures, peers and attempts

Found on reading the whole change once more: - the way of an attempt (local worker or other gate, bad versions refused) stood in both nodes: src/attempt-path.ts serves both; - three loops read a whole bounded body: transport/message-body.ts; - load figures were noted in two places: recordLoad beside WorkerRow; - a peer was made in two places, and its exchange's error was dropped: the line 'node is silent' and the second look at the store now give the reason; - on each change of load a node formatted its own figures and parsed them back, and formatted a beacon once per receiver: figures stay figures until the wire, and a beacon is formatted once. The own row's figures are no longer rounded to the wire's digits; - removed what nothing used: four getters, a gauge, a catch that could not be met, a wait that nothing followed. No test, bound or check was touched.

--- a/src/coordination/call.ts
+++ b/src/coordination/call.ts
@@ -21,6 +21,7 @@
 import {WorkerState} from '../protocol/worker-load.js';
 import type {RequestExplainer} from '../state/explanations.js';
 import type {WorkerRow} from '../state/worker-table.js';
+import {recordLoad} from '../state/worker-table.js';
 import type {EntryOptions, ServiceFigures} from './entry.js';
 import {findRetryCost, findStatusRetryCost} from './retry-rules.js';
 import {chooseWorker} from './worker-choice.js';
@@ -170,7 +171,7 @@
     try {
       const answer = await this.options.sendAttempt(attempt, signal);
       this.figures.attemptTimes?.record(performance.now() - startedAt);
-      recordLoad(row, answer.load);
+      if (answer.load) recordLoad(row, answer.load);
       // A streamed answer keeps its slot until it has gone through.
       answer.body.rest?.once('close', end);
       if (!answer.body.rest) end();
@@ -257,16 +258,6 @@
   return {...chosen, state, inFlight, queued, limit, pace, ageMs};
 }
 
-function recordLoad(row: WorkerRow, load: AttemptAnswer['load']): void {
-  if (!load) return;
-  row.observed = {
-    figures: load,
-    at: performance.now(),
-    inFlightHere: row.inFlightHere,
-  };
-  row.state = load.state;
-}
-
 /**
  * A cancelled attempt brings no figures, but it would have taken at least as
  * long as it did; without this a slow worker whose attempts are all hedged
--- a/src/coordination/keyed-follower.ts
+++ b/src/coordination/keyed-follower.ts
@@ -71,7 +71,6 @@
   private next: number | undefined;
   private poll: AbortController | undefined;
   private isAvailable = true;
-  private hasRead = false;
 
   constructor(private readonly options: KeyedFollowerOptions) {
     this.backoff = new Backoff(
@@ -81,16 +80,6 @@
     );
   }
 
-  /** Whether the store has been read since the start. */
-  get hasStarted(): boolean {
-    return this.hasRead;
-  }
-
-  /** Whether the newest call was answered. */
-  get isConnected(): boolean {
-    return this.isAvailable;
-  }
-
   /** Begins to follow. */
   start(): void {
     void this.run();
@@ -134,7 +123,6 @@
       const snapshot = await topic.readNewest(signal);
       records.applySnapshot(snapshot);
       this.next = snapshot.end;
-      this.hasRead = true;
       return;
     }
     const page = await topic.read(this.next, pollWaitMs, signal);
--- a/src/coordination/operator-view.ts
+++ b/src/coordination/operator-view.ts
@@ -38,11 +38,6 @@
     ) => void,
   ) {}
 
-  /** Number of the configuration in force; -1 before the first. */
-  get configurationNumber(): number {
-    return this.number;
-  }
-
   /** Puts what is newer in force. */
   apply({configuration, dataCentresOut}: OperatorView): void {
     if (configuration && configuration.number > this.number) {
--- a/src/coordination/peer-directory.ts
+++ b/src/coordination/peer-directory.ts
@@ -6,18 +6,18 @@
  * changes; beacons carry load and show silence. What is believed here steers
  * routing only: a gate that is asked in vain refuses or does not answer.
  */
-import {Backoff, waitMs} from '../protocol/backoff.js';
+import {Backoff} from '../protocol/backoff.js';
 import type {NodeIdentity} from '../protocol/node-identity.js';
 import type {
   LoadBeacon,
   NodeNews,
   PeerName,
   PeerNews,
+  ServiceLoad,
 } from '../protocol/peer-messages.js';
-import {parseWorkerLoad} from '../protocol/worker-load.js';
-import type {WorkerLoad} from '../protocol/worker-load.js';
 import type {KeyedRecords} from '../state/keyed-records.js';
 import type {WorkerDescription, WorkerTable} from '../state/worker-table.js';
+import {recordLoad} from '../state/worker-table.js';
 import {StoreUnavailableError} from './keyed-follower.js';
 import {pickRandom} from './member-order.js';
 
@@ -37,8 +37,8 @@
 export interface PeerCalls {
   /** Tells a node the news and resolves with its own; rejects in silence. */
   sendNews(peerAddress: string, news: PeerNews): Promise<PeerNews>;
-  /** Sends a datagram; it may be lost. */
-  sendBeacon(beaconAddress: string, beacon: LoadBeacon): void;
+  /** Sends a datagram to each address; any may be lost. */
+  sendBeacon(addresses: readonly string[], beacon: LoadBeacon): void;
 }
 
 /** What a directory works with. */
@@ -50,8 +50,8 @@
   readonly calls: PeerCalls;
   readonly records: KeyedRecords;
   readonly random: () => number;
-  /** Load of the local workers, by service. */
-  readonly listLoads: () => ReadonlyArray<readonly [string, string]>;
+  /** Load of the local workers. */
+  readonly listLoads: () => readonly ServiceLoad[];
   /** The news of moves, both ways. */
   readonly listMoves: () => PeerNews['moves'];
   readonly handleMoves: (moves: PeerNews['moves']) => void;
@@ -158,10 +158,7 @@
   /** Sends the load to all nodes soon. */
   scheduleBeacon(): void {
     const {identity, listLoads} = this.options;
-    for (const [service, text] of listLoads()) {
-      const load = parseWorkerLoad(text);
-      if (load) this.recordLoad(identity.nodeId, service, load);
-    }
+    this.recordLoads(identity.nodeId, listLoads());
     if (this.beaconTimer || this.abort.signal.aborted) return;
     const dueAt = this.lastBeaconAt + BEACON_PAUSE_MS;
     const pauseMs = Math.max(0, dueAt - performance.now());
@@ -187,10 +184,7 @@
       void this.ask(peer);
       return;
     }
-    for (const [service, text] of beacon.loads) {
-      const load = parseWorkerLoad(text);
-      if (load) this.recordLoad(beacon.nodeId, service, load);
-    }
+    this.recordLoads(beacon.nodeId, beacon.loads);
   }
 
   private async register(): Promise<void> {
@@ -199,7 +193,7 @@
       MOST_BACKOFF_MS,
       this.options.random,
     );
-    const {directory, report} = this.options;
+    const {directory} = this.options;
     const {revision} = this;
     while (!this.abort.signal.aborted && revision === this.revision) {
       try {
@@ -208,13 +202,18 @@
         await this.readList();
         return;
       } catch (error) {
-        if (!(error instanceof StoreUnavailableError)) throw error;
-        report('directory not reached', {detail: error.message});
+        this.recordUnreached(error);
         await backoff.wait(this.abort.signal);
       }
     }
   }
 
+  /** Reports that the store was not reached; any other error is a fault. */
+  private recordUnreached(error: unknown): void {
+    if (!(error instanceof StoreUnavailableError)) throw error;
+    this.options.report('directory not reached', {detail: error.message});
+  }
+
   private async readList(): Promise<void> {
     this.listedAt = performance.now();
     const entries = await this.options.directory.list();
@@ -227,7 +226,10 @@
     if (name.nodeId === identity.nodeId) return;
     const known = this.peers.get(name.nodeId);
     if (known && known.name.incarnation >= name.incarnation) return;
-    const {nodeId, incarnation, peerAddress} = name;
+    void this.ask(this.createPeer(name));
+  }
+
+  private createPeer({nodeId, incarnation, peerAddress}: PeerName): Peer {
     const peer: Peer = {
       name: {nodeId, incarnation, peerAddress},
       news: undefined,
@@ -237,7 +239,7 @@
       failures: 0,
     };
     this.peers.set(nodeId, peer);
-    void this.ask(peer);
+    return peer;
   }
 
   private async ask(peer: Peer): Promise<void> {
@@ -250,10 +252,9 @@
       const {peerAddress} = peer.name;
       this.recordNews(await this.options.calls.sendNews(peerAddress, news));
       peer.failures = 0;
-    } catch {
-      // Silence is what the caller of this function looks into.
+    } catch (error) {
       peer.failures += 1;
-      if (peer.failures === 1) this.recordSilence(peer);
+      if (peer.failures === 1) this.recordSilence(peer, String(error));
     }
     peer.isAsked = false;
     const isCurrent = this.peers.get(peer.name.nodeId) === peer;
@@ -267,16 +268,7 @@
     if (node.nodeId === identity.nodeId) return;
     let peer = this.peers.get(node.nodeId);
     if (!peer || peer.name.incarnation < node.incarnation) {
-      const {nodeId, incarnation, peerAddress} = node;
-      peer = {
-        name: {nodeId, incarnation, peerAddress},
-        news: undefined,
-        heardAt: 0,
-        isAsked: false,
-        askedAt: -Infinity,
-        failures: 0,
-      };
-      this.peers.set(nodeId, peer);
+      peer = this.createPeer(node);
     }
     if (node.incarnation < peer.name.incarnation) return;
     const isNewer = !peer.news || node.revision > peer.news.revision;
@@ -300,10 +292,10 @@
     this.setSuspect(peer, false);
   }
 
-  private recordSilence(peer: Peer): void {
+  private recordSilence(peer: Peer, detail: string): void {
     this.setSuspect(peer, true);
     const {nodeId, peerAddress} = peer.name;
-    this.options.report('node is silent', {nodeId, peerAddress});
+    this.options.report('node is silent', {nodeId, peerAddress, detail});
   }
 
   private setSuspect(peer: Peer, isSuspect: boolean): void {
@@ -331,15 +323,11 @@
     }, BEHIND_MS);
   }
 
-  private recordLoad(nodeId: string, service: string, load: WorkerLoad): void {
-    for (const row of this.options.workers.listWorkers(service)) {
-      if (row.target.nodeId !== nodeId) continue;
-      row.state = load.state;
-      row.observed = {
-        figures: load,
-        at: performance.now(),
-        inFlightHere: row.inFlightHere,
-      };
+  private recordLoads(nodeId: string, loads: readonly ServiceLoad[]): void {
+    for (const {service, load} of loads) {
+      for (const row of this.options.workers.listWorkers(service)) {
+        if (row.target.nodeId === nodeId) recordLoad(row, load);
+      }
     }
   }
 
@@ -354,9 +342,10 @@
       recordsEnd: records.end,
       loads: listLoads(),
     };
-    for (const {news} of this.peers.values()) {
-      if (news) calls.sendBeacon(news.beaconAddress, beacon);
-    }
+    const addresses = [...this.peers.values()].flatMap(({news}) =>
+      news ? [news.beaconAddress] : [],
+    );
+    calls.sendBeacon(addresses, beacon);
   }
 
   private checkPeers(): void {
@@ -391,8 +380,7 @@
     try {
       await this.readList();
     } catch (error) {
-      if (!(error instanceof StoreUnavailableError)) throw error;
-      await waitMs(LEAST_BACKOFF_MS, this.abort.signal);
+      this.recordUnreached(error);
     }
   }
 
--- a/src/directory-node.ts
+++ b/src/directory-node.ts
@@ -5,6 +5,7 @@
  */
 import type {Server} from 'node:http';
 import {randomUUID} from 'node:crypto';
+import {AttemptPath} from './attempt-path.js';
 import {AttemptRunner} from './coordination/attempt-runner.js';
 import {AttemptSender} from './coordination/attempt-sender.js';
 import {Entry} from './coordination/entry.js';
@@ -19,8 +20,6 @@
 import {DirectoryMoves} from './directory-moves.js';
 import type {NodeAdapter, NodePort} from './node-adapter.js';
 import {describeReadiness, NodeStop} from './node-stop.js';
-import type {Attempt, AttemptAnswer} from './protocol/attempt.js';
-import {AttemptError} from './protocol/attempt.js';
 import type {DirectorySettings} from './protocol/directory-settings.js';
 import {DIRECTORY_CONNECTIONS} from './protocol/directory-settings.js';
 import type {NodeIdentity} from './protocol/node-identity.js';
@@ -31,7 +30,6 @@
   ServiceRequest,
 } from './protocol/service-request.js';
 import {Verdict} from './protocol/verdict.js';
-import {formatWorkerLoad} from './protocol/worker-load.js';
 import type {WorkerState} from './protocol/worker-load.js';
 import {AttemptRegistry} from './state/attempt-registry.js';
 import {CrashTable} from './state/crash-table.js';
@@ -79,7 +77,7 @@
   private readonly reports: WorkerReports;
   private readonly attempts = new AttemptRegistry();
   private readonly attemptRunner: AttemptRunner;
-  private readonly attemptSender: AttemptSender;
+  private readonly path: AttemptPath;
   private readonly crashTable = new CrashTable();
   private readonly splitter = new RouteSplitter();
   private readonly explanations = new Explanations();
@@ -130,14 +128,19 @@
       this.identity.incarnation,
       this.attempts,
       (request, version, signal, handleAdmitted) =>
-        this.runOnWorker(request, version, signal, handleAdmitted),
-    );
-    this.attemptSender = new AttemptSender(
-      (attempt, signal, handleSilence) =>
-        this.gateClient.sendAttempt(attempt, signal, handleSilence),
-      askSeal,
-      name => this.metrics.count(`attempts.${name}`),
+        this.path.runOnWorker(request, version, signal, handleAdmitted),
     );
+    this.path = new AttemptPath({
+      nodeId: node.id,
+      gate: this.gate,
+      sender: new AttemptSender(
+        (attempt, signal, handleSilence) =>
+          this.gateClient.sendAttempt(attempt, signal, handleSilence),
+        askSeal,
+        name => this.metrics.count(`attempts.${name}`),
+      ),
+      findVersions: () => this.moves.versions,
+    });
     this.moves = new DirectoryMoves({
       identity: this.identity,
       state: this.state,
@@ -248,7 +251,7 @@
       listLoads: () =>
         this.gate.listWorkers().flatMap(({service}) => {
           const load = this.gate.findLoad(service);
-          return load ? [[service, formatWorkerLoad(load)] as const] : [];
+          return load ? [{service, load}] : [];
         }),
       listMoves: () => this.moves.orders.listNews(),
       handleMoves: moves => this.moves.orders.handleNews(moves),
@@ -263,7 +266,7 @@
       state: this.state,
       workers: this.workers,
       explanations: this.explanations,
-      sendAttempt: (attempt, signal) => this.sendAttempt(attempt, signal),
+      sendAttempt: (attempt, signal) => this.path.sendAttempt(attempt, signal),
       random: Math.random,
       createAttemptId: randomUUID,
       count: name => this.metrics.count(name),
@@ -334,30 +337,6 @@
     }
   }
 
-  private async sendAttempt(
-    attempt: Attempt,
-    signal: AbortSignal,
-  ): Promise<AttemptAnswer> {
-    if (attempt.target.nodeId === this.identity.nodeId) {
-      return this.runOnWorker(attempt.request, attempt.version, signal);
-    }
-    return this.attemptSender.sendAttempt(attempt, signal);
-  }
-
-  /** Runs a request on the local worker unless its version was found bad. */
-  private async runOnWorker(
-    request: ServiceRequest,
-    version: string | undefined,
-    signal: AbortSignal,
-    handleAdmitted?: () => void,
-  ): Promise<AttemptAnswer> {
-    const isBad =
-      version !== undefined &&
-      !this.moves.versions.isAllowed(request.service, version);
-    if (isBad) throw new AttemptError(Reason.WRONG_VERSION, 'not-run', version);
-    return this.gate.runAttempt(request, version, signal, handleAdmitted);
-  }
-
   private recordRefusal(refusal: RefusalError, requestId: string): void {
     const {reason, verdict, detail, retryAfterMs = -1} = refusal;
     this.metrics.count(`refusals.${reason}`);
--- a/src/node-process.ts
+++ b/src/node-process.ts
@@ -6,6 +6,7 @@
 import type {Server} from 'node:http';
 import type {ConnectRouter} from '@connectrpc/connect';
 import {connectNodeAdapter} from '@connectrpc/connect-node';
+import {AttemptPath} from './attempt-path.js';
 import {AttemptRunner} from './coordination/attempt-runner.js';
 import {AttemptSender} from './coordination/attempt-sender.js';
 import {CrashQuarantine} from './coordination/crash-quarantine.js';
@@ -25,8 +26,6 @@
 import {NodeMoves} from './node-moves.js';
 import {buildOwnRoutes} from './node-routes.js';
 import {describeReadiness, NodeStop} from './node-stop.js';
-import type {Attempt, AttemptAnswer} from './protocol/attempt.js';
-import {AttemptError} from './protocol/attempt.js';
 import {AttemptService} from './protocol/attempts_pb.js';
 import type {NodeIdentity} from './protocol/node-identity.js';
 import {createIncarnation, parseAddress} from './protocol/node-identity.js';
@@ -76,7 +75,7 @@
   private readonly explanations: Explanations;
   private readonly attempts = new AttemptRegistry();
   private readonly attemptRunner;
-  private readonly attemptSender;
+  private readonly path: AttemptPath;
   private readonly entry;
   private readonly splitter = new RouteSplitter();
   private readonly keyHomes;
@@ -147,20 +146,25 @@
       this.identity.incarnation,
       this.attempts,
       (request, version, signal, handleAdmitted) =>
-        this.runOnWorker(request, version, signal, handleAdmitted),
-    );
-    this.attemptSender = new AttemptSender(
-      (attempt, signal, handleSilence) =>
-        this.gateClient.sendAttempt(attempt, signal, handleSilence),
-      askSeal,
-      name => this.metrics.count(`attempts.${name}`),
+        this.path.runOnWorker(request, version, signal, handleAdmitted),
     );
+    this.path = new AttemptPath({
+      nodeId: node.id,
+      gate: this.gate,
+      sender: new AttemptSender(
+        (attempt, signal, handleSilence) =>
+          this.gateClient.sendAttempt(attempt, signal, handleSilence),
+        askSeal,
+        name => this.metrics.count(`attempts.${name}`),
+      ),
+      findVersions: () => this.moves.versions,
+    });
     this.entry = new Entry({
       dataCentre: node.dataCentre,
       state: this.state,
       workers: this.workers,
       explanations: this.explanations,
-      sendAttempt: (attempt, signal) => this.sendAttempt(attempt, signal),
+      sendAttempt: (attempt, signal) => this.path.sendAttempt(attempt, signal),
       random: Math.random,
       createAttemptTimes: () => new QuantileWindow(),
       createAttemptId: randomUUID,
@@ -316,30 +320,6 @@
     }
   }
 
-  private async sendAttempt(
-    attempt: Attempt,
-    signal: AbortSignal,
-  ): Promise<AttemptAnswer> {
-    if (attempt.target.nodeId === this.identity.nodeId) {
-      return this.runOnWorker(attempt.request, attempt.version, signal);
-    }
-    return this.attemptSender.sendAttempt(attempt, signal);
-  }
-
-  /** Runs a request on the local worker unless its version was found bad. */
-  private async runOnWorker(
-    request: ServiceRequest,
-    version: string | undefined,
-    signal: AbortSignal,
-    handleAdmitted?: () => void,
-  ): Promise<AttemptAnswer> {
-    const isBad =
-      version !== undefined &&
-      !this.moves.versions.isAllowed(request.service, version);
-    if (isBad) throw new AttemptError(Reason.WRONG_VERSION, 'not-run', version);
-    return this.gate.runAttempt(request, version, signal, handleAdmitted);
-  }
-
   private listPeerAddresses(): string[] {
     return this.workers
       .listNodes()
--- a/src/protocol/peer-messages.ts
+++ b/src/protocol/peer-messages.ts
@@ -4,7 +4,8 @@
  * records that the other may lack. The schemas are the source of the types.
  */
 import {z} from 'zod';
-import {WorkerState} from './worker-load.js';
+import type {WorkerLoad} from './worker-load.js';
+import {formatWorkerLoad, parseWorkerLoad, WorkerState} from './worker-load.js';
 
 const offsetSchema = z.int().min(0);
 
@@ -72,6 +73,12 @@
 export type MoveNews = z.output<typeof moveNewsSchema>;
 export type PeerNews = z.output<typeof peerNewsSchema>;
 
+/** Load of the worker of a service. */
+export interface ServiceLoad {
+  readonly service: string;
+  readonly load: WorkerLoad;
+}
+
 /** Load of a node's workers, sent as a datagram whenever it changes. */
 export interface LoadBeacon {
   readonly nodeId: string;
@@ -79,14 +86,15 @@
   /** Of the sender's description; a receiver that has an older one asks. */
   readonly revision: number;
   readonly recordsEnd: number;
-  /** Load in its header form, by service. */
-  readonly loads: ReadonlyArray<readonly [service: string, load: string]>;
+  readonly loads: readonly ServiceLoad[];
 }
 
 /** Formats a beacon as a line of fields. */
 export function formatBeacon(beacon: LoadBeacon): string {
   const {nodeId, incarnation, revision, recordsEnd, loads} = beacon;
-  const parts = loads.map(([service, load]) => `${service}=${load}`);
+  const parts = loads.map(
+    ({service, load}) => `${service}=${formatWorkerLoad(load)}`,
+  );
   return [nodeId, incarnation, revision, recordsEnd, ...parts].join('|');
 }
 
@@ -97,9 +105,10 @@
   if (!nodeId || numbers.some(value => !Number.isSafeInteger(value))) {
     return undefined;
   }
-  const loads = parts.map(part => {
+  const loads = parts.flatMap(part => {
     const at = part.indexOf('=');
-    return [part.slice(0, at), part.slice(at + 1)] as const;
+    const load = parseWorkerLoad(part.slice(at + 1));
+    return load ? [{service: part.slice(0, at), load}] : [];
   });
   return {
     nodeId,
--- a/src/protocol/route-table.ts
+++ b/src/protocol/route-table.ts
@@ -20,11 +20,6 @@
     }
   }
 
-  /** Whether there is no route at all. */
-  get isEmpty(): boolean {
-    return this.byHost.size === 0;
-  }
-
   /**
    * Finds the route with the longest prefix of a path; undefined without one.
    *
--- a/src/state/worker-table.ts
+++ b/src/state/worker-table.ts
@@ -48,6 +48,13 @@
   observed: ObservedLoad | undefined;
 }
 
+/** Notes load figures that came of a worker just now. */
+export function recordLoad(row: WorkerRow, figures: WorkerLoad): void {
+  const {inFlightHere} = row;
+  row.observed = {figures, at: performance.now(), inFlightHere};
+  row.state = figures.state;
+}
+
 interface WorkerTableEvents {
   changed: undefined;
 }
--- a/src/transport/caller-listener.ts
+++ b/src/transport/caller-listener.ts
@@ -18,6 +18,7 @@
   ServiceRequest,
 } from '../protocol/service-request.js';
 import {writeAnswer, writeRefusal} from './answer-writer.js';
+import {readWholeBody} from './message-body.js';
 
 const MAX_HEADER_BYTES = 16 * 1024;
 /** Longest time for a caller to send its request's headers. */
@@ -194,18 +195,10 @@
 }
 
 async function readJson(message: IncomingMessage): Promise<unknown> {
-  const parts: Buffer[] = [];
-  let size = 0;
-  for await (const part of message as AsyncIterable<Buffer>) {
-    size += part.length;
-    if (size > MAX_OWN_BODY_BYTES) {
-      throw new RefusalError(Reason.BODY_TOO_LARGE);
-    }
-    parts.push(part);
-  }
-  if (size === 0) return undefined;
+  const body = await readWholeBody(message, MAX_OWN_BODY_BYTES);
+  if (body.length === 0) return undefined;
   try {
-    return JSON.parse(Buffer.concat(parts).toString()) as unknown;
+    return JSON.parse(body.toString()) as unknown;
   } catch {
     throw new RefusalError(Reason.MALFORMED_REQUEST, 'not-run', 'not JSON');
   }
--- a/src/transport/metrics.ts
+++ b/src/transport/metrics.ts
@@ -5,7 +5,7 @@
  */
 import type {Server} from 'node:http';
 import {createServer} from 'node:http';
-import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import {Counter, Histogram, Registry} from 'prom-client';
 
 /** Bounds of the histograms in seconds, from a local answer to a deadline. */
 const LATENCY_BOUNDS_S = [
@@ -58,18 +58,6 @@
     this.latency.observe({...labels}, elapsedMs / MS_PER_SECOND);
   }
 
-  /** Adds a figure that is read whenever the text is asked for. */
-  watch(name: string, help: string, read: () => number): void {
-    new Gauge({
-      name: `sequoiaspool_${name}`,
-      help,
-      registers: [this.registry],
-      collect() {
-        this.set(read());
-      },
-    });
-  }
-
   /** Totals since the start of the process. */
   report(): Record<string, number> {
     return Object.fromEntries([...this.totals].sort());
--- a/src/transport/peer-exchange.ts
+++ b/src/transport/peer-exchange.ts
@@ -20,6 +20,7 @@
 } from '../protocol/peer-messages.js';
 import {SealOutcome} from '../protocol/seal.js';
 import type {SealResult} from '../protocol/seal.js';
+import {readWholeBody} from './message-body.js';
 import type {WireEvidence} from './move-service.js';
 
 const NEWS_PATH = '/peers/news';
@@ -185,9 +186,12 @@
     await this.sendCall(peerAddress, BADNESS_PATH, bad);
   }
 
-  sendBeacon(beaconAddress: string, beacon: LoadBeacon): void {
-    const {host, port} = parseAddress(beaconAddress);
-    this.socket?.send(formatBeacon(beacon), port, host);
+  sendBeacon(addresses: readonly string[], beacon: LoadBeacon): void {
+    const text = formatBeacon(beacon);
+    for (const address of addresses) {
+      const {host, port} = parseAddress(address);
+      this.socket?.send(text, port, host);
+    }
   }
 
   /** Receives beacons at an address, which also becomes their sender. */
@@ -295,12 +299,6 @@
 }
 
 async function readJson(message: IncomingMessage): Promise<unknown> {
-  const parts: Buffer[] = [];
-  let size = 0;
-  for await (const part of message as AsyncIterable<Buffer>) {
-    size += part.length;
-    if (size > MAX_BODY_BYTES) throw new Error('body too long');
-    parts.push(part);
-  }
-  return JSON.parse(Buffer.concat(parts).toString()) as unknown;
+  const body = await readWholeBody(message, MAX_BODY_BYTES);
+  return JSON.parse(body.toString()) as unknown;
 }
