Judge a new version by how often its answers are slow on hosts as usual

The bad version was seen late, because the one judge asked 8 of 16 gates, each with two or three answers. Ruled out: that the pace that workers tell hides a bad version: attempts at the slow version v3 were told pace 1 as at the others. Change: times are set against the host's pace, those of a cold worker are left out, and a route is slow when so many answers over twice the old median would come by chance (binomial, the old version's share) less than 1 time in 500. All gates of an ordinary service are asked. A version that is slow for less than a tenth of its requests beyond the usual is not found by time.

--- a/src/coordination/move-judgement.ts
+++ b/src/coordination/move-judgement.ts
@@ -30,7 +30,11 @@
 const MIN_DURATIONS = 8;
 /** Slowdown below this many milliseconds is noise of the machine. */
 const MIN_SLOWDOWN_MS = 5;
-const COMPARED_QUANTILE = 0.9;
+const MEDIAN = 0.5;
+/** Share of slow answers, beyond the usual one, that callers would notice. */
+const MIN_SLOW_SHARE = 0.1;
+/** Chance below which slow answers are the version's; a move is judged often. */
+const MOST_CHANCE = 0.002;
 /** Part of the answers that chance may keep from a rare route. */
 const EXPECTED_PART = 0.5;
 
@@ -100,8 +104,11 @@
 }
 
 /**
- * Of requests that were cancelled only those count that had already taken
- * longer than the old version's: the others say nothing of their full time.
+ * Compares how often answers are slow. On shared hosts a good version is slow
+ * now and then as well, and a bad one may be slow for a part of its requests
+ * only, so that few answers are weighed by how likely chance brings so many
+ * slow ones. Of requests that were cancelled only those count that were slow
+ * already: the others say nothing of their full time.
  */
 function findSlowdown(
   seen: RouteFigures,
@@ -109,17 +116,50 @@
   settings: Profile['moves'],
 ): string | undefined {
   if (!old || old.recentDurationsMs.length < MIN_DURATIONS) return undefined;
-  const oldMs = computeQuantile(old.recentDurationsMs, COMPARED_QUANTILE);
-  const durationsMs = [
-    ...seen.recentDurationsMs,
-    ...seen.recentCancelledMs.filter(ms => ms > oldMs),
-  ];
-  if (durationsMs.length < MIN_DURATIONS) return undefined;
-  const newMs = computeQuantile(durationsMs, COMPARED_QUANTILE);
-  const isSlow =
-    newMs > oldMs * settings.slowdownFactor && newMs - oldMs > MIN_SLOWDOWN_MS;
-  if (!isSlow) return undefined;
-  return `route ${seen.route}: p90 ${newMs.toFixed(1)} ms, old version ${oldMs.toFixed(1)} ms`;
+  const usualMs = computeQuantile(old.recentDurationsMs, MEDIAN);
+  const limitMs = Math.max(
+    usualMs * settings.slowdownFactor,
+    usualMs + MIN_SLOWDOWN_MS,
+  );
+  const before = countSlow(old, limitMs);
+  const now = countSlow(seen, limitMs);
+  if (now.all < MIN_DURATIONS) return undefined;
+  // One more of each, since few old answers don't show what is usual.
+  const usualShare = (before.slow + 1) / (before.all + 2);
+  const isMore = now.slow / now.all > usualShare + MIN_SLOW_SHARE;
+  const chance = computeChance(now.all, now.slow, usualShare);
+  if (!isMore || chance > MOST_CHANCE) return undefined;
+  return `route ${seen.route}: ${now.slow} of ${now.all} took over ${limitMs.toFixed(1)} ms, old version ${before.slow} of ${before.all}`;
+}
+
+function countSlow(
+  {recentDurationsMs, recentCancelledMs}: RouteFigures,
+  limitMs: number,
+): {slow: number; all: number} {
+  const isSlow = (ms: number): boolean => ms > limitMs;
+  const cancelled = recentCancelledMs.filter(isSlow).length;
+  return {
+    slow: recentDurationsMs.filter(isSlow).length + cancelled,
+    all: recentDurationsMs.length + cancelled,
+  };
+}
+
+/**
+ * Probability that at least so many of some trials succeed, when each does
+ * with the same chance (binomial distribution).
+ */
+export function computeChance(
+  trials: number,
+  successes: number,
+  share: number,
+): number {
+  let term = (1 - share) ** trials;
+  let below = 0;
+  for (let count = 0; count < successes; count++) {
+    below += term;
+    term *= ((trials - count) / (count + 1)) * (share / (1 - share));
+  }
+  return Math.max(0, 1 - below);
 }
 
 function checkProof(
--- a/src/coordination/observed-connection.ts
+++ b/src/coordination/observed-connection.ts
@@ -1,6 +1,8 @@
 /**
  * A worker connection that notes how each request ended, as evidence about
- * the worker's version, and counts probes.
+ * the worker's version, and counts probes. Times are set against the host's
+ * pace, and those of a cold worker are left out, or a new version on busy
+ * hosts would look slow.
  */
 import type {Announcement} from '../protocol/announcement.js';
 import type {AttemptAnswer} from '../protocol/attempt.js';
@@ -18,12 +20,28 @@
   Reason.CALLER_GONE,
 ]);
 
+/** What slows a worker beside its version. */
+export interface WorkerCondition {
+  /** How many times as long work takes on the host as usually. */
+  readonly pace: number;
+  readonly isCold: boolean;
+}
+
+/** A warm worker on a host that is as usual. */
+export const USUAL_CONDITION: WorkerCondition = {pace: 1, isCold: false};
+
+/** What an observed connection reports to. */
+export interface ConnectionObserver {
+  readonly record: (seen: SeenRequest) => void;
+  readonly countProbe: () => void;
+  readonly readCondition: () => WorkerCondition;
+}
+
 /** Wraps a connection so that what it carries is recorded. */
 export function createObservedConnection(
   connection: WorkerConnection,
   announcement: Announcement,
-  record: (seen: SeenRequest) => void,
-  countProbe: () => void,
+  {record, countProbe, readCondition}: ConnectionObserver,
 ): WorkerConnection {
   const {service, version} = announcement;
   const sendRequest = async (
@@ -31,8 +49,14 @@
     signal: AbortSignal,
   ): Promise<AttemptAnswer> => {
     const startedAt = performance.now();
+    const before = readCondition();
     const recordEnd = (end: RequestEnd): void => {
-      const durationMs = performance.now() - startedAt;
+      const after = readCondition();
+      const elapsedMs = performance.now() - startedAt;
+      // A host faster than usual is no excuse for a version.
+      const pace = Math.max(USUAL_CONDITION.pace, before.pace, after.pace);
+      const durationMs =
+        before.isCold || after.isCold ? undefined : elapsedMs / pace;
       record({service, version, route: request.route, end, durationMs});
     };
     try {
--- a/src/coordination/version-moves.ts
+++ b/src/coordination/version-moves.ts
@@ -69,8 +69,11 @@
 }
 
 const CHECK_INTERVAL_MS = 500;
-/** Gates of each version whose evidence is read at a check. */
-const ASKED_GATES = 8;
+/**
+ * Gates of each version whose evidence is read at a check. On trial each gate
+ * sees few requests, so that all of an ordinary service are asked.
+ */
+const ASKED_GATES = 24;
 /** Shares of the new version in percent after the trial. */
 const SHARES_PERCENT = [10, 25, 50, 100];
 /** Part of a move's time that its steps are spread over at least. */
--- a/src/directory-gate.ts
+++ b/src/directory-gate.ts
@@ -4,10 +4,17 @@
  */
 import {CrashQuarantine} from './coordination/crash-quarantine.js';
 import {Gate} from './coordination/gate.js';
-import {createObservedConnection} from './coordination/observed-connection.js';
+import type {WorkerCondition} from './coordination/observed-connection.js';
+import {
+  createObservedConnection,
+  USUAL_CONDITION,
+} from './coordination/observed-connection.js';
 import {SlotAdmission} from './coordination/slot-admission.js';
+import type {WorkerConnection} from './coordination/local-worker.js';
 import type {Announcement} from './protocol/announcement.js';
 import type {CrashTable} from './state/crash-table.js';
+import type {WorkerLoad} from './protocol/worker-load.js';
+import {WorkerState} from './protocol/worker-load.js';
 import type {StateStore} from './state/state-store.js';
 import type {SeenRequest} from './state/version-evidence.js';
 import {UpstreamClient} from './transport/upstream-client.js';
@@ -35,17 +42,20 @@
 /** Creates the gate. */
 export function createDirectoryGate(options: DirectoryGateOptions): Gate {
   const {state, dataCentre, crashTable} = options;
-  const openConnection = (worker: Announcement) =>
+  const openConnection = (worker: Announcement): WorkerConnection =>
     createObservedConnection(
       new UpstreamClient(worker.address, worker.slots, UPSTREAM_CONNECT_MS, {
         protocol: options.createProtocol(worker),
         idleTimeoutMs: UPSTREAM_IDLE_MS,
       }),
       worker,
-      options.recordSeen,
-      () => options.count('probes.sent'),
+      {
+        record: options.recordSeen,
+        countProbe: () => options.count('probes.sent'),
+        readCondition: () => readCondition(gate.findLoad(worker.service)),
+      },
     );
-  return new Gate(
+  const gate: Gate = new Gate(
     openConnection,
     state,
     dataCentre,
@@ -59,4 +69,11 @@
       probeCheckMs: PROBE_CHECK_MS,
     },
   );
+  return gate;
+}
+
+/** A worker that is gone by now is judged as if its host had been as usual. */
+function readCondition(load: WorkerLoad | undefined): WorkerCondition {
+  if (!load) return USUAL_CONDITION;
+  return {pace: load.pace, isCold: load.state === WorkerState.COLD};
 }
--- a/src/node-moves.ts
+++ b/src/node-moves.ts
@@ -4,7 +4,10 @@
 import {randomUUID} from 'node:crypto';
 import type {ConnectRouter} from '@connectrpc/connect';
 import type {Gate, OpenWorkerConnection} from './coordination/gate.js';
-import {createObservedConnection} from './coordination/observed-connection.js';
+import {
+  createObservedConnection,
+  USUAL_CONDITION,
+} from './coordination/observed-connection.js';
 import {VersionMoves} from './coordination/version-moves.js';
 import type {NodeIdentity} from './protocol/node-identity.js';
 import type {SharedState} from './shared-state.js';
@@ -60,12 +63,12 @@
   /** Wraps the opening of worker connections so that they give evidence. */
   observe(openConnection: OpenWorkerConnection): OpenWorkerConnection {
     return announcement =>
-      createObservedConnection(
-        openConnection(announcement),
-        announcement,
-        seen => this.evidence.record(seen),
-        () => this.options.metrics.count('probes.sent'),
-      );
+      createObservedConnection(openConnection(announcement), announcement, {
+        record: seen => this.evidence.record(seen),
+        countProbe: () => this.options.metrics.count('probes.sent'),
+        // Upstreams here don't tell how their host is doing.
+        readCondition: () => USUAL_CONDITION,
+      });
   }
 
   /** Registers the calls that other nodes make. */
--- a/src/state/version-evidence.ts
+++ b/src/state/version-evidence.ts
@@ -37,7 +37,11 @@
   readonly version: string;
   readonly route: string;
   readonly end: RequestEnd;
-  readonly durationMs: number;
+  /**
+   * Time in milliseconds at the host's usual pace; undefined when it says
+   * nothing of the version.
+   */
+  readonly durationMs: number | undefined;
 }
 
 class RouteCounts {
@@ -49,7 +53,7 @@
   private readonly durationsMs: number[] = [];
   private readonly cancelledMs: number[] = [];
 
-  record(end: RequestEnd, durationMs: number): void {
+  record(end: RequestEnd, durationMs: number | undefined): void {
     if (end === RequestEnd.CANCELLED) {
       addNewest(this.cancelledMs, durationMs);
       return;
@@ -86,7 +90,11 @@
   }
 }
 
-function addNewest(durationsMs: number[], durationMs: number): void {
+function addNewest(
+  durationsMs: number[],
+  durationMs: number | undefined,
+): void {
+  if (durationMs === undefined) return;
   durationsMs.push(durationMs);
   if (durationsMs.length > KEPT_DURATIONS) durationsMs.shift();
 }
--- a/src/test/move-judgement_test.ts
+++ b/src/test/move-judgement_test.ts
@@ -2,7 +2,11 @@
  * What evidence makes a version bad, good or unproven.
  */
 import {describe, expect, it} from 'vitest';
-import {checkVersion, mergeFigures} from '../coordination/move-judgement.js';
+import {
+  checkVersion,
+  computeChance,
+  mergeFigures,
+} from '../coordination/move-judgement.js';
 import {configurationSchema} from '../protocol/configuration.js';
 import type {RouteFigures} from '../state/version-evidence.js';
 
@@ -28,7 +32,41 @@
   };
 }
 
+/** Figures of a route whose answers took different times. */
+function buildTimes(route: string, durationsMs: number[]): RouteFigures {
+  const figures = buildFigures(route, durationsMs.length, 0, 0);
+  return {...figures, recentDurationsMs: durationsMs};
+}
+
+function fill(count: number, durationMs: number): number[] {
+  return Array.from({length: count}, () => durationMs);
+}
+
 const cases = [
+  {
+    name: 'slow as often as the old version on the same hosts',
+    seen: [buildTimes('tickets', [5, 5, 5, 5, 5, 5, 5, 40, 40])],
+    old: [buildTimes('tickets', [...fill(90, 5), ...fill(8, 40)])],
+    judgement: 'unproven',
+  },
+  {
+    name: 'half of few answers slow',
+    seen: [buildTimes('tickets', [5, 40, 5, 40, 40, 5, 40, 5, 40])],
+    old: [buildTimes('tickets', [...fill(90, 5), ...fill(8, 40)])],
+    judgement: 'bad',
+  },
+  {
+    name: 'a third of many answers slow',
+    seen: [buildTimes('tickets', [...fill(20, 5), ...fill(10, 40)])],
+    old: [buildTimes('tickets', [...fill(90, 5), ...fill(8, 40)])],
+    judgement: 'bad',
+  },
+  {
+    name: 'slow where little is known of the old version',
+    seen: [buildTimes('tickets', [5, 5, 5, 5, 40, 5, 40, 5, 40])],
+    old: [buildTimes('tickets', [...fill(7, 5), 40])],
+    judgement: 'unproven',
+  },
   {
     name: 'as good as the old version',
     seen: [buildFigures('tickets', 40, 0, 5)],
@@ -153,3 +191,15 @@
     ]);
   });
 });
+
+describe('the chance of so many slow answers', () => {
+  it.each([
+    {trials: 8, successes: 0, share: 0.1, chance: 1},
+    {trials: 8, successes: 8, share: 0.5, chance: 1 / 256},
+    {trials: 2, successes: 1, share: 0.5, chance: 0.75},
+    {trials: 300, successes: 300, share: 0.01, chance: 0},
+  ])('$successes of $trials at $share', testCase => {
+    const {trials, successes, share, chance} = testCase;
+    expect(computeChance(trials, successes, share)).toBeCloseTo(chance, 9);
+  });
+});
--- /dev/null
+++ b/src/test/observed-connection_test.ts
@@ -0,0 +1,104 @@
+/**
+ * What a request's time says of its worker's version. It answers the pattern
+ * of a move on shared hosts: a good version is no slower because its hosts
+ * are busy or because its workers have just started.
+ */
+import {describe, expect, it} from 'vitest';
+import type {WorkerCondition} from '../coordination/observed-connection.js';
+import {
+  createObservedConnection,
+  USUAL_CONDITION,
+} from '../coordination/observed-connection.js';
+import type {AttemptAnswer} from '../protocol/attempt.js';
+import {EMPTY_BODY} from '../protocol/service-request.js';
+import type {ServiceRequest} from '../protocol/service-request.js';
+import type {SeenRequest} from '../state/version-evidence.js';
+
+const ELAPSED_MS = 60;
+/** A timer may fire a little early on the clock that times are read from. */
+const TIMER_SLACK_MS = 2;
+const BUSY: WorkerCondition = {pace: 4, isCold: false};
+const COLD: WorkerCondition = {pace: 1, isCold: true};
+const FAST: WorkerCondition = {pace: 0.5, isCold: false};
+
+const REQUEST: ServiceRequest = {
+  id: 'request-1',
+  service: 'kona-desk',
+  method: 'GET',
+  path: '/tickets/1',
+  headers: {},
+  caller: 'mender',
+  deadline: Infinity,
+  route: 'tickets',
+  idempotent: true,
+  rank: 0,
+  fingerprint: '',
+  body: EMPTY_BODY,
+};
+
+/** Sends one request while the worker's condition changes. */
+async function observe(
+  before: WorkerCondition,
+  after: WorkerCondition,
+): Promise<SeenRequest> {
+  let condition = before;
+  const seen: SeenRequest[] = [];
+  const answer: AttemptAnswer = {status: 200, headers: {}, body: EMPTY_BODY};
+  const connection = createObservedConnection(
+    {
+      sendRequest: async () => {
+        await new Promise(resolve => setTimeout(resolve, ELAPSED_MS));
+        condition = after;
+        return answer;
+      },
+      sendProbe: async () => ({status: 200}),
+      close: async () => {},
+    },
+    {
+      service: 'kona-desk',
+      version: 'v2',
+      slots: 6,
+      address: '127.0.0.1:1',
+      state: 'ready',
+      ttlMs: 1000,
+    },
+    {
+      record: one => seen.push(one),
+      countProbe: () => {},
+      readCondition: () => condition,
+    },
+  );
+  await connection.sendRequest(REQUEST, new AbortController().signal);
+  return seen[0]!;
+}
+
+describe('the time of a request as evidence about a version', () => {
+  it.each([
+    {
+      name: 'as usual',
+      before: USUAL_CONDITION,
+      after: USUAL_CONDITION,
+      part: 1,
+    },
+    {name: 'host turns slow', before: USUAL_CONDITION, after: BUSY, part: 4},
+    {name: 'host was slow', before: BUSY, after: USUAL_CONDITION, part: 4},
+    {name: 'fast host', before: FAST, after: FAST, part: 1},
+  ])('$name', async ({before, after, part}) => {
+    const {durationMs} = await observe(before, after);
+    expect(durationMs! * part).toBeGreaterThanOrEqual(
+      ELAPSED_MS - TIMER_SLACK_MS,
+    );
+    if (part > 1) {
+      const usual = await observe(USUAL_CONDITION, USUAL_CONDITION);
+      expect(durationMs!).toBeLessThan(usual.durationMs!);
+    }
+  });
+
+  it.each([
+    {name: 'cold at its start', before: COLD, after: USUAL_CONDITION},
+    {name: 'cold at its end', before: USUAL_CONDITION, after: COLD},
+  ])('$name counts as an answer without a time', async ({before, after}) => {
+    const seen = await observe(before, after);
+    expect(seen).toMatchObject({end: 'answered', durationMs: undefined});
+  });
+});
