Serve at the gate until callers have left, and stop when nothing is asked

A connection that never carried a request is not idle to Node.js and closeIdleConnections leaves it (1 left after 1 s of closing, by a script). Change: a node with a directory tells the others after its callers have left; the end of attempts is seen by requests, not by connections.

--- a/src/directory-node.ts
+++ b/src/directory-node.ts
@@ -167,6 +167,7 @@
       callerServer: this.callerServer,
       peerServer: this.peerServer,
       closeClients: () => this.closeClients(),
+      servesWhileCallersLeave: true,
       handleStep: (step, isComplete) =>
         this.logger.write('info', 'stop', {step, isComplete}),
     });
--- a/src/node-stop.ts
+++ b/src/node-stop.ts
@@ -7,10 +7,16 @@
 import type {NodeSettings} from './protocol/settings.js';
 import type {OwnAnswer} from './transport/caller-listener.js';
 import {ConnectionCloser} from './transport/connection-closer.js';
-import {drainServer, waitForNoConnections} from './transport/server-drain.js';
+import {
+  closeServer,
+  drainServer,
+  waitForNoConnections,
+} from './transport/server-drain.js';
 
 /** Time for connections that nobody uses any more to close. */
 const CLOSE_LIMIT_MS = 1000;
+/** Time in which whatever a peer sent before it knew of the stop arrives. */
+const QUIET_MS = 200;
 
 /** Work of another module that a stop waits for. */
 export type StopTask = () => Promise<void>;
@@ -30,6 +36,12 @@
   readonly peerServer: Server;
   /** Closes the connections to other nodes, the upstream and the metrics. */
   readonly closeClients: () => Promise<void>;
+  /**
+   * Whether the gate serves until this host's callers have left. The fleet
+   * then misses its worker for the restart only; a node with tasks before
+   * refusing keeps the time for those.
+   */
+  readonly servesWhileCallersLeave?: boolean;
   /** Told of each step, with whether it ended in time. */
   readonly handleStep: (step: string, isComplete: boolean) => void;
 }
@@ -72,6 +84,7 @@
   async run(): Promise<void> {
     this.hasBegun = true;
     this.callerConnections.start();
+    if (this.parts.servesWhileCallersLeave) await this.waitForCallers();
     await this.parts.membership.leave();
     this.parts.handleStep('peers told', true);
     await this.runTasks('before refusing', this.beforeRefusing);
@@ -89,12 +102,18 @@
     this.parts.handleStep('attempts refused', true);
   }
 
-  private async releaseCallers(): Promise<void> {
+  private async waitForCallers(): Promise<void> {
     const {callerServer, settings, handleStep} = this.parts;
-    const {lingerTime, drainTimeout} = settings;
+    const {lingerTime} = settings;
     const haveLeft = await waitForNoConnections(callerServer, lingerTime);
     handleStep('callers left', haveLeft);
-    handleStep('answered', await drainServer(callerServer, drainTimeout));
+  }
+
+  private async releaseCallers(): Promise<void> {
+    const {callerServer, settings, handleStep} = this.parts;
+    if (!this.parts.servesWhileCallersLeave) await this.waitForCallers();
+    const hasAnswered = await drainServer(callerServer, settings.drainTimeout);
+    handleStep('answered', hasAnswered);
   }
 
   private async runTasks(
@@ -109,8 +128,12 @@
 
   private async drainAttempts(): Promise<void> {
     const {peerServer, settings, handleStep} = this.parts;
-    const haveEnded = await drainServer(peerServer, settings.drainTimeout);
+    const haveEnded = await this.peerConnections.waitUntilQuiet(
+      QUIET_MS,
+      settings.drainTimeout,
+    );
     handleStep('attempts ended', haveEnded);
+    await closeServer(peerServer);
   }
 }
 
--- /dev/null
+++ b/src/test/node-stop_test.ts
@@ -0,0 +1,119 @@
+/**
+ * The order and the length of a planned stop, on servers without a node. It
+ * answers the pattern of hosts that are stopped one after the other: the less
+ * time a gate refuses, the less of the fleet is away at once.
+ */
+import type {Server} from 'node:http';
+import {createServer, request} from 'node:http';
+import type {AddressInfo, Socket} from 'node:net';
+import {connect} from 'node:net';
+import {afterEach, describe, expect, it} from 'vitest';
+import {waitFor} from '../measure/wait-for.js';
+import {NodeStop} from '../node-stop.js';
+
+/** Far above what any step takes when nothing holds it up. */
+const LONG_MS = 60_000;
+/** Limit of a stop that nothing holds up; half of the shortest wait above. */
+const STOP_LIMIT_MS = LONG_MS / 2;
+
+let servers: Server[] = [];
+let sockets: Socket[] = [];
+
+afterEach(() => {
+  for (const socket of sockets) socket.destroy();
+  for (const server of servers) server.close().closeAllConnections();
+  servers = [];
+  sockets = [];
+});
+
+async function startServer(): Promise<Server> {
+  const server = createServer((message, response) => {
+    if (message.url === '/slow') return;
+    response.end('done');
+  });
+  servers.push(server);
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  return server;
+}
+
+function findPort(server: Server): number {
+  return (server.address() as AddressInfo).port;
+}
+
+/** Opens a connection that carries no request. */
+async function openBare(server: Server): Promise<Socket> {
+  const socket = connect(findPort(server), '127.0.0.1');
+  socket.on('error', () => {});
+  sockets.push(socket);
+  await new Promise(resolve => socket.once('connect', resolve));
+  return socket;
+}
+
+interface StopRun {
+  readonly steps: string[];
+  readonly stop: NodeStop;
+  readonly callerServer: Server;
+  readonly peerServer: Server;
+}
+
+async function createStop(servesWhileCallersLeave: boolean): Promise<StopRun> {
+  const callerServer = await startServer();
+  const peerServer = await startServer();
+  const steps: string[] = [];
+  const stop = new NodeStop({
+    settings: {lingerTime: LONG_MS, drainTimeout: LONG_MS},
+    membership: {
+      leave: async () => void steps.push('left'),
+      stop: () => {},
+    },
+    callerServer,
+    peerServer,
+    closeClients: async () => {},
+    servesWhileCallersLeave,
+    handleStep: (step, isComplete) => {
+      steps.push(isComplete ? step : `${step} in vain`);
+    },
+  });
+  return {steps, stop, callerServer, peerServer};
+}
+
+describe('a planned stop', () => {
+  it('is not held up by a connection of a peer that carried nothing', async () => {
+    const {steps, stop, peerServer} = await createStop(true);
+    await openBare(peerServer);
+    let isOver = false;
+    void stop.run().then(() => (isOver = true));
+    await waitFor('the stop to end', () => isOver, STOP_LIMIT_MS);
+    expect(steps.at(-1)).toBe('attempts ended');
+  });
+
+  it('waits for an attempt that runs', async () => {
+    const {steps, stop, peerServer} = await createStop(true);
+    const arrived = new Promise(resolve => peerServer.once('request', resolve));
+    const running = request({port: findPort(peerServer), path: '/slow'});
+    running.on('error', () => {});
+    running.end();
+    await arrived;
+    let isOver = false;
+    void stop.run().then(() => (isOver = true));
+    await waitFor('callers to be answered', () => steps.includes('answered'));
+    expect(isOver).toBe(false);
+    running.destroy();
+    await waitFor('the stop to end', () => isOver, STOP_LIMIT_MS);
+  });
+
+  it.each([
+    {serves: true, before: ['callers left', 'left']},
+    {serves: false, before: ['left', 'peers told']},
+  ])('serves while callers leave: $serves', async ({serves, before}) => {
+    const {steps, stop, callerServer} = await createStop(serves);
+    const caller = await openBare(callerServer);
+    let isOver = false;
+    void stop.run().then(() => (isOver = true));
+    await waitFor('the stop to begin', () => stop.isStopping);
+    if (serves) expect(stop.isRefusingAttempts).toBe(false);
+    caller.destroy();
+    await waitFor('the stop to end', () => isOver, STOP_LIMIT_MS);
+    expect(steps.slice(0, 2)).toEqual(before);
+  });
+});
--- a/src/transport/connection-closer.ts
+++ b/src/transport/connection-closer.ts
@@ -4,8 +4,10 @@
  * Both ride on the answers, so that no connection is closed under a request.
  */
 import type {Server, ServerResponse} from 'node:http';
+import {waitMs} from '../protocol/backoff.js';
 
 const MS_PER_SECOND = 1000;
+const POLL_MS = 20;
 
 /** The connections of one server. */
 export class ConnectionCloser {
@@ -32,14 +34,31 @@
     for (const response of this.active) endAfterAnswer(response);
   }
 
-  private handleResponse(response: ServerResponse): void {
-    if (this.isClosing) {
-      endAfterAnswer(response);
-      return;
+  /**
+   * Waits until no request has been here for a while, whatever connections
+   * are open: one that never carried a request does not count as idle to the
+   * server, and would hold up a stop for nothing.
+   *
+   * @param quietMs time without a request, above what one is on its way.
+   * @returns false when time ran out.
+   */
+  async waitUntilQuiet(quietMs: number, limitMs: number): Promise<boolean> {
+    const startedAt = performance.now();
+    let busyAt = startedAt;
+    for (;;) {
+      const now = performance.now();
+      if (this.active.size > 0) busyAt = now;
+      if (now - busyAt >= quietMs) return true;
+      if (now - startedAt >= limitMs) return false;
+      await waitMs(POLL_MS);
     }
-    if (this.idleHint) response.setHeader('keep-alive', this.idleHint);
+  }
+
+  private handleResponse(response: ServerResponse): void {
     this.active.add(response);
     response.once('close', () => this.active.delete(response));
+    if (this.isClosing) endAfterAnswer(response);
+    else if (this.idleHint) response.setHeader('keep-alive', this.idleHint);
   }
 }
 
--- a/src/transport/server-drain.ts
+++ b/src/transport/server-drain.ts
@@ -37,6 +37,12 @@
   return hasEnded;
 }
 
+/** Stops listening and closes all connections, which carry nothing more. */
+export async function closeServer(server: Server): Promise<void> {
+  await stopListening(server);
+  server.closeAllConnections();
+}
+
 /** Stops right after pending connects were accepted: a close resets them. */
 function stopListening(server: Server): Promise<void> {
   return new Promise(resolve => {
