Pass on from a refusing gate when it has room

Cause: what a gate expected went as whole seconds and was not read, so that a caller refused elsewhere was told 1 s, which it cuts to a third of its time: too late for its target. Change: milliseconds go in a header of their own and reach the caller.

--- a/src/protocol/headers.ts
+++ b/src/protocol/headers.ts
@@ -26,6 +26,8 @@
 export const PEER_RANK = 'sequoiaspool-rank';
 /** Milliseconds until an answer is late, on the way between nodes. */
 export const PEER_TARGET = 'sequoiaspool-target-ms';
+/** Milliseconds after which a refusing gate expects room. */
+export const PEER_RETRY_AFTER = 'sequoiaspool-retry-after-ms';
 /** Signature of an upstream's answer on the way between nodes. */
 export const PEER_SIGNATURE = 'sequoiaspool-signature';
 /** Id of one attempt; the gate echoes it and the entry compares. */
--- /dev/null
+++ b/src/test/peer-refusal_test.ts
@@ -0,0 +1,95 @@
+/**
+ * What a refusing gate says reaches the entry whole. On a heavy day the time
+ * after which there is room differs from gate to gate, and the entry passes
+ * it on to the caller.
+ */
+import type {Server} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {afterEach, expect, it} from 'vitest';
+import type {Attempt, AttemptError} from '../protocol/attempt.js';
+import {REASON_DETAILS, Reason, RefusalError} from '../protocol/reasons.js';
+import {EMPTY_BODY} from '../protocol/service-request.js';
+import {Verdict} from '../protocol/verdict.js';
+import {GateClient} from '../transport/gate-client.js';
+import {createPeerServer} from '../transport/peer-listener.js';
+
+const GENEROUS_MS = 10_000;
+const USUAL_MS = REASON_DETAILS[Reason.QUEUE_TIMEOUT].retryAfterMs;
+
+let server: Server | undefined;
+let client: GateClient | undefined;
+
+afterEach(async () => {
+  await client?.close();
+  server?.close();
+});
+
+async function sendRefused(refusal: RefusalError): Promise<AttemptError> {
+  server = createPeerServer({
+    handleAttempt: async () => {
+      throw refusal;
+    },
+    handleCall: (message, response) => void response.end(),
+    acknowledgeIntervalMs: GENEROUS_MS,
+  });
+  const listening = server;
+  await new Promise<void>(resolve => listening.listen(0, '127.0.0.1', resolve));
+  const {port} = listening.address() as AddressInfo;
+  client = new GateClient('desk-0', {
+    maxPerNode: 1,
+    connectTimeout: GENEROUS_MS,
+    acknowledgeTimeout: GENEROUS_MS,
+    acknowledgeInterval: GENEROUS_MS,
+    idleTimeout: GENEROUS_MS,
+  });
+  const attempt: Attempt = {
+    id: 'attempt-1',
+    target: {
+      nodeId: 'desk-1',
+      incarnation: 1,
+      peerAddress: `127.0.0.1:${port}`,
+    },
+    request: {
+      id: 'request-1',
+      service: 'kona-desk',
+      method: 'GET',
+      path: '/tickets/1',
+      headers: {},
+      caller: 'mender',
+      deadline: performance.now() + GENEROUS_MS,
+      route: 'tickets',
+      idempotent: true,
+      rank: 0,
+      fingerprint: '',
+      body: EMPTY_BODY,
+    },
+  };
+  const {signal} = new AbortController();
+  return client
+    .sendAttempt(attempt, signal, () => true)
+    .then(
+      () => expect.fail('was answered'),
+      (error: AttemptError) => error,
+    );
+}
+
+it.each([
+  {name: 'soon', retryAfterMs: 45, expected: 45},
+  {name: 'at once', retryAfterMs: 0, expected: 0},
+  {name: 'as usual', retryAfterMs: undefined, expected: USUAL_MS},
+])('a refusal tells when there is room: $name', async testCase => {
+  const {retryAfterMs, expected} = testCase;
+  const refusal = new RefusalError(
+    Reason.QUEUE_TIMEOUT,
+    Verdict.NOT_RUN,
+    'running 4 of 4',
+    retryAfterMs,
+  );
+  const error = await sendRefused(refusal);
+  expect(error).toMatchObject({
+    reason: 'queue-timeout',
+    verdict: 'not-run',
+    detail: 'running 4 of 4',
+    retryAfterMs: expected,
+  });
+});
--- a/src/transport/gate-client.ts
+++ b/src/transport/gate-client.ts
@@ -184,8 +184,15 @@
     const verdict =
       readVerdict(findHeader(headers, headerNames.VERDICT)) ??
       Verdict.MAY_HAVE_RUN;
+    const retryAfterMs = readRetryAfter(headers);
     const detail = readDetail(body);
-    throw new AttemptError(readReason(reason), verdict, detail, load);
+    throw new AttemptError(
+      readReason(reason),
+      verdict,
+      detail,
+      load,
+      retryAfterMs,
+    );
   }
   const version = findHeader(headers, headerNames.SERVICE_VERSION);
   const signature = findHeader(headers, headerNames.PEER_SIGNATURE);
@@ -216,6 +223,13 @@
   }
 }
 
+/** The gate's own estimate; the reason's usual time without one. */
+function readRetryAfter(headers: Headers): number | undefined {
+  const text = findHeader(headers, headerNames.PEER_RETRY_AFTER);
+  const retryAfterMs = Number(text);
+  return text !== undefined && retryAfterMs >= 0 ? retryAfterMs : undefined;
+}
+
 function readDetail(body: Body): string {
   try {
     const problem = JSON.parse(body.held.toString()) as {detail?: unknown};
--- a/src/transport/peer-listener.ts
+++ b/src/transport/peer-listener.ts
@@ -110,6 +110,9 @@
     stopAcknowledging();
     const refusal = toRefusal(error);
     if (refusal instanceof AttemptError) addLoadHeader(extra, refusal.load);
+    if (refusal.retryAfterMs !== undefined) {
+      extra[headerNames.PEER_RETRY_AFTER] = String(refusal.retryAfterMs);
+    }
     writeRefusal(response, refusal, undefined, extra);
   }
 }
