Say in a full gate's refusal what it rested on

Running, limit, waiting, sent in the last second, age of the proof of warmth and pace reach the request's log line at the entry.

--- a/src/coordination/cold-rate.ts
+++ b/src/coordination/cold-rate.ts
@@ -30,7 +30,12 @@
 
   /** Whether more may be sent only after a new proof of warmth. */
   isUnproven(now: number): boolean {
-    return now - this.provenAt > PROOF_MS;
+    return this.computeProofAge(now) > PROOF_MS;
+  }
+
+  /** Milliseconds since the worker last spoke of its warmth. */
+  computeProofAge(now: number): number {
+    return now - this.provenAt;
   }
 
   /** Requests sent in the last second. */
--- a/src/coordination/slot-admission.ts
+++ b/src/coordination/slot-admission.ts
@@ -7,6 +7,7 @@
  */
 import type {Profile} from '../protocol/configuration.js';
 import {Reason, RefusalError} from '../protocol/reasons.js';
+import {Verdict} from '../protocol/verdict.js';
 import type {
   ProbeAnswer,
   UpstreamFigures,
@@ -158,7 +159,7 @@
     if (isNext && this.hasRoom(now)) return this.take(request, now);
     const waitMs = this.computeWait(request, now);
     if (waitMs > this.computeMostWait(request, now)) {
-      throw buildFull(this.cold.isCold(now), waitMs);
+      throw this.buildFull(now, waitMs);
     }
     return this.enqueue(request, signal, now);
   }
@@ -259,7 +260,7 @@
     now: number,
   ): Promise<Slot> {
     if (this.queue.length >= this.limits.queueLength) {
-      throw buildFull(this.cold.isCold(now), this.computeWait(request, now));
+      throw this.buildFull(now, this.computeWait(request, now));
     }
     return new Promise((resolve, reject) => {
       const handleAbort = (): void => {
@@ -366,7 +367,23 @@
 
   private refuseWaiting(waiting: Waiting, now: number): void {
     const waitMs = this.computeWait(waiting.request, now);
-    waiting.reject(buildFull(this.cold.isCold(now), waitMs));
+    waiting.reject(this.buildFull(now, waitMs));
+  }
+
+  /** The refusal says what it rested on, for whoever asks afterwards. */
+  private buildFull(now: number, waitMs: number): RefusalError {
+    const reason = this.cold.isCold(now)
+      ? Reason.WORKER_COLD
+      : Reason.QUEUE_TIMEOUT;
+    const detail = [
+      `running ${this.inFlight} of ${this.knee.value}`,
+      `waiting ${this.queue.length}`,
+      `sent ${this.cold.countSent(now)} in 1 s`,
+      `warm ${Math.round(this.cold.computeProofAge(now))} ms ago`,
+      `pace ${this.pace}`,
+    ].join(', ');
+    const retryAfterMs = Math.max(0, Math.round(waitMs));
+    return new RefusalError(reason, Verdict.NOT_RUN, detail, retryAfterMs);
   }
 
   private refuseAll(reason: Reason): void {
@@ -407,9 +424,3 @@
     ? reason
     : new RefusalError(Reason.CALLER_GONE);
 }
-
-function buildFull(isCold: boolean, waitMs: number): RefusalError {
-  const reason = isCold ? Reason.WORKER_COLD : Reason.QUEUE_TIMEOUT;
-  const retryAfterMs = Math.max(0, Math.round(waitMs));
-  return new RefusalError(reason, 'not-run', '', retryAfterMs);
-}
