--- a/src/coordination/prober.ts
+++ b/src/coordination/prober.ts
@@ -43,7 +43,7 @@
   private readonly now: () => number;
   private readonly bucket: TokenBucket;
   private lastProbeAt = -Infinity;
-  private isProbing = false;
+  private running: Promise<void> | undefined;
   private timer: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: ProberOptions) {
@@ -65,28 +65,41 @@
 
   /** Sends a probe when one is needed and the budget allows it. */
   async run(): Promise<void> {
-    if (!this.isNeeded()) return;
+    if (this.running || !this.isNeeded()) return;
     const {burst} = this.options.findBudget() ?? {burst: 1};
     const isDoubt = this.options.hasDoubt();
     const reserve = isDoubt ? 0 : Math.min(DOUBT_RESERVE, burst - 1);
     await this.probeNow(reserve);
   }
 
-  /** Sends a probe at once when the budget allows it. */
+  /**
+   * Sends a probe at once when the budget allows it. One that is under way
+   * began before the doubt and may end with the connection that it was on, so
+   * that it settles nothing.
+   */
   async probeNow(reserve = 0): Promise<void> {
+    const {running} = this;
+    if (running) {
+      await running;
+      if (this.isProbing() || !this.options.hasDoubt()) return;
+    }
     const budget = this.options.findBudget();
-    if (!budget || this.isProbing) return;
+    if (!budget) return;
     const {ratePerSecond, burst} = budget;
     if (!this.bucket.take(ratePerSecond, burst, this.now(), reserve)) return;
     this.lastProbeAt = this.now();
-    this.isProbing = true;
+    this.running = this.probe(budget);
     try {
-      await this.probe(budget);
+      await this.running;
     } finally {
-      this.isProbing = false;
+      this.running = undefined;
     }
   }
 
+  private isProbing(): boolean {
+    return this.running !== undefined;
+  }
+
   private isNeeded(): boolean {
     const {admission, hasDoubt} = this.options;
     const {state} = admission.load;
--- /dev/null
+++ b/src/test/prober_test.ts
@@ -0,0 +1,101 @@
+/** A probe that began before a doubt does not settle it. */
+import {expect, it} from 'vitest';
+import type {WorkerAdmission} from '../coordination/worker-admission.js';
+import {Prober} from '../coordination/prober.js';
+import {profileSchema} from '../protocol/configuration.js';
+import {Reason, RefusalError} from '../protocol/reasons.js';
+import {Verdict} from '../protocol/verdict.js';
+import {WorkerState} from '../protocol/worker-load.js';
+
+const LONG_AGO_MS = 60_000;
+
+const LOST = new RefusalError(Reason.CONNECTION_LOST, Verdict.MAY_HAVE_RUN);
+const REFUSED = new RefusalError(Reason.UNREACHABLE);
+
+interface ProbeCase {
+  readonly name: string;
+  /** How the probe ends that is under way at the loss. */
+  readonly first: RefusalError | undefined;
+  readonly hasDoubt: boolean;
+  readonly expectedRefusals: number;
+  readonly expectedProbes: number;
+}
+
+const CASES: readonly ProbeCase[] = [
+  {
+    name: 'ended with the crash that is in doubt',
+    first: LOST,
+    hasDoubt: true,
+    expectedRefusals: 1,
+    expectedProbes: 2,
+  },
+  {
+    name: 'was answered before the crash',
+    first: undefined,
+    hasDoubt: true,
+    expectedRefusals: 1,
+    expectedProbes: 2,
+  },
+  {
+    name: 'settled the doubt itself',
+    first: REFUSED,
+    hasDoubt: false,
+    expectedRefusals: 1,
+    expectedProbes: 1,
+  },
+];
+
+function createAdmission(): WorkerAdmission {
+  return {
+    load: {
+      state: WorkerState.READY,
+      inFlight: 0,
+      queued: 0,
+      limit: 4,
+      serviceTimeUs: 0,
+      failureShare: 0,
+      pace: 1,
+    },
+    lastOutcomeAt: -Infinity,
+    update: () => {},
+    resetToCold: () => {},
+    recordProbeAnswer: () => {},
+    recordUnreachable: () => {},
+    admit: () => Promise.reject(REFUSED),
+  };
+}
+
+it.each(CASES)('one that $name', async testCase => {
+  let now = 0;
+  let refusals = 0;
+  const probes: Array<(error: RefusalError | undefined) => void> = [];
+  const profile = profileSchema.parse({
+    probes: {ratePerSecond: 10, burst: 4},
+  });
+  const prober = new Prober({
+    sendProbe: () =>
+      new Promise((resolve, reject) => {
+        probes.push(error => {
+          if (error) reject(error);
+          else resolve({status: 200});
+        });
+      }),
+    admission: createAdmission(),
+    hasDoubt: () => testCase.hasDoubt,
+    handleUnreachable: async () => void (refusals += 1),
+    findBudget: () => profile.probes,
+    now: () => now,
+  });
+  now += LONG_AGO_MS;
+  const regular = prober.run();
+  const settling = prober.probeNow();
+  probes[0]!(testCase.first);
+  await regular;
+  await new Promise(resolve => setImmediate(resolve));
+  probes[1]?.(REFUSED);
+  await settling;
+  expect({refusals, probes: probes.length}).toEqual({
+    refusals: testCase.expectedRefusals,
+    probes: testCase.expectedProbes,
+  });
+});
