Import zod by namespace, so that bundles hold what is used

Cause: of the platform bundle's 1,350 KB zod had 582 KB, its locales among them, because the named import keeps the whole namespace object.

--- a/src/ctl/control-settings.ts
+++ b/src/ctl/control-settings.ts
@@ -3,7 +3,7 @@
  * are. Flags go before the file.
  */
 import {userInfo} from 'node:os';
-import {z} from 'zod';
+import * as z from 'zod';
 import {nameSchema} from '../protocol/configuration.js';
 import {buildDurationSchema} from '../protocol/quantities.js';
 import {
--- a/src/ctl/node-directory.ts
+++ b/src/ctl/node-directory.ts
@@ -2,7 +2,7 @@
  * Finds the live nodes by asking some of them, and what each has folded.
  */
 import {request} from 'undici';
-import {z} from 'zod';
+import * as z from 'zod';
 import {waitMs} from '../protocol/backoff.js';
 import type {StateCalls} from '../transport/state-service.js';
 
--- a/src/measure/deployment-file.ts
+++ b/src/measure/deployment-file.ts
@@ -4,7 +4,7 @@
  */
 import {readFileSync} from 'node:fs';
 import {parse as parseToml} from 'smol-toml';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {ConfigurationInput} from '../protocol/configuration.js';
 import {configurationSchema, nameSchema} from '../protocol/configuration.js';
 import {readTomlFile, toCamelKeys} from '../protocol/settings.js';
--- a/src/measure/run-check.ts
+++ b/src/measure/run-check.ts
@@ -3,7 +3,7 @@
  * upstreams' own counts can show that a booking ran twice, or that one refused
  * as not run did run.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {LocalDeployment} from './local-deployment.js';
 import type {BookingRecord} from './load-generator.js';
 
--- a/src/protocol/announcement.ts
+++ b/src/protocol/announcement.ts
@@ -2,7 +2,7 @@
  * What an upstream tells the node beside it, over HTTP and again every few
  * seconds, because the platform keeps no list of upstreams.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {nameSchema} from './configuration.js';
 import {addressSchema} from './settings.js';
 
--- a/src/protocol/configuration.ts
+++ b/src/protocol/configuration.ts
@@ -4,7 +4,7 @@
  * limits, budgets and the balancing policy. The schema is the single source
  * of the types, and each default is the documented one.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {buildDurationSchema, buildSizeSchema} from './quantities.js';
 
 const SECOND_MS = 1000;
--- a/src/protocol/directory-settings.ts
+++ b/src/protocol/directory-settings.ts
@@ -3,7 +3,7 @@
  * platform's store and stands beside one worker. They come from a template, so
  * every figure that a deployment bounds has a key here.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {buildDurationSchema} from './quantities.js';
 import {addressSchema, nodeSettingsSchema} from './settings.js';
 
--- a/src/protocol/peer-messages.ts
+++ b/src/protocol/peer-messages.ts
@@ -3,7 +3,7 @@
  * other: who they are, which workers stand beside them, and the operators'
  * records that the other may lack. The schemas are the source of the types.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {WorkerLoad} from './worker-load.js';
 import {formatWorkerLoad, parseWorkerLoad, WorkerState} from './worker-load.js';
 
--- a/src/protocol/quantities.ts
+++ b/src/protocol/quantities.ts
@@ -2,7 +2,7 @@
  * Durations and sizes as written in settings: a number with its unit, because
  * a bare number hides whether seconds or milliseconds were meant.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 const DURATION_UNITS_MS: Readonly<Record<string, number>> = {
   ms: 1,
--- a/src/protocol/records.ts
+++ b/src/protocol/records.ts
@@ -4,7 +4,7 @@
  * writers the first in log order wins, and an id, so that a doubled append
  * folds once.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {configurationSchema, nameSchema} from './configuration.js';
 import {addressSchema} from './settings.js';
 
--- a/src/protocol/schema-keys.ts
+++ b/src/protocol/schema-keys.ts
@@ -2,7 +2,7 @@
  * Finds the keys that a schema allows at a path, so that a fault can name
  * them. It looks through optional values, defaults and refinements.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Parts of a schema's definition that lead to another schema. */
 interface NestedSchemas {
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -5,7 +5,7 @@
  */
 import {readFileSync} from 'node:fs';
 import {parse as parseToml, TomlError} from 'smol-toml';
-import {z} from 'zod';
+import * as z from 'zod';
 import {configurationSchema, nameSchema} from './configuration.js';
 import {buildDurationSchema} from './quantities.js';
 import {listAllowedKeys} from './schema-keys.js';
--- a/src/state/snapshot.ts
+++ b/src/state/snapshot.ts
@@ -2,7 +2,7 @@
  * Snapshots: the whole folded state as JSON, for nodes that can no longer
  * read the records that led to it.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {keyHomeSchema} from '../protocol/records.js';
 import type {LoggedRecord} from '../protocol/records.js';
 import {parseRecord} from './fold-record.js';
--- a/src/test/setting-rows.ts
+++ b/src/test/setting-rows.ts
@@ -2,7 +2,7 @@
  * Lists the settings that a schema allows, for the check of the operators'
  * page against it.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {formatKeyPath} from '../protocol/settings.js';
 
 /** One setting as the page must show it. */
--- a/src/transport/peer-exchange.ts
+++ b/src/transport/peer-exchange.ts
@@ -8,7 +8,7 @@
 import {createSocket} from 'node:dgram';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {Agent, Client} from 'undici';
-import {z} from 'zod';
+import * as z from 'zod';
 import {SealError} from '../protocol/seal.js';
 import type {Attempt, AttemptAnswer} from '../protocol/attempt.js';
 import {parseAddress} from '../protocol/node-identity.js';
--- a/src/transport/platform-log-client.ts
+++ b/src/transport/platform-log-client.ts
@@ -4,7 +4,7 @@
  * doubles all the same folds once.
  */
 import {Agent, request} from 'undici';
-import {z} from 'zod';
+import * as z from 'zod';
 import {Backoff} from '../protocol/backoff.js';
 import type {LogPage, PlatformLog} from '../protocol/platform-log.js';
 import {LogUnavailableError} from '../protocol/platform-log.js';
