--- a/src/test/move-judgement_test.ts
+++ b/src/test/move-judgement_test.ts
@@ -38,7 +38,7 @@
   return {...figures, recentDurationsMs: durationsMs};
 }
 
-function fill(count: number, durationMs: number): number[] {
+function buildTimesOf(count: number, durationMs: number): number[] {
   return Array.from({length: count}, () => durationMs);
 }
 
@@ -46,25 +46,33 @@
   {
     name: 'slow as often as the old version on the same hosts',
     seen: [buildTimes('tickets', [5, 5, 5, 5, 5, 5, 5, 40, 40])],
-    old: [buildTimes('tickets', [...fill(90, 5), ...fill(8, 40)])],
+    old: [
+      buildTimes('tickets', [...buildTimesOf(90, 5), ...buildTimesOf(8, 40)]),
+    ],
     judgement: 'unproven',
   },
   {
     name: 'half of few answers slow',
     seen: [buildTimes('tickets', [5, 40, 5, 40, 40, 5, 40, 5, 40])],
-    old: [buildTimes('tickets', [...fill(90, 5), ...fill(8, 40)])],
+    old: [
+      buildTimes('tickets', [...buildTimesOf(90, 5), ...buildTimesOf(8, 40)]),
+    ],
     judgement: 'bad',
   },
   {
     name: 'a third of many answers slow',
-    seen: [buildTimes('tickets', [...fill(20, 5), ...fill(10, 40)])],
-    old: [buildTimes('tickets', [...fill(90, 5), ...fill(8, 40)])],
+    seen: [
+      buildTimes('tickets', [...buildTimesOf(20, 5), ...buildTimesOf(10, 40)]),
+    ],
+    old: [
+      buildTimes('tickets', [...buildTimesOf(90, 5), ...buildTimesOf(8, 40)]),
+    ],
     judgement: 'bad',
   },
   {
     name: 'slow where little is known of the old version',
     seen: [buildTimes('tickets', [5, 5, 5, 5, 40, 5, 40, 5, 40])],
-    old: [buildTimes('tickets', [...fill(7, 5), 40])],
+    old: [buildTimes('tickets', [...buildTimesOf(7, 5), 40])],
     judgement: 'unproven',
   },
   {
