Tell load to the entries that choose a worker only, and introduce by datagram

The description goes in the datagram, a call is made only for what a datagram lacks. The store's entry is written once a start. Fleets of up to ten workers of a version choose among all, as before.

--- a/src/coordination/peer-directory.ts
+++ b/src/coordination/peer-directory.ts
@@ -2,68 +2,31 @@
  * Finds the other nodes through a directory in the platform's store and keeps
  * what they say of themselves. The store is asked at the start and when hardly
  * anybody answers; everything after that goes from node to node, so that the
- * store's price doesn't grow with the fleet. A description is pushed when it
- * changes; beacons carry load and show silence. What is believed here steers
- * routing only: a gate that is asked in vain refuses or does not answer.
+ * store's price doesn't grow with the fleet. Nodes introduce themselves by
+ * datagrams, regularly and when something changes; between partners, an entry
+ * and the gates that it chooses among, load goes at each change. To all others
+ * a node speaks the more rarely the more there are, so that what a node sends
+ * and hears stays bounded. What is believed here steers routing only: a gate
+ * that is asked in vain refuses or does not answer.
  */
 import {Backoff} from '../protocol/backoff.js';
-import type {NodeIdentity} from '../protocol/node-identity.js';
 import type {
+  Introduction,
   LoadBeacon,
   NodeNews,
   PeerName,
   PeerNews,
   ServiceLoad,
 } from '../protocol/peer-messages.js';
-import type {KeyedRecords} from '../state/keyed-records.js';
-import type {WorkerDescription, WorkerTable} from '../state/worker-table.js';
+import type {WorkerDescription} from '../state/worker-table.js';
 import {recordLoad} from '../state/worker-table.js';
 import {StoreUnavailableError} from './keyed-follower.js';
 import {pickRandom} from './member-order.js';
+import type {BeaconPeer} from './peer-beacons.js';
+import type {PeerDirectoryOptions} from './peer-directory-options.js';
+import {PeerBeacons, WISH_MS} from './peer-beacons.js';
 
-/** The list of nodes in the platform's store. */
-export interface NodeDirectory {
-  /**
-   * Writes this node's entry, over an earlier one of the same id.
-   *
-   * @throws StoreUnavailableError
-   */
-  announce(entry: NodeNews): Promise<void>;
-  /** @throws StoreUnavailableError */
-  list(): Promise<NodeNews[]>;
-}
-
-/** Calls to other nodes. */
-export interface PeerCalls {
-  /** Tells a node the news and resolves with its own; rejects in silence. */
-  sendNews(peerAddress: string, news: PeerNews): Promise<PeerNews>;
-  /** Sends a datagram to each address; any may be lost. */
-  sendBeacon(addresses: readonly string[], beacon: LoadBeacon): void;
-}
-
-/** What a directory works with. */
-export interface PeerDirectoryOptions {
-  readonly identity: NodeIdentity;
-  readonly beaconAddress: string;
-  readonly workers: WorkerTable;
-  readonly directory: NodeDirectory;
-  readonly calls: PeerCalls;
-  readonly records: KeyedRecords;
-  readonly random: () => number;
-  /** Load of the local workers. */
-  readonly listLoads: () => readonly ServiceLoad[];
-  /** The news of moves, both ways. */
-  readonly listMoves: () => PeerNews['moves'];
-  readonly handleMoves: (moves: PeerNews['moves']) => void;
-  /** Told that another node knows later records of operators. */
-  readonly handleLaterRecords: () => void;
-  readonly report: (
-    text: string,
-    context: Readonly<Record<string, string | number>>,
-  ) => void;
-}
-
-interface Peer {
+interface Peer extends BeaconPeer {
   name: PeerName;
   news: NodeNews | undefined;
   heardAt: number;
@@ -72,20 +35,20 @@
   failures: number;
 }
 
-/** Least pause between two beacons. */
-const BEACON_PAUSE_MS = 60;
-/** Pause after which a beacon is sent though nothing changed. */
-const BEACON_INTERVAL_MS = 500;
-/** Silence after which a node is asked whether it is there. */
-const SILENCE_MS = 1400;
+/** Intervals of silence after which a node is asked whether it is there. */
+const SILENT_INTERVALS = 2.8;
+/** Nodes asked for all that they know; more would tell the same. */
+const ENOUGH_EXCHANGES = 3;
 const CHECK_INTERVAL_MS = 250;
 /** Longest pause between two questions to a node that does not answer. */
 const MOST_ASK_PAUSE_MS = 2000;
 const LEAST_ASK_PAUSE_MS = 250;
 /** Time in which the store usually tells all nodes of a new record. */
 const BEHIND_MS = 250;
-/** Silence after which a node is forgotten; the store still lists it. */
+/** Least silence after which a node is forgotten; the store still lists it. */
 const FORGET_MS = 20_000;
+/** The same in intervals, for large fleets. */
+const FORGET_INTERVALS = 12;
 /** Silence after which a node that said that it leaves is forgotten. */
 const LEFT_MS = 3000;
 /** Pause between two looks at the store while nobody answers. */
@@ -93,6 +56,8 @@
 const LEAST_BACKOFF_MS = 200;
 const MOST_BACKOFF_MS = 1000;
 
+/** Silence up to which a node is named to others. */
+const TOLD_MS = 1400;
 /** Nodes named in one message; enough for a newcomer to learn of all soon. */
 const MAX_TOLD_PEERS = 8;
 
@@ -104,14 +69,24 @@
   private revision = 1;
   private isLeaving = false;
   private hasListed = false;
-  private beaconTimer: NodeJS.Timeout | undefined;
   private checkTimer: NodeJS.Timeout | undefined;
   private behindTimer: NodeJS.Timeout | undefined;
   private isBehind = false;
-  private lastBeaconAt = -Infinity;
+  private exchanges = 0;
   private listedAt = -Infinity;
 
-  constructor(private readonly options: PeerDirectoryOptions) {}
+  private readonly beacons: PeerBeacons;
+
+  constructor(private readonly options: PeerDirectoryOptions) {
+    this.beacons = new PeerBeacons({
+      describe: () => this.describe(),
+      listPeers: () => [...this.peers.values()],
+      listWatched: options.listWatched,
+      listLoads: options.listLoads,
+      findRecordsEnd: () => options.records.end,
+      send: (addresses, beacon) => options.calls.sendBeacon(addresses, beacon),
+    });
+  }
 
   /** Whether the store's list was read, or other nodes answer. */
   get hasJoined(): boolean {
@@ -127,7 +102,7 @@
   stop(): void {
     this.abort.abort();
     clearInterval(this.checkTimer);
-    clearTimeout(this.beaconTimer);
+    this.beacons.stop();
     clearTimeout(this.behindTimer);
   }
 
@@ -145,8 +120,7 @@
     this.workersHere = workers;
     this.revision += 1;
     this.options.workers.update({...this.describe(), isSuspect: false});
-    void this.push();
-    if (this.hasListed) void this.register();
+    this.beacons.sendChange();
   }
 
   /** Tells all nodes of moves or records that changed. */
@@ -155,14 +129,11 @@
     await Promise.all(known.map(peer => this.ask(peer)));
   }
 
-  /** Sends the load to all nodes soon. */
+  /** Sends the load to the nodes that want it, soon. */
   scheduleBeacon(): void {
     const {identity, listLoads} = this.options;
     this.recordLoads(identity.nodeId, listLoads());
-    if (this.beaconTimer || this.abort.signal.aborted) return;
-    const dueAt = this.lastBeaconAt + BEACON_PAUSE_MS;
-    const pauseMs = Math.max(0, dueAt - performance.now());
-    this.beaconTimer = setTimeout(() => this.sendBeacons(), pauseMs);
+    this.beacons.schedule();
   }
 
   /** Takes news of another node and returns this node's own. */
@@ -173,6 +144,8 @@
 
   /** Takes a datagram of another node. */
   handleBeacon(beacon: LoadBeacon): void {
+    const {introduction} = beacon;
+    if (introduction) this.recordIntroduction(introduction);
     const peer = this.peers.get(beacon.nodeId);
     const isKnown =
       peer?.news?.incarnation === beacon.incarnation &&
@@ -187,6 +160,16 @@
     this.recordLoads(beacon.nodeId, beacon.loads);
   }
 
+  private recordIntroduction(introduction: Introduction): void {
+    const {node, wantsLoad, wantsReply} = introduction;
+    const isNew = !this.peers.get(node.nodeId)?.news;
+    const peer = this.recordNode(node);
+    if (!peer) return;
+    peer.wantsLoadUntil = wantsLoad ? performance.now() + WISH_MS : -Infinity;
+    if (wantsReply) this.beacons.sendIntroductions([peer]);
+    if (isNew && this.exchanges < ENOUGH_EXCHANGES) void this.ask(peer);
+  }
+
   private async register(): Promise<void> {
     const backoff = new Backoff(
       LEAST_BACKOFF_MS,
@@ -218,15 +201,25 @@
     this.listedAt = performance.now();
     const entries = await this.options.directory.list();
     this.hasListed = true;
-    for (const entry of entries) this.addPeer(entry);
+    for (const entry of entries) this.announceTo(entry);
+  }
+
+  /** Introduces this node to one that the store lists; it may be gone. */
+  private announceTo(entry: NodeNews): void {
+    if (!this.isNewer(entry)) return;
+    const peer = this.createPeer(entry);
+    peer.askedAt = performance.now();
+    this.beacons.sendQuestion(entry.beaconAddress);
   }
 
   private addPeer(name: PeerName): void {
-    const {identity} = this.options;
-    if (name.nodeId === identity.nodeId) return;
-    const known = this.peers.get(name.nodeId);
-    if (known && known.name.incarnation >= name.incarnation) return;
-    void this.ask(this.createPeer(name));
+    if (this.isNewer(name)) void this.ask(this.createPeer(name));
+  }
+
+  private isNewer({nodeId, incarnation}: PeerName): boolean {
+    if (nodeId === this.options.identity.nodeId) return false;
+    const known = this.peers.get(nodeId);
+    return !known || known.name.incarnation < incarnation;
   }
 
   private createPeer({nodeId, incarnation, peerAddress}: PeerName): Peer {
@@ -237,6 +230,8 @@
       isAsked: false,
       askedAt: -Infinity,
       failures: 0,
+      introducedAt: -Infinity,
+      wantsLoadUntil: -Infinity,
     };
     this.peers.set(nodeId, peer);
     return peer;
@@ -247,12 +242,14 @@
     peer.isAsked = true;
     peer.askedAt = performance.now();
     const {revision} = this;
+    this.exchanges += 1;
     try {
       const news = this.buildNews();
       const {peerAddress} = peer.name;
       this.recordNews(await this.options.calls.sendNews(peerAddress, news));
       peer.failures = 0;
     } catch (error) {
+      this.exchanges -= 1;
       peer.failures += 1;
       if (peer.failures === 1) this.recordSilence(peer, String(error));
     }
@@ -263,14 +260,26 @@
   }
 
   private recordNews(news: PeerNews): void {
-    const {workers, records, handleMoves, identity} = this.options;
-    const {node} = news;
-    if (node.nodeId === identity.nodeId) return;
+    const {records, handleMoves} = this.options;
+    const peer = this.recordNode(news.node);
+    if (!peer) return;
+    for (const name of news.peers) this.addPeer(name);
+    if (news.records.length > 0) {
+      records.applyRecords(news.records, news.recordsEnd);
+    }
+    if (news.moves.length > 0) handleMoves(news.moves);
+    this.checkRecords(peer, news.recordsEnd);
+  }
+
+  /** Takes over what a node says of itself; undefined for an old process. */
+  private recordNode(node: NodeNews): Peer | undefined {
+    const {workers, identity} = this.options;
+    if (node.nodeId === identity.nodeId) return undefined;
     let peer = this.peers.get(node.nodeId);
     if (!peer || peer.name.incarnation < node.incarnation) {
       peer = this.createPeer(node);
     }
-    if (node.incarnation < peer.name.incarnation) return;
+    if (node.incarnation < peer.name.incarnation) return undefined;
     const isNewer = !peer.news || node.revision > peer.news.revision;
     this.recordHeard(peer);
     if (isNewer) {
@@ -278,12 +287,7 @@
       const offered = node.isLeaving ? [] : node.workers;
       workers.update({...node, workers: offered, isSuspect: false});
     }
-    for (const name of news.peers) this.addPeer(name);
-    if (news.records.length > 0) {
-      records.applyRecords(news.records, news.recordsEnd);
-    }
-    if (news.moves.length > 0) handleMoves(news.moves);
-    this.checkRecords(peer, news.recordsEnd);
+    return peer;
   }
 
   private recordHeard(peer: Peer): void {
@@ -299,11 +303,8 @@
   }
 
   private setSuspect(peer: Peer, isSuspect: boolean): void {
-    const {workers} = this.options;
-    for (const {service} of peer.news?.workers ?? []) {
-      for (const row of workers.listWorkers(service)) {
-        if (row.target.nodeId === peer.name.nodeId) row.isSuspect = isSuspect;
-      }
+    for (const row of this.options.workers.findRows(peer.name.nodeId)) {
+      row.isSuspect = isSuspect;
     }
   }
 
@@ -324,52 +325,49 @@
   }
 
   private recordLoads(nodeId: string, loads: readonly ServiceLoad[]): void {
-    for (const {service, load} of loads) {
-      for (const row of this.options.workers.listWorkers(service)) {
-        if (row.target.nodeId === nodeId) recordLoad(row, load);
-      }
+    for (const row of this.options.workers.findRows(nodeId)) {
+      const told = loads.find(({service}) => service === row.service);
+      if (told) recordLoad(row, told.load);
     }
   }
 
-  private sendBeacons(): void {
-    this.beaconTimer = undefined;
-    this.lastBeaconAt = performance.now();
-    const {identity, calls, records, listLoads} = this.options;
-    const beacon: LoadBeacon = {
-      nodeId: identity.nodeId,
-      incarnation: identity.incarnation,
-      revision: this.revision,
-      recordsEnd: records.end,
-      loads: listLoads(),
-    };
-    const addresses = [...this.peers.values()].flatMap(({news}) =>
-      news ? [news.beaconAddress] : [],
-    );
-    calls.sendBeacon(addresses, beacon);
-  }
-
   private checkPeers(): void {
     const now = performance.now();
-    if (now - this.lastBeaconAt > BEACON_INTERVAL_MS) this.scheduleBeacon();
+    const watched = this.beacons.listWatchedNodes();
+    const due: Peer[] = [];
     let answering = 0;
     for (const peer of this.peers.values()) {
+      const isWatched = watched.has(peer.name.nodeId);
+      const intervalMs = this.beacons.computeInterval(
+        peer,
+        isWatched,
+        this.peers.size,
+      );
+      if (peer.news && now - peer.introducedAt > intervalMs) due.push(peer);
       const silentMs = now - peer.heardAt;
-      if (silentMs < SILENCE_MS && peer.news) {
+      if (silentMs < SILENT_INTERVALS * intervalMs && peer.news) {
         answering += 1;
         continue;
       }
-      const pauseMs = Math.min(
-        MOST_ASK_PAUSE_MS,
-        LEAST_ASK_PAUSE_MS * 2 ** Math.min(peer.failures, 4),
-      );
-      const mostMs = peer.news?.isLeaving ? LEFT_MS : FORGET_MS;
-      if (silentMs > mostMs) this.removePeer(peer);
-      else if (now - peer.askedAt > pauseMs) void this.ask(peer);
+      this.checkSilent(peer, silentMs, intervalMs);
     }
+    this.beacons.sendIntroductions(due);
     const isLonely = answering === 0 && now - this.listedAt > LONELY_LIST_MS;
     if (isLonely && this.hasListed) void this.listAgain();
   }
 
+  private checkSilent(peer: Peer, silentMs: number, intervalMs: number): void {
+    const now = performance.now();
+    const pauseMs = Math.min(
+      MOST_ASK_PAUSE_MS,
+      LEAST_ASK_PAUSE_MS * 2 ** Math.min(peer.failures, 4),
+    );
+    const forgetMs = Math.max(FORGET_MS, FORGET_INTERVALS * intervalMs);
+    const mostMs = peer.news?.isLeaving ? LEFT_MS : forgetMs;
+    if (silentMs > mostMs) this.removePeer(peer);
+    else if (now - peer.askedAt > pauseMs) void this.ask(peer);
+  }
+
   private removePeer(peer: Peer): void {
     this.peers.delete(peer.name.nodeId);
     this.options.workers.remove(peer.name.nodeId);
@@ -405,7 +403,7 @@
     const now = performance.now();
     // A node that is gone would be told of for ever by those told of it.
     const names = [...this.peers.values()]
-      .filter(({news, heardAt}) => news && now - heardAt < SILENCE_MS)
+      .filter(({news, heardAt}) => news && now - heardAt < TOLD_MS)
       .map(({name}) => name);
     return {
       node: this.describe(),
--- /dev/null
+++ b/src/coordination/worker-subset.ts
@@ -0,0 +1,62 @@
+/**
+ * The workers that one entry chooses among. In a large fleet each entry sends
+ * few requests, so that fresh word of every worker would cost more than the
+ * requests. An entry keeps to some workers, most of them in its own data
+ * centre, and hears of the load of these only. Which they are follows from
+ * ids alone, different for each entry, so that all workers are chosen by
+ * about as many entries. Small fleets are not cut down.
+ */
+import {createHash} from 'node:crypto';
+import type {WorkerRow} from '../state/worker-table.js';
+
+/** Workers of a version that an entry chooses among; the best of ten is good. */
+const SUBSET_SIZE = 10;
+/** Most of them in the entry's own data centre, the others for its bad days. */
+const NEAR_SIZE = 7;
+
+/** Chooses the subsets of one entry. */
+export class WorkerSubset {
+  private readonly affinities = new WeakMap<WorkerRow, number>();
+
+  constructor(
+    private readonly nodeId: string,
+    private readonly dataCentre: string,
+  ) {}
+
+  /** Some of the workers, or all when there are few. */
+  select(rows: readonly WorkerRow[]): WorkerRow[] {
+    if (rows.length <= SUBSET_SIZE) return [...rows];
+    const isNear = (row: WorkerRow): boolean =>
+      row.dataCentre === this.dataCentre;
+    const near = this.pickClosest(rows.filter(isNear), NEAR_SIZE);
+    const far = this.pickClosest(
+      rows.filter(row => !isNear(row)),
+      SUBSET_SIZE - near.length,
+    );
+    const missing = SUBSET_SIZE - near.length - far.length;
+    if (missing <= 0) return [...near, ...far];
+    return [
+      ...this.pickClosest(rows.filter(isNear), NEAR_SIZE + missing),
+      ...far,
+    ];
+  }
+
+  private pickClosest(rows: readonly WorkerRow[], count: number): WorkerRow[] {
+    if (rows.length <= count) return [...rows];
+    return [...rows]
+      .sort((one, other) => this.findAffinity(one) - this.findAffinity(other))
+      .slice(0, count);
+  }
+
+  private findAffinity(row: WorkerRow): number {
+    let affinity = this.affinities.get(row);
+    if (affinity === undefined) {
+      affinity = createHash('sha1')
+        .update(`${this.nodeId} ${row.target.nodeId}`)
+        .digest()
+        .readUInt32BE();
+      this.affinities.set(row, affinity);
+    }
+    return affinity;
+  }
+}
--- a/src/directory-node.ts
+++ b/src/directory-node.ts
@@ -15,6 +15,7 @@
 import {PeerDirectory} from './coordination/peer-directory.js';
 import {RouteSplitter} from './coordination/route-split.js';
 import type {BadMove} from './coordination/version-moves.js';
+import {WorkerSubset} from './coordination/worker-subset.js';
 import {WorkerReports} from './coordination/worker-reports.js';
 import {createDirectoryGate} from './directory-gate.js';
 import {DirectoryMoves} from './directory-moves.js';
@@ -36,6 +37,7 @@
 import {Explanations} from './state/explanations.js';
 import {KeyedRecords} from './state/keyed-records.js';
 import {StateStore} from './state/state-store.js';
+import type {WorkerRow} from './state/worker-table.js';
 import {WorkerTable} from './state/worker-table.js';
 import {createCallerServer} from './transport/caller-listener.js';
 import {GateClient} from './transport/gate-client.js';
@@ -80,6 +82,7 @@
   private readonly path: AttemptPath;
   private readonly crashTable = new CrashTable();
   private readonly splitter = new RouteSplitter();
+  private readonly subset: WorkerSubset;
   private readonly explanations = new Explanations();
   private readonly moves: DirectoryMoves;
   private readonly entry: Entry;
@@ -104,6 +107,7 @@
       callerAddress: node.callerAddress,
       peerAddress: node.peerAddress,
     };
+    this.subset = new WorkerSubset(node.id, node.dataCentre);
     this.port = this.createPort();
     this.views = new OperatorViews(this.state, (text, context) =>
       this.log(text, context),
@@ -248,6 +252,7 @@
       directory: this.adapter.directory,
       calls: this.peers,
       records: this.records,
+      listWatched: () => this.listWatched(),
       random: Math.random,
       listLoads: () =>
         this.gate.listWorkers().flatMap(({service}) => {
@@ -261,6 +266,17 @@
     });
   }
 
+  /** Workers that requests here may go to, of each version on its own. */
+  private listWatched(): WorkerRow[] {
+    return this.workers.listServices().flatMap(service => {
+      const rows = this.workers.listWorkers(service);
+      const versions = new Set(rows.map(row => row.version));
+      return [...versions].flatMap(version =>
+        this.subset.select(rows.filter(row => row.version === version)),
+      );
+    });
+  }
+
   private createEntry(): Entry {
     return new Entry({
       dataCentre: this.identity.dataCentre,
@@ -273,7 +289,7 @@
       count: name => this.metrics.count(name),
       isQuarantined: fingerprint => this.crashTable.isQuarantined(fingerprint),
       selectWorkers: (service, rows) =>
-        this.moves.versions.selectWorkers(service, rows),
+        this.subset.select(this.moves.versions.selectWorkers(service, rows)),
     });
   }
 
--- a/src/node-adapter.ts
+++ b/src/node-adapter.ts
@@ -8,7 +8,7 @@
 import type {KeyedTopic} from './coordination/keyed-follower.js';
 import type {MoveOutcomes} from './coordination/ordered-moves.js';
 import type {OperatorView} from './coordination/operator-view.js';
-import type {NodeDirectory} from './coordination/peer-directory.js';
+import type {NodeDirectory} from './coordination/peer-directory-options.js';
 import type {
   ReportOutcome,
   WorkerReport,
--- a/src/protocol/peer-messages.ts
+++ b/src/protocol/peer-messages.ts
@@ -79,7 +79,7 @@
   readonly load: WorkerLoad;
 }
 
-/** Load of a node's workers, sent as a datagram whenever it changes. */
+/** A node's word of itself and of its load, sent as a datagram. */
 export interface LoadBeacon {
   readonly nodeId: string;
   readonly incarnation: number;
@@ -87,34 +87,141 @@
   readonly revision: number;
   readonly recordsEnd: number;
   readonly loads: readonly ServiceLoad[];
+  /** Present in the regular word, absent in news of load only. */
+  readonly introduction?: Introduction;
 }
 
-/** Formats a beacon as a line of fields. */
+/** The part of a beacon that tells who its sender is and what it wants. */
+export interface Introduction {
+  readonly node: NodeNews;
+  /** Whether the sender wants to hear of each change of the receiver's load. */
+  readonly wantsLoad: boolean;
+  /** Whether the receiver is to introduce itself in return. */
+  readonly wantsReply: boolean;
+}
+
+const FIELD_MARK = '|';
+const LIST_MARK = ',';
+const LOAD_MARK = '=';
+const INTRODUCTION_MARK = '@';
+const WORKER_MARK = '+';
+const YES = '1';
+
+/** Formats a beacon as a line of fields, which costs less than JSON. */
 export function formatBeacon(beacon: LoadBeacon): string {
   const {nodeId, incarnation, revision, recordsEnd, loads} = beacon;
   const parts = loads.map(
-    ({service, load}) => `${service}=${formatWorkerLoad(load)}`,
+    ({service, load}) =>
+      `${encodeURIComponent(service)}${LOAD_MARK}${formatWorkerLoad(load)}`,
+  );
+  return [
+    encodeURIComponent(nodeId),
+    incarnation,
+    revision,
+    recordsEnd,
+    ...parts,
+    ...formatIntroduction(beacon.introduction),
+  ].join(FIELD_MARK);
+}
+
+function formatIntroduction(introduction: Introduction | undefined): string[] {
+  if (!introduction) return [];
+  const {node, wantsLoad, wantsReply} = introduction;
+  const fields = [
+    node.dataCentre,
+    node.peerAddress,
+    node.beaconAddress,
+    formatFlag(node.isLeaving),
+    formatFlag(wantsLoad),
+    formatFlag(wantsReply),
+  ];
+  const workers = node.workers.map(({service, version, slots, state}) =>
+    formatList(WORKER_MARK, [service, version, String(slots), state]),
   );
-  return [nodeId, incarnation, revision, recordsEnd, ...parts].join('|');
+  return [formatList(INTRODUCTION_MARK, fields), ...workers];
+}
+
+function formatList(mark: string, fields: readonly string[]): string {
+  return mark + fields.map(encodeURIComponent).join(LIST_MARK);
+}
+
+function formatFlag(isSet: boolean): string {
+  return isSet ? YES : '';
 }
 
 /** Parses a beacon; undefined when it is malformed. */
 export function parseBeacon(text: string): LoadBeacon | undefined {
-  const [nodeId, incarnation, revision, recordsEnd, ...parts] = text.split('|');
-  const numbers = [incarnation, revision, recordsEnd].map(Number);
-  if (!nodeId || numbers.some(value => !Number.isSafeInteger(value))) {
+  const [name, ...rest] = text.split(FIELD_MARK);
+  const numbers = rest.slice(0, 3).map(Number);
+  const isReadable =
+    name && rest.length >= 3 && numbers.every(Number.isSafeInteger);
+  if (!isReadable) return undefined;
+  const [incarnation, revision, recordsEnd] = numbers as [
+    number,
+    number,
+    number,
+  ];
+  try {
+    const parts = rest.slice(3);
+    const nodeId = decodeURIComponent(name);
+    const introduction = parseIntroduction(parts, {
+      nodeId,
+      incarnation,
+      revision,
+    });
+    return {
+      nodeId,
+      incarnation,
+      revision,
+      recordsEnd,
+      loads: parts.flatMap(parseServiceLoad),
+      ...(introduction ? {introduction} : {}),
+    };
+  } catch {
+    // Bytes of some other sender; the caller counts it.
     return undefined;
   }
-  const loads = parts.flatMap(part => {
-    const at = part.indexOf('=');
-    const load = parseWorkerLoad(part.slice(at + 1));
-    return load ? [{service: part.slice(0, at), load}] : [];
-  });
-  return {
+}
+
+function parseServiceLoad(part: string): ServiceLoad[] {
+  const at = part.indexOf(LOAD_MARK);
+  if (at <= 0) return [];
+  const load = parseWorkerLoad(part.slice(at + 1));
+  return load ? [{service: decodeURIComponent(part.slice(0, at)), load}] : [];
+}
+
+/** @throws when a part is malformed. */
+function parseIntroduction(
+  parts: readonly string[],
+  {
     nodeId,
-    incarnation: numbers[0]!,
-    revision: numbers[1]!,
-    recordsEnd: numbers[2]!,
-    loads,
-  };
+    incarnation,
+    revision,
+  }: Pick<NodeNews, 'nodeId' | 'incarnation' | 'revision'>,
+): Introduction | undefined {
+  const own = parts.find(part => part.startsWith(INTRODUCTION_MARK));
+  if (own === undefined) return undefined;
+  const [dataCentre, peerAddress, beaconAddress, ...flags] = parseList(own);
+  const [isLeaving, wantsLoad, wantsReply] = flags.map(flag => flag === YES);
+  const workers = parts
+    .filter(part => part.startsWith(WORKER_MARK))
+    .map(part => {
+      const [service, version, slots, state] = parseList(part);
+      return {service, version, slots: Number(slots), state};
+    });
+  const node = nodeNewsSchema.parse({
+    nodeId,
+    incarnation,
+    peerAddress,
+    dataCentre,
+    beaconAddress,
+    revision,
+    isLeaving,
+    workers,
+  });
+  return {node, wantsLoad: wantsLoad!, wantsReply: wantsReply!};
+}
+
+function parseList(part: string): string[] {
+  return part.slice(1).split(LIST_MARK).map(decodeURIComponent);
 }
--- a/src/state/worker-table.ts
+++ b/src/state/worker-table.ts
@@ -63,6 +63,7 @@
 export class WorkerTable {
   readonly events = new Emittery<WorkerTableEvents>();
   private readonly rowsByService = new Map<string, WorkerRow[]>();
+  private readonly rowsByNode = new Map<string, WorkerRow[]>();
   private readonly nodes = new Map<string, NodeDescription>();
 
   /** Workers of a service, in no particular order. */
@@ -70,6 +71,16 @@
     return this.rowsByService.get(service) ?? [];
   }
 
+  /** Workers beside one node. */
+  findRows(nodeId: string): readonly WorkerRow[] {
+    return this.rowsByNode.get(nodeId) ?? [];
+  }
+
+  /** Services of which workers are known. */
+  listServices(): string[] {
+    return [...this.rowsByService.keys()];
+  }
+
   /** All nodes known, with their workers. */
   listNodes(): NodeDescription[] {
     return [...this.nodes.values()];
@@ -133,21 +144,30 @@
     row.slots = worker.slots;
     row.isSuspect = node.isSuspect ?? false;
     if (!isSameVersion) row.observed = undefined;
-    const rows = this.rowsByService.get(worker.service);
-    if (rows) rows.push(row);
-    else this.rowsByService.set(worker.service, [row]);
+    addTo(this.rowsByService, worker.service, row);
+    addTo(this.rowsByNode, node.nodeId, row);
     return row;
   }
 
   private takeRows(nodeId: string): WorkerRow[] {
-    const taken: WorkerRow[] = [];
-    for (const [service, rows] of this.rowsByService) {
+    const taken = this.rowsByNode.get(nodeId) ?? [];
+    this.rowsByNode.delete(nodeId);
+    for (const {service} of taken) {
+      const rows = this.rowsByService.get(service) ?? [];
       const kept = rows.filter(row => row.target.nodeId !== nodeId);
-      if (kept.length === rows.length) continue;
-      taken.push(...rows.filter(row => row.target.nodeId === nodeId));
       if (kept.length > 0) this.rowsByService.set(service, kept);
       else this.rowsByService.delete(service);
     }
     return taken;
   }
 }
+
+function addTo(
+  index: Map<string, WorkerRow[]>,
+  key: string,
+  row: WorkerRow,
+): void {
+  const rows = index.get(key);
+  if (rows) rows.push(row);
+  else index.set(key, [row]);
+}
--- /dev/null
+++ b/src/test/peer-directory_test.ts
@@ -0,0 +1,253 @@
+/**
+ * Nodes that find each other and tell of their load, without a network. It
+ * answers the pattern of a growing fleet: each node sends few requests, so
+ * that word of all workers to all nodes would cost more than the requests.
+ */
+import {afterEach, describe, expect, it} from 'vitest';
+import {PeerDirectory} from '../coordination/peer-directory.js';
+import {WorkerSubset} from '../coordination/worker-subset.js';
+import {waitFor} from '../measure/wait-for.js';
+import type {
+  LoadBeacon,
+  NodeNews,
+  PeerNews,
+} from '../protocol/peer-messages.js';
+import {formatBeacon, parseBeacon} from '../protocol/peer-messages.js';
+import type {WorkerLoad} from '../protocol/worker-load.js';
+import {KeyedRecords} from '../state/keyed-records.js';
+import {WorkerTable} from '../state/worker-table.js';
+
+const SERVICE = 'kona-desk';
+const DATA_CENTRES = ['dsm', 'aru', 'mwz'];
+const IDLE: WorkerLoad = {
+  state: 'ready',
+  inFlight: 0,
+  queued: 0,
+  limit: 4,
+  serviceTimeUs: 0,
+  failureShare: 0,
+  pace: 1,
+};
+/** Far above 40 a second and the partners of a node. */
+const MOST_DATAGRAMS_PER_SECOND = 200;
+const MEASURED_MS = 2000;
+/** Nodes asked for all that they know, and those that ask as they find out. */
+const MOST_CALLS_PER_NODE = 12;
+
+interface TestNode {
+  readonly directory: PeerDirectory;
+  readonly workers: WorkerTable;
+  readonly records: KeyedRecords;
+  load: WorkerLoad;
+  isDark: boolean;
+  received: number;
+}
+
+class TestFleet {
+  readonly nodes = new Map<string, TestNode>();
+  readonly entries = new Map<string, NodeNews>();
+  calls = 0;
+
+  add(nodeId: string, dataCentre: string, incarnation = 1): TestNode {
+    const workers = new WorkerTable();
+    const records = new KeyedRecords();
+    const subset = new WorkerSubset(nodeId, dataCentre);
+    const address = nodeId;
+    const directory = new PeerDirectory({
+      identity: {
+        nodeId,
+        incarnation,
+        dataCentre,
+        callerAddress: address,
+        peerAddress: address,
+      },
+      beaconAddress: address,
+      workers,
+      directory: {
+        announce: async entry => void this.entries.set(nodeId, entry),
+        list: async () => [...this.entries.values()],
+      },
+      calls: {
+        sendNews: (to, news) => this.sendNews(to, news),
+        sendBeacon: (to, beacon) => this.sendBeacon(to, beacon),
+      },
+      records,
+      listWatched: () => subset.select(workers.listWorkers(SERVICE)),
+      random: Math.random,
+      listLoads: () => [{service: SERVICE, load: node.load}],
+      listMoves: () => [],
+      handleMoves: () => {},
+      handleLaterRecords: () => {},
+      report: () => {},
+    });
+    const node: TestNode = {
+      directory,
+      workers,
+      records,
+      load: IDLE,
+      isDark: false,
+      received: 0,
+    };
+    this.nodes.set(address, node);
+    directory.updateWorkers([
+      {service: SERVICE, version: 'v1', slots: 6, state: 'ready'},
+    ]);
+    directory.start();
+    return node;
+  }
+
+  addAll(count: number): void {
+    for (let index = 0; index < count; index++) {
+      this.add(`node-${index}`, DATA_CENTRES[index % DATA_CENTRES.length]!);
+    }
+  }
+
+  isComplete(): boolean {
+    const live = [...this.nodes.values()].filter(node => !node.isDark);
+    return live.every(
+      ({workers}) => workers.listWorkers(SERVICE).length === this.nodes.size,
+    );
+  }
+
+  private async sendNews(to: string, news: PeerNews): Promise<PeerNews> {
+    this.calls += 1;
+    const node = this.nodes.get(to);
+    await new Promise(resolve => setImmediate(resolve));
+    if (!node || node.isDark) throw new Error('silent');
+    return structuredClone(node.directory.handleNews(structuredClone(news)));
+  }
+
+  private sendBeacon(to: readonly string[], beacon: LoadBeacon): void {
+    const text = formatBeacon(beacon);
+    for (const address of to) {
+      setImmediate(() => {
+        const node = this.nodes.get(address);
+        if (!node || node.isDark) return;
+        node.received += 1;
+        node.directory.handleBeacon(parseBeacon(text)!);
+      });
+    }
+  }
+}
+
+let fleet: TestFleet;
+
+afterEach(() => {
+  for (const {directory} of fleet.nodes.values()) directory.stop();
+});
+
+describe('nodes of a directory', () => {
+  it.each([{size: 11}, {size: 73}, {size: 200}])(
+    '$size find each other and are told little',
+    async ({size}) => {
+      fleet = new TestFleet();
+      fleet.addAll(size);
+      await waitFor('all to know all', () => fleet.isComplete());
+      expect(fleet.calls).toBeLessThan(size * MOST_CALLS_PER_NODE);
+      for (const node of fleet.nodes.values()) node.received = 0;
+      const startedAt = performance.now();
+      await new Promise(resolve => setTimeout(resolve, MEASURED_MS));
+      const seconds = (performance.now() - startedAt) / 1000;
+      const received = [...fleet.nodes.values()].map(node => node.received);
+      const mean = received.reduce((sum, count) => sum + count) / size;
+      expect(mean / seconds).toBeLessThan(MOST_DATAGRAMS_PER_SECOND);
+    },
+  );
+
+  it('hear at once of the load of workers that they choose among', async () => {
+    fleet = new TestFleet();
+    fleet.addAll(30);
+    await waitFor('all to know all', () => fleet.isComplete());
+    const [entryId, entry] = [...fleet.nodes][0]!;
+    const [row] = new WorkerSubset(entryId, DATA_CENTRES[0]!).select(
+      entry.workers.listWorkers(SERVICE),
+    );
+    const gate = fleet.nodes.get(row!.target.nodeId)!;
+    await waitFor('the wish to be known', () => {
+      gate.load = {...IDLE, inFlight: 3};
+      gate.directory.scheduleBeacon();
+      return row!.observed?.figures.inFlight === 3;
+    });
+  });
+
+  it('learn of a node that starts again', async () => {
+    fleet = new TestFleet();
+    fleet.addAll(12);
+    await waitFor('all to know all', () => fleet.isComplete());
+    fleet.nodes.get('node-3')!.directory.stop();
+    fleet.add('node-3', 'dsm', 2);
+    await waitFor('all to know the new process', () =>
+      [...fleet.nodes.values()].every(({workers}) =>
+        workers.findRows('node-3').every(row => row.target.incarnation === 2),
+      ),
+    );
+  });
+
+  it('suspect a partner that fell silent', async () => {
+    fleet = new TestFleet();
+    fleet.addAll(6);
+    await waitFor('all to know all', () => fleet.isComplete());
+    fleet.nodes.get('node-2')!.isDark = true;
+    fleet.nodes.get('node-2')!.directory.stop();
+    const others = [...fleet.nodes.values()].filter(node => !node.isDark);
+    await waitFor('the silence to be seen', () =>
+      others.every(({workers}) =>
+        workers.findRows('node-2').every(row => row.isSuspect),
+      ),
+    );
+  });
+});
+
+describe('the workers that an entry chooses among', () => {
+  const cases = [
+    {name: 'all of few', size: 10, inSubset: 10, near: 4},
+    {name: 'most in its own data centre', size: 60, inSubset: 10, near: 7},
+    {
+      name: 'more elsewhere where few are near',
+      size: 12,
+      inSubset: 10,
+      near: 4,
+    },
+  ];
+  it.each(cases)('are $name', ({size, inSubset, near}) => {
+    fleet = new TestFleet();
+    const table = buildTable(size);
+    const picked = new WorkerSubset('entry', 'dsm').select(
+      table.listWorkers(SERVICE),
+    );
+    expect(picked).toHaveLength(inSubset);
+    expect(new Set(picked).size).toBe(inSubset);
+    expect(picked.filter(row => row.dataCentre === 'dsm')).toHaveLength(near);
+  });
+
+  it('are spread over all workers', () => {
+    fleet = new TestFleet();
+    const table = buildTable(60);
+    const rows = table.listWorkers(SERVICE);
+    const chosen = new Map<string, number>();
+    for (let index = 0; index < 73; index++) {
+      const dataCentre = DATA_CENTRES[index % DATA_CENTRES.length]!;
+      for (const row of new WorkerSubset(`node-${index}`, dataCentre).select(
+        rows,
+      )) {
+        const {nodeId} = row.target;
+        chosen.set(nodeId, (chosen.get(nodeId) ?? 0) + 1);
+      }
+    }
+    expect(chosen.size).toBe(60);
+  });
+});
+
+function buildTable(size: number): WorkerTable {
+  const table = new WorkerTable();
+  for (let index = 0; index < size; index++) {
+    table.update({
+      nodeId: `worker-${index}`,
+      incarnation: 1,
+      peerAddress: `worker-${index}`,
+      dataCentre: DATA_CENTRES[index % DATA_CENTRES.length]!,
+      workers: [{service: SERVICE, version: 'v1', slots: 6, state: 'ready'}],
+    });
+  }
+  return table;
+}
