--- a/src/coordination/slot-admission.ts
+++ b/src/coordination/slot-admission.ts
@@ -7,6 +7,8 @@
  */
 import type {Profile} from '../protocol/configuration.js';
 import {Reason, RefusalError} from '../protocol/reasons.js';
+import type {TimerId, Timers} from '../protocol/timers.js';
+import {SYSTEM_TIMERS} from '../protocol/timers.js';
 import {Verdict} from '../protocol/verdict.js';
 import type {
   ProbeAnswer,
@@ -42,6 +44,12 @@
 const UNKNOWN_SERVICE_MS = 100;
 /** Times that a request may take as long as usual and still be in time. */
 const SERVICE_MARGIN = 1.3;
+/**
+ * Part of the time to spare that is spent on waiting at one gate. A request
+ * that waits for all of it runs late whenever its host is slow, and could have
+ * been in time elsewhere; then its slot served nobody in time.
+ */
+const WAITED_PART = 0.2;
 /** Time that a worker takes to notice that a request was cancelled. */
 const CANCELLATION_MS = 25;
 /** Age at which told figures are old while requests come. */
@@ -74,7 +82,7 @@
   private figuresAt = -Infinity;
   private lastSentAt = -Infinity;
   private lastOutcomeTime = -Infinity;
-  private timer: NodeJS.Timeout | undefined;
+  private timer: TimerId | undefined;
   /** Called when the figures changed in a way that others should know. */
   handleChange: () => void = () => {};
   private toldLoad: WorkerLoad | undefined;
@@ -83,6 +91,7 @@
     slots: number,
     private limits: Profile['limits'],
     private readonly now: () => number = () => performance.now(),
+    private readonly timers: Timers = SYSTEM_TIMERS,
   ) {
     this.knee = new KneeLimit(slots);
     this.cold = new ColdRate(limits.coldRate);
@@ -236,7 +245,7 @@
       ? request.deadline
       : (request.targetAt ?? request.deadline);
     const spareMs = dueAt - now - serviceMs * SERVICE_MARGIN;
-    return Math.min(this.limits.queueWait, spareMs);
+    return Math.min(this.limits.queueWait, spareMs * WAITED_PART);
   }
 
   private isLate(request: AdmissionRequest, now: number): boolean {
@@ -308,7 +317,7 @@
         const meanPace = (pace + this.pace) / 2;
         this.record(outcome, request.route, running, elapsedMs, meanPace);
         if (outcome === SlotOutcome.CANCELLED) {
-          setTimeout(() => this.endRun(), CANCELLATION_MS);
+          this.timers.set(() => this.endRun(), CANCELLATION_MS);
         } else this.endRun();
       },
     };
@@ -394,14 +403,15 @@
 
   /** Looks at the queue again when one expires or a cold worker bears one. */
   private watchQueue(): void {
-    clearTimeout(this.timer);
+    if (this.timer !== undefined) this.timers.clear(this.timer);
+    this.timer = undefined;
     if (this.queue.length === 0) return;
     const now = this.now();
     let at = Infinity;
     for (const {expiresAt} of this.queue.list()) at = Math.min(at, expiresAt);
     if (!this.cold.has(now))
       at = Math.min(at, now + this.cold.computeWait(now));
-    this.timer = setTimeout(
+    this.timer = this.timers.set(
       () => this.checkQueue(),
       Math.max(1, Math.ceil(at - now)),
     );
--- a/src/measure/scenarios/scenario-table.ts
+++ b/src/measure/scenarios/scenario-table.ts
@@ -6,6 +6,7 @@
 import {noFaultScenario, slowWorkerScenario} from './balancing.js';
 import {allFailingScenario, coldStartScenario} from './failing.js';
 import {unfairCallerScenario} from './fairness.js';
+import {heavyDayScenario} from './heavy-day.js';
 import {logOutageScenario} from './log-outage.js';
 import {
   binariesScenario,
@@ -25,6 +26,7 @@
   'all-failing': allFailingScenario,
   'added-latency': addedLatencyScenario,
   'probe-cost': probeCostScenario,
+  'heavy-day': heavyDayScenario,
   'log-outage': logOutageScenario,
   'data-centre-out-and-back': dataCentreScenario,
   'version-move': versionMoveScenario,
