--- a/src/coordination/peer-directory.ts
+++ b/src/coordination/peer-directory.ts
@@ -177,11 +177,10 @@
       this.options.random,
     );
     const {directory} = this.options;
-    const {revision} = this;
-    while (!this.abort.signal.aborted && revision === this.revision) {
+    // Whatever changes here meanwhile: without the list the node stays alone.
+    while (!this.abort.signal.aborted) {
       try {
         await directory.announce(this.describe());
-        if (this.hasListed) return;
         await this.readList();
         return;
       } catch (error) {
