--- a/src/protocol/configuration.ts
+++ b/src/protocol/configuration.ts
@@ -109,7 +109,7 @@
   evidenceAnswers: z.int().min(1).max(100_000).default(20),
   /** Failures above the old version's share that count as bad, in percent. */
   failureMarginPercent: z.number().min(0).max(100).default(5),
-  /** Slowdown against the old version's p90 that counts as bad. */
+  /** Slowdown against the old version's median that counts as slow. */
   slowdownFactor: z.number().min(1).max(100).default(2),
 });
 
