--- a/src/measure/emulator/heavy-day.ts
+++ b/src/measure/emulator/heavy-day.ts
@@ -25,7 +25,7 @@
 /** Age at which an entry hears of a changed load. */
 const NEWS_MS = 60;
 /** Gates that an entry asks in vain before it refuses. */
-const MOST_REFUSALS = 2;
+const MOST_REFUSALS = 3;
 /** Pause between two looks at the hosts. */
 const HOST_CHANGE_MS = 300;
 /** Part of the time in which a host is slow, and how many times. */
