Weigh slow answers of many trials in logarithms

Cause: read-through: (1 - share) to the power of 1,100 trials or more is zero at a share of one half, and the chance came out as 1, so that a version that is slow far more often than one that is slow half the time was not found. Change: the sum is made of logarithms.

--- a/src/coordination/move-judgement.ts
+++ b/src/coordination/move-judgement.ts
@@ -153,11 +153,13 @@
   successes: number,
   share: number,
 ): number {
-  let term = (1 - share) ** trials;
+  // In logarithms, since the first terms of many trials are too small.
+  let logTerm = trials * Math.log1p(-share);
   let below = 0;
   for (let count = 0; count < successes; count++) {
-    below += term;
-    term *= ((trials - count) / (count + 1)) * (share / (1 - share));
+    below += Math.exp(logTerm);
+    const odds = share / (1 - share);
+    logTerm += Math.log(((trials - count) / (count + 1)) * odds);
   }
   return Math.max(0, 1 - below);
 }
--- a/src/coordination/peer-beacons.ts
+++ b/src/coordination/peer-beacons.ts
@@ -12,7 +12,7 @@
 } from '../protocol/peer-messages.js';
 import type {WorkerRow} from '../state/worker-table.js';
 
-/** Least pause between two words of the load. */
+/** Least pause between two datagrams about the load. */
 const BEACON_PAUSE_MS = 60;
 /** Pause between two introductions to a partner. */
 const PARTNER_INTERVAL_MS = 500;
@@ -20,7 +20,7 @@
 const INTERVAL_PER_NODE_MS = 25;
 /** Time for which a wish to hear of the load holds: some introductions. */
 export const WISH_MS = 5 * PARTNER_INTERVAL_MS;
-/** Pause before the word of a change is repeated. */
+/** Pause before the datagram about a change is repeated. */
 const REPEAT_MS = 120;
 
 /** What is kept of another node to send it datagrams. */
--- a/src/test/move-judgement_test.ts
+++ b/src/test/move-judgement_test.ts
@@ -206,6 +206,7 @@
     {trials: 8, successes: 8, share: 0.5, chance: 1 / 256},
     {trials: 2, successes: 1, share: 0.5, chance: 0.75},
     {trials: 300, successes: 300, share: 0.01, chance: 0},
+    {trials: 3000, successes: 1800, share: 0.5, chance: 0},
   ])('$successes of $trials at $share', testCase => {
     const {trials, successes, share, chance} = testCase;
     expect(computeChance(trials, successes, share)).toBeCloseTo(chance, 9);
