--- a/src/coordination/crash-quarantine.ts
+++ b/src/coordination/crash-quarantine.ts
@@ -92,12 +92,20 @@
   readonly settled: Promise<void>;
 }
 
+/** Why a suspect that waited goes on. */
+type TurnOutcome = 'its turn' | 'cleared';
+
+interface WaitingSuspect {
+  readonly fingerprint: string;
+  start(outcome: TurnOutcome): void;
+}
+
 /** Watches one worker for crashes and runs suspects one at a time. */
 export class CrashWatch {
   private group: LossGroup | undefined;
   private refusedAt = -Infinity;
   private isSuspectRunning = false;
-  private readonly turns: Array<() => void> = [];
+  private readonly turns: WaitingSuspect[] = [];
 
   constructor(
     private readonly service: string,
@@ -123,10 +131,11 @@
     const {fingerprint} = request;
     const {table} = this.quarantine;
     this.quarantine.check(fingerprint);
-    if (!table.isSuspect(fingerprint)) {
-      return {fingerprint, isSuspect: false, end: () => {}};
+    if (!table.isSuspect(fingerprint)) return createFreeRun(fingerprint);
+    if (this.isSuspectRunning) {
+      const outcome = await this.waitTurn(request, limitMs);
+      if (outcome === 'cleared') return createFreeRun(fingerprint);
     }
-    if (this.isSuspectRunning) await this.waitTurn(request, limitMs);
     this.isSuspectRunning = true;
     const run = this.createRun(fingerprint);
     try {
@@ -138,9 +147,22 @@
     return run;
   }
 
-  /** Takes note of an answer. */
+  /** Takes note of an answer, which clears all requests that are equal. */
   recordAnswer(run: CrashRun): void {
     this.quarantine.recordAnswer(run.fingerprint);
+    this.startCleared();
+  }
+
+  /** What is no suspect any more would wait its turn for nothing. */
+  private startCleared(): void {
+    const {table} = this.quarantine;
+    const cleared = this.turns.filter(
+      ({fingerprint}) => !table.isSuspect(fingerprint),
+    );
+    for (const waiting of cleared) {
+      this.turns.splice(this.turns.indexOf(waiting), 1);
+      waiting.start('cleared');
+    }
   }
 
   /**
@@ -211,25 +233,35 @@
     };
   }
 
-  private waitTurn(request: CrashRequest, limitMs: number): Promise<void> {
-    const remainingMs = request.deadline - performance.now();
+  private waitTurn(
+    {fingerprint, deadline}: CrashRequest,
+    limitMs: number,
+  ): Promise<TurnOutcome> {
+    const remainingMs = deadline - performance.now();
     return new Promise((resolve, reject) => {
-      const start = (): void => {
-        clearTimeout(timer);
-        resolve();
+      const waiting: WaitingSuspect = {
+        fingerprint,
+        start: outcome => {
+          clearTimeout(timer);
+          resolve(outcome);
+        },
       };
       const expire = (): void => {
-        this.turns.splice(this.turns.indexOf(start), 1);
+        this.turns.splice(this.turns.indexOf(waiting), 1);
         reject(new RefusalError(Reason.QUEUE_TIMEOUT));
       };
       const timer = setTimeout(expire, Math.min(limitMs, remainingMs));
-      this.turns.push(start);
+      this.turns.push(waiting);
     });
   }
 
   private endTurn(): void {
     const next = this.turns.shift();
-    if (next) next();
+    if (next) next.start('its turn');
     else this.isSuspectRunning = false;
   }
 }
+
+function createFreeRun(fingerprint: string): CrashRun {
+  return {fingerprint, isSuspect: false, end: () => {}};
+}
--- /dev/null
+++ b/src/test/crash-watch_test.ts
@@ -0,0 +1,43 @@
+/**
+ * Equal requests whose worker's connections were reset at once are suspects
+ * together. The first answer clears them all: they must not wait one behind
+ * another until they are refused.
+ */
+import {expect, it} from 'vitest';
+import type {CrashRun} from '../coordination/crash-quarantine.js';
+import {CrashQuarantine, CrashWatch} from '../coordination/crash-quarantine.js';
+import {CrashTable} from '../state/crash-table.js';
+
+const FINGERPRINT = 'GET /tickets/7';
+const OTHER = 'GET /tickets/8';
+const WAIT_LIMIT_MS = 60_000;
+
+function startRun(watch: CrashWatch, fingerprint: string): Promise<CrashRun> {
+  const deadline = performance.now() + WAIT_LIMIT_MS;
+  const request = {service: 'kona-desk', fingerprint, deadline};
+  return watch.startRun(request, WAIT_LIMIT_MS);
+}
+
+const CASES = [
+  {name: 'equal ones go on at once', waiting: FINGERPRINT, started: 5},
+  {name: 'others still take turns', waiting: OTHER, started: 0},
+];
+
+it.each(CASES)('after an answer $name', async ({waiting, started}) => {
+  const quarantine = new CrashQuarantine(new CrashTable());
+  await quarantine.recordCrash('kona-desk', [FINGERPRINT, OTHER], []);
+  const watch = new CrashWatch('kona-desk', quarantine, async () => {});
+  const first = await startRun(watch, FINGERPRINT);
+  let count = 0;
+  const runs = Array.from({length: 5}, () =>
+    startRun(watch, waiting).then(run => {
+      count += 1;
+      return run;
+    }),
+  );
+  watch.recordAnswer(first);
+  await new Promise(resolve => setImmediate(resolve));
+  expect(count).toBe(started);
+  first.end();
+  for (const run of runs) (await run).end();
+});
