Let one piece serve where the change had written a second

Read-through of the change; behaviour stays. - AttemptPath builds its own sender and runner: both kinds of node had the same 22 lines for them. - The emulator's clock uses RankQueue in place of a heap of its own, and clears timers at once in place of a set of cleared ones.

--- a/scripts/build-platform.js
+++ b/scripts/build-platform.js
@@ -5,10 +5,7 @@
 import {mkdirSync} from 'node:fs';
 import {resolve} from 'node:path';
 import {build} from 'esbuild';
-
-const banner =
-  "import {createRequire as createRequireForBundle} from 'node:module';" +
-  'const require = createRequireForBundle(import.meta.url);';
+import {BUNDLE_OPTIONS} from './bundle-options.js';
 
 /** Takes the slim part of undici wherever the package is imported. */
 const slimUndici = {
@@ -21,15 +18,8 @@
 
 mkdirSync('target', {recursive: true});
 await build({
+  ...BUNDLE_OPTIONS,
   entryPoints: ['platform/main.ts'],
   outfile: 'target/node.js',
-  bundle: true,
-  platform: 'node',
-  target: 'node20',
-  format: 'esm',
-  minifyWhitespace: true,
-  minifySyntax: true,
-  logLevel: 'warning',
   plugins: [slimUndici],
-  banner: {js: banner},
 });
--- a/scripts/build.js
+++ b/scripts/build.js
@@ -5,30 +5,20 @@
  */
 import {chmodSync, readdirSync, rmSync} from 'node:fs';
 import {build} from 'esbuild';
+import {BANNER, BUNDLE_OPTIONS} from './bundle-options.js';
 
 const binaries = readdirSync('src/bin').filter(name => name.endsWith('.ts'));
 const devPrograms = readdirSync('src/dev').filter(name => name.endsWith('.ts'));
 
-const banner =
-  "import {createRequire as createRequireForBundle} from 'node:module';" +
-  'const require = createRequireForBundle(import.meta.url);';
-
 /** Mode of a program that anybody may run. */
 const RUNNABLE = 0o755;
 
 const shared = {
-  bundle: true,
-  platform: 'node',
-  target: 'node20',
-  format: 'esm',
-  minifyWhitespace: true,
-  minifySyntax: true,
+  ...BUNDLE_OPTIONS,
   sourcemap: false,
-  logLevel: 'warning',
   // An optional native socket of the metrics client; UDP is used instead.
   // The plotting libraries are loaded by the experiment tool when asked for.
   external: ['unix-dgram', 'vega', 'vega-lite'],
-  banner: {js: banner},
 };
 
 rmSync('dist', {recursive: true, force: true});
@@ -38,7 +28,7 @@
       ...shared,
       entryPoints: [`src/bin/${name}`],
       outfile: `dist/bin/${name.replace('.ts', '.js')}`,
-      banner: {js: `#!/usr/bin/env node\n${banner}`},
+      banner: {js: `#!/usr/bin/env node\n${BANNER}`},
     }),
   ),
   ...devPrograms.map(name =>
--- a/src/attempt-path.ts
+++ b/src/attempt-path.ts
@@ -1,29 +1,56 @@
 /**
- * The way of an attempt from this node: to the worker beside it, or to the
- * gate of another node. Either way a version that was found bad runs nothing.
+ * The way of attempts through one node: from its entry to the worker beside it
+ * or to the gate of another node, and from other nodes to the worker here.
+ * Either way a version that was found bad runs nothing.
  */
-import type {AttemptSender} from './coordination/attempt-sender.js';
+import type {GateAttempt} from './coordination/attempt-runner.js';
+import {AttemptRunner} from './coordination/attempt-runner.js';
+import type {AskSeal, CountEvent} from './coordination/attempt-sender.js';
+import {AttemptSender} from './coordination/attempt-sender.js';
 import type {Gate} from './coordination/gate.js';
 import type {VersionMoves} from './coordination/version-moves.js';
 import type {Attempt, AttemptAnswer} from './protocol/attempt.js';
 import {AttemptError} from './protocol/attempt.js';
+import type {NodeIdentity} from './protocol/node-identity.js';
 import {Reason} from './protocol/reasons.js';
 import type {ServiceRequest} from './protocol/service-request.js';
+import type {AttemptRegistry} from './state/attempt-registry.js';
+import type {GateClient} from './transport/gate-client.js';
 
 /** What the way leads over. */
 export interface AttemptPathOptions {
-  readonly nodeId: string;
+  readonly identity: NodeIdentity;
   readonly gate: Gate;
-  readonly sender: AttemptSender;
+  readonly gateClient: GateClient;
+  readonly attempts: AttemptRegistry;
+  readonly askSeal: AskSeal;
+  readonly count: CountEvent;
   readonly findVersions: () => VersionMoves;
 }
 
-/** The way of attempts from one node. */
+/** The way of attempts through one node. */
 export class AttemptPath {
-  constructor(private readonly options: AttemptPathOptions) {}
+  private readonly sender: AttemptSender;
+  private readonly runner: AttemptRunner;
+
+  constructor(private readonly options: AttemptPathOptions) {
+    const {identity, gateClient, attempts, askSeal, count} = options;
+    this.sender = new AttemptSender(
+      (attempt, signal, handleSilence) =>
+        gateClient.sendAttempt(attempt, signal, handleSilence),
+      askSeal,
+      count,
+    );
+    this.runner = new AttemptRunner(
+      identity.incarnation,
+      attempts,
+      (request, version, signal, handleAdmitted) =>
+        this.runOnWorker(request, version, signal, handleAdmitted),
+    );
+  }
 
   /**
-   * Sends an attempt to its target.
+   * Sends an attempt of the entry here to its target.
    *
    * @throws AttemptError
    */
@@ -31,11 +58,19 @@
     attempt: Attempt,
     signal: AbortSignal,
   ): Promise<AttemptAnswer> {
-    const {nodeId, sender} = this.options;
-    if (attempt.target.nodeId === nodeId) {
+    if (attempt.target.nodeId === this.options.identity.nodeId) {
       return this.runOnWorker(attempt.request, attempt.version, signal);
     }
-    return sender.sendAttempt(attempt, signal);
+    return this.sender.sendAttempt(attempt, signal);
+  }
+
+  /** Runs an attempt of another node's entry, see AttemptRunner.run. */
+  async runAttempt(
+    attempt: GateAttempt,
+    signal: AbortSignal,
+    handleAdmitted: () => void,
+  ): Promise<AttemptAnswer> {
+    return this.runner.run(attempt, signal, handleAdmitted);
   }
 
   /**
--- a/src/coordination/move-judgement.ts
+++ b/src/coordination/move-judgement.ts
@@ -154,11 +154,11 @@
   share: number,
 ): number {
   // In logarithms, since the first terms of many trials are too small.
+  const odds = share / (1 - share);
   let logTerm = trials * Math.log1p(-share);
   let below = 0;
   for (let count = 0; count < successes; count++) {
     below += Math.exp(logTerm);
-    const odds = share / (1 - share);
     logTerm += Math.log(((trials - count) / (count + 1)) * odds);
   }
   return Math.max(0, 1 - below);
--- a/src/coordination/peer-beacons.ts
+++ b/src/coordination/peer-beacons.ts
@@ -78,8 +78,10 @@
   }
 
   /** Introduces this node to others. */
-  sendIntroductions(peers: readonly BeaconPeer[]): void {
-    const watched = this.listWatchedNodes();
+  sendIntroductions(
+    peers: readonly BeaconPeer[],
+    watched: ReadonlySet<string> = this.listWatchedNodes(),
+  ): void {
     const now = performance.now();
     for (const wantsLoad of [true, false]) {
       const addresses: string[] = [];
--- a/src/coordination/peer-directory.ts
+++ b/src/coordination/peer-directory.ts
@@ -350,7 +350,7 @@
       }
       this.checkSilent(peer, silentMs, intervalMs);
     }
-    this.beacons.sendIntroductions(due);
+    this.beacons.sendIntroductions(due, watched);
     const isLonely = answering === 0 && now - this.listedAt > LONELY_LIST_MS;
     if (isLonely && this.hasListed) void this.listAgain();
   }
--- a/src/coordination/worker-subset.ts
+++ b/src/coordination/worker-subset.ts
@@ -26,28 +26,20 @@
   /** Some of the workers, or all when there are few. */
   select(rows: readonly WorkerRow[]): WorkerRow[] {
     if (rows.length <= SUBSET_SIZE) return [...rows];
-    const isNear = (row: WorkerRow): boolean =>
-      row.dataCentre === this.dataCentre;
-    const near = this.pickClosest(rows.filter(isNear), NEAR_SIZE);
-    const far = this.pickClosest(
-      rows.filter(row => !isNear(row)),
-      SUBSET_SIZE - near.length,
-    );
-    const missing = SUBSET_SIZE - near.length - far.length;
-    if (missing <= 0) return [...near, ...far];
+    const sorted = rows
+      .map(row => ({row, affinity: this.findAffinity(row)}))
+      .sort((one, other) => one.affinity - other.affinity)
+      .map(({row}) => row);
+    const near = sorted.filter(row => row.dataCentre === this.dataCentre);
+    const far = sorted.filter(row => row.dataCentre !== this.dataCentre);
+    const wantedFar = SUBSET_SIZE - Math.min(near.length, NEAR_SIZE);
+    const farCount = Math.min(far.length, wantedFar);
     return [
-      ...this.pickClosest(rows.filter(isNear), NEAR_SIZE + missing),
-      ...far,
+      ...near.slice(0, SUBSET_SIZE - farCount),
+      ...far.slice(0, farCount),
     ];
   }
 
-  private pickClosest(rows: readonly WorkerRow[], count: number): WorkerRow[] {
-    if (rows.length <= count) return [...rows];
-    return [...rows]
-      .sort((one, other) => this.findAffinity(one) - this.findAffinity(other))
-      .slice(0, count);
-  }
-
   private findAffinity(row: WorkerRow): number {
     let affinity = this.affinities.get(row);
     if (affinity === undefined) {
--- a/src/directory-node.ts
+++ b/src/directory-node.ts
@@ -6,8 +6,6 @@
 import type {Server} from 'node:http';
 import {randomUUID} from 'node:crypto';
 import {AttemptPath} from './attempt-path.js';
-import {AttemptRunner} from './coordination/attempt-runner.js';
-import {AttemptSender} from './coordination/attempt-sender.js';
 import {Entry} from './coordination/entry.js';
 import type {Gate} from './coordination/gate.js';
 import {KeyedFollower} from './coordination/keyed-follower.js';
@@ -78,7 +76,6 @@
   private readonly gate: Gate;
   private readonly reports: WorkerReports;
   private readonly attempts = new AttemptRegistry();
-  private readonly attemptRunner: AttemptRunner;
   private readonly path: AttemptPath;
   private readonly crashTable = new CrashTable();
   private readonly splitter = new RouteSplitter();
@@ -128,21 +125,13 @@
       service => this.state.findProfile(service) !== undefined,
     );
     this.directory = this.createDirectory();
-    this.attemptRunner = new AttemptRunner(
-      this.identity.incarnation,
-      this.attempts,
-      (request, version, signal, handleAdmitted) =>
-        this.path.runOnWorker(request, version, signal, handleAdmitted),
-    );
     this.path = new AttemptPath({
-      nodeId: node.id,
+      identity: this.identity,
       gate: this.gate,
-      sender: new AttemptSender(
-        (attempt, signal, handleSilence) =>
-          this.gateClient.sendAttempt(attempt, signal, handleSilence),
-        askSeal,
-        name => this.metrics.count(`attempts.${name}`),
-      ),
+      gateClient: this.gateClient,
+      attempts: this.attempts,
+      askSeal,
+      count: name => this.metrics.count(`attempts.${name}`),
       findVersions: () => this.moves.versions,
     });
     this.moves = new DirectoryMoves({
@@ -317,7 +306,7 @@
         if (this.planned.isRefusingAttempts) {
           throw new RefusalError(Reason.NODE_STOPPING);
         }
-        return this.attemptRunner.run(attempt, signal, handleAdmitted);
+        return this.path.runAttempt(attempt, signal, handleAdmitted);
       },
       handleCall: (message, response) =>
         void servePeerCall(handlers, message, response),
--- a/src/measure/emulator/virtual-clock.ts
+++ b/src/measure/emulator/virtual-clock.ts
@@ -2,82 +2,59 @@
  * Time that passes only as fast as the events of an emulation, and the same
  * way in each run.
  */
+import type {RankedItem} from '../../coordination/rank-queue.js';
+import {RankQueue} from '../../coordination/rank-queue.js';
 import type {TimerId, Timers} from '../../protocol/timers.js';
 
-interface TimedEvent {
-  readonly at: number;
-  readonly order: number;
+interface TimedEvent extends RankedItem {
+  readonly id: number;
   readonly handle: () => void;
 }
 
+/** Events differ in their time only. */
+const RANK = 0;
+
 /** A clock with timers. */
 export class VirtualClock {
-  private readonly heap: TimedEvent[] = [];
-  private readonly cleared = new Set<number>();
+  private readonly queue = new RankQueue<TimedEvent>();
+  private readonly waiting = new Map<TimerId, TimedEvent>();
   private count = 0;
   /** Milliseconds since the beginning. */
   nowMs = 0;
 
   readonly timers: Timers = {
     set: (handler, delayMs) => this.schedule(handler, delayMs),
-    clear: timer => void this.cleared.add(Number(timer)),
+    clear: timer => this.cancel(timer),
   };
 
   /** Calls back after some milliseconds. */
   schedule(handle: () => void, delayMs: number): TimerId {
     this.count += 1;
-    const at = this.nowMs + Math.max(0, delayMs);
-    this.add({at, order: this.count, handle});
-    return this.count;
+    const dueAt = this.nowMs + Math.max(0, delayMs);
+    const event = {id: this.count, rank: RANK, dueAt, handle};
+    this.queue.add(event);
+    this.waiting.set(event.id, event);
+    return event.id;
   }
 
   /** Lets time pass until nothing is left to happen before an end. */
   async run(untilMs: number): Promise<void> {
-    while (this.heap.length > 0 && this.heap[0]!.at <= untilMs) {
-      const event = this.takeFirst();
-      if (this.cleared.delete(event.order)) continue;
-      this.nowMs = event.at;
-      event.handle();
+    for (;;) {
+      const [first] = this.queue.list();
+      if (!first || first.dueAt > untilMs) break;
+      this.cancel(first.id);
+      this.nowMs = first.dueAt;
+      first.handle();
       // All that waits on promises goes on at the same moment.
       await new Promise(resolve => setImmediate(resolve));
     }
     this.nowMs = untilMs;
   }
 
-  private add(event: TimedEvent): void {
-    const {heap} = this;
-    let index = heap.push(event) - 1;
-    while (index > 0) {
-      const parent = (index - 1) >> 1;
-      if (!isBefore(event, heap[parent]!)) break;
-      heap[index] = heap[parent]!;
-      index = parent;
-    }
-    heap[index] = event;
+  private cancel(timer: TimerId): void {
+    const event = this.waiting.get(timer);
+    if (!event) return;
+    this.waiting.delete(timer);
+    this.queue.remove(event);
   }
-
-  private takeFirst(): TimedEvent {
-    const {heap} = this;
-    const first = heap[0]!;
-    const last = heap.pop()!;
-    if (heap.length === 0) return first;
-    let index = 0;
-    for (;;) {
-      const left = 2 * index + 1;
-      if (left >= heap.length) break;
-      const right = left + 1;
-      const isRight =
-        right < heap.length && isBefore(heap[right]!, heap[left]!);
-      const child = isRight ? right : left;
-      if (!isBefore(heap[child]!, last)) break;
-      heap[index] = heap[child]!;
-      index = child;
-    }
-    heap[index] = last;
-    return first;
-  }
-}
-
-function isBefore(one: TimedEvent, other: TimedEvent): boolean {
-  return one.at === other.at ? one.order < other.order : one.at < other.at;
 }
--- a/src/measure/scenarios/heavy-day.ts
+++ b/src/measure/scenarios/heavy-day.ts
@@ -2,7 +2,11 @@
  * Emulated heavy days at growing load: how much of the worth is served in
  * time, and what becomes of the rest. Nothing runs but the emulation.
  */
-import type {EmulatedKind, KindOutcome} from '../emulator/heavy-day.js';
+import type {
+  EmulatedKind,
+  HeavyDay,
+  KindOutcome,
+} from '../emulator/heavy-day.js';
 import {runHeavyDay} from '../emulator/heavy-day.js';
 import type {Scenario} from './scenario.js';
 
@@ -35,6 +39,19 @@
   },
 ];
 
+/** The day of the scenario at some load. */
+export function createHeavyDay(
+  seed: string,
+  seconds: number,
+  load: number,
+): HeavyDay {
+  const kinds = KINDS.map(kind => ({
+    ...kind,
+    perSecond: kind.perSecond * load,
+  }));
+  return {seed, seconds, workers: WORKERS, slots: SLOTS, kinds};
+}
+
 /** Who is served in time when more comes than fits. */
 export const heavyDayScenario: Scenario = {
   description: 'worth served in time under emulated overload',
@@ -42,16 +59,8 @@
     const variants: Record<string, object> = {};
     const worths = new Map<number, number>();
     for (const load of LOADS) {
-      const {worth, byKind} = await runHeavyDay({
-        seed,
-        seconds,
-        workers: WORKERS,
-        slots: SLOTS,
-        kinds: KINDS.map(kind => ({
-          ...kind,
-          perSecond: kind.perSecond * load,
-        })),
-      });
+      const day = createHeavyDay(seed, seconds, load);
+      const {worth, byKind} = await runHeavyDay(day);
       worths.set(load, worth);
       variants[`load ${load}`] = {worth, ...formatShares(byKind)};
     }
--- a/src/node-process.ts
+++ b/src/node-process.ts
@@ -7,8 +7,6 @@
 import type {ConnectRouter} from '@connectrpc/connect';
 import {connectNodeAdapter} from '@connectrpc/connect-node';
 import {AttemptPath} from './attempt-path.js';
-import {AttemptRunner} from './coordination/attempt-runner.js';
-import {AttemptSender} from './coordination/attempt-sender.js';
 import {CrashQuarantine} from './coordination/crash-quarantine.js';
 import {Entry} from './coordination/entry.js';
 import {Gate} from './coordination/gate.js';
@@ -74,7 +72,6 @@
   private readonly gate;
   private readonly explanations: Explanations;
   private readonly attempts = new AttemptRegistry();
-  private readonly attemptRunner;
   private readonly path: AttemptPath;
   private readonly entry;
   private readonly splitter = new RouteSplitter();
@@ -142,21 +139,13 @@
         this.crashSpread.spread(records),
       ),
     );
-    this.attemptRunner = new AttemptRunner(
-      this.identity.incarnation,
-      this.attempts,
-      (request, version, signal, handleAdmitted) =>
-        this.path.runOnWorker(request, version, signal, handleAdmitted),
-    );
     this.path = new AttemptPath({
-      nodeId: node.id,
+      identity: this.identity,
       gate: this.gate,
-      sender: new AttemptSender(
-        (attempt, signal, handleSilence) =>
-          this.gateClient.sendAttempt(attempt, signal, handleSilence),
-        askSeal,
-        name => this.metrics.count(`attempts.${name}`),
-      ),
+      gateClient: this.gateClient,
+      attempts: this.attempts,
+      askSeal,
+      count: name => this.metrics.count(`attempts.${name}`),
       findVersions: () => this.moves.versions,
     });
     this.entry = new Entry({
@@ -232,7 +221,7 @@
         if (this.planned.isRefusingAttempts) {
           throw new RefusalError(Reason.NODE_STOPPING);
         }
-        return this.attemptRunner.run(attempt, signal, handleAdmitted);
+        return this.path.runAttempt(attempt, signal, handleAdmitted);
       },
       handleCall: connectNodeAdapter({
         routes: router => this.registerServices(router),
--- a/src/test/heavy-day_test.ts
+++ b/src/test/heavy-day_test.ts
@@ -4,11 +4,9 @@
  * goes on to another gate or is refused while it can still be in time.
  */
 import {describe, expect, it} from 'vitest';
-import type {EmulatedKind} from '../measure/emulator/heavy-day.js';
 import {runHeavyDay} from '../measure/emulator/heavy-day.js';
+import {createHeavyDay} from '../measure/scenarios/heavy-day.js';
 
-const WORKERS = 8;
-const SLOTS = 6;
 const SECONDS = 30;
 /** What the users aim at on their grown deployment. */
 const WORTH_AIM = 0.52;
@@ -17,25 +15,6 @@
 /** A less urgent kind may do better by chance only. */
 const RANK_SLACK = 0.05;
 
-const LOOKUP: EmulatedKind = {
-  name: 'lookup',
-  perSecond: 55,
-  workMs: 300,
-  targetMs: 600,
-  deadlineMs: 1500,
-  rank: 2,
-  worth: 1,
-};
-const BOOKING: EmulatedKind = {
-  name: 'booking',
-  perSecond: 27,
-  workMs: 290,
-  targetMs: 800,
-  deadlineMs: 2000,
-  rank: 1,
-  worth: 2,
-};
-
 /** Load 1 fills the slots below the knee with hosts that are slow at times. */
 const CASES = [0.6, 1, 1.3].flatMap(load =>
   ['1', '2', '3'].map(seed => ({load, seed})),
@@ -43,11 +22,7 @@
 
 describe('a heavy day', () => {
   it.each(CASES)('at load $load, seed $seed', async ({load, seed}) => {
-    const kinds = [LOOKUP, BOOKING].map(kind => ({
-      ...kind,
-      perSecond: kind.perSecond * load,
-    }));
-    const day = {seed, seconds: SECONDS, workers: WORKERS, slots: SLOTS, kinds};
+    const day = createHeavyDay(seed, SECONDS, load);
     const {worth, byKind} = await runHeavyDay(day);
     expect(worth).toBeGreaterThan(WORTH_AIM);
     for (const {failed, all} of Object.values(byKind)) {
@@ -60,13 +35,7 @@
   });
 
   it('goes the same way each time', async () => {
-    const day = {
-      seed: '7',
-      seconds: 5,
-      workers: WORKERS,
-      slots: SLOTS,
-      kinds: [LOOKUP, BOOKING],
-    };
+    const day = createHeavyDay('7', 5, 1);
     expect(await runHeavyDay(day)).toEqual(await runHeavyDay(day));
   });
 });
--- a/src/test/observed-connection_test.ts
+++ b/src/test/observed-connection_test.ts
@@ -11,8 +11,8 @@
 } from '../coordination/observed-connection.js';
 import type {AttemptAnswer} from '../protocol/attempt.js';
 import {EMPTY_BODY} from '../protocol/service-request.js';
-import type {ServiceRequest} from '../protocol/service-request.js';
 import type {SeenRequest} from '../state/version-evidence.js';
+import {createLookup} from './stand-ins/lookup.js';
 
 const ELAPSED_MS = 60;
 /** A timer may fire a little early on the clock that times are read from. */
@@ -21,21 +21,6 @@
 const COLD: WorkerCondition = {pace: 1, isCold: true};
 const FAST: WorkerCondition = {pace: 0.5, isCold: false};
 
-const REQUEST: ServiceRequest = {
-  id: 'request-1',
-  service: 'kona-desk',
-  method: 'GET',
-  path: '/tickets/1',
-  headers: {},
-  caller: 'mender',
-  deadline: Infinity,
-  route: 'tickets',
-  idempotent: true,
-  rank: 0,
-  fingerprint: '',
-  body: EMPTY_BODY,
-};
-
 /** Sends one request while the worker's condition changes. */
 async function observe(
   before: WorkerCondition,
@@ -68,7 +53,7 @@
       readCondition: () => condition,
     },
   );
-  await connection.sendRequest(REQUEST, new AbortController().signal);
+  await connection.sendRequest(createLookup(), new AbortController().signal);
   return seen[0]!;
 }
 
--- a/src/test/peer-refusal_test.ts
+++ b/src/test/peer-refusal_test.ts
@@ -8,10 +8,10 @@
 import {afterEach, expect, it} from 'vitest';
 import type {Attempt, AttemptError} from '../protocol/attempt.js';
 import {REASON_DETAILS, Reason, RefusalError} from '../protocol/reasons.js';
-import {EMPTY_BODY} from '../protocol/service-request.js';
 import {Verdict} from '../protocol/verdict.js';
 import {GateClient} from '../transport/gate-client.js';
 import {createPeerServer} from '../transport/peer-listener.js';
+import {createLookup} from './stand-ins/lookup.js';
 
 const GENEROUS_MS = 10_000;
 const USUAL_MS = REASON_DETAILS[Reason.QUEUE_TIMEOUT].retryAfterMs;
@@ -49,20 +49,7 @@
       incarnation: 1,
       peerAddress: `127.0.0.1:${port}`,
     },
-    request: {
-      id: 'request-1',
-      service: 'kona-desk',
-      method: 'GET',
-      path: '/tickets/1',
-      headers: {},
-      caller: 'mender',
-      deadline: performance.now() + GENEROUS_MS,
-      route: 'tickets',
-      idempotent: true,
-      rank: 0,
-      fingerprint: '',
-      body: EMPTY_BODY,
-    },
+    request: createLookup(performance.now() + GENEROUS_MS),
   };
   const {signal} = new AbortController();
   return client
