--- a/src/test/membership_test.ts
+++ b/src/test/membership_test.ts
@@ -168,13 +168,15 @@
     await waitForStatus(other, one, 'dead');
     await waitForStatus(one, one, 'alive');
     await waitForStatus(other, other, 'alive');
-    let fewestWorkers = NODE_COUNT;
+    const lowest = {workers: NODE_COUNT, seen: ''};
     let isHealed = false;
     const watch = async (host: Host): Promise<void> => {
       while (!isHealed) {
-        const {nodes} = await host.readStatus();
-        const count = nodes.flatMap(node => node.workers).length;
-        fewestWorkers = Math.min(fewestWorkers, count);
+        const {nodes, members} = await host.readStatus();
+        const workers = nodes.flatMap(node => node.workers).length;
+        if (workers >= lowest.workers) continue;
+        lowest.workers = workers;
+        lowest.seen = `${host.spec.id} sees ${JSON.stringify(members)}`;
       }
     };
     const watches = [...one, ...other].map(watch);
@@ -182,7 +184,7 @@
     await waitForAllWorkers();
     isHealed = true;
     await Promise.all(watches);
-    expect(fewestWorkers).toBeGreaterThanOrEqual(NODE_COUNT / 2);
+    expect(lowest.workers, lowest.seen).toBeGreaterThanOrEqual(NODE_COUNT / 2);
   });
 });
 
