--- a/src/protocol/headers.ts
+++ b/src/protocol/headers.ts
@@ -31,7 +31,7 @@
 /** Signature of an upstream's answer on the way between nodes. */
 export const PEER_SIGNATURE = 'sequoiaspool-signature';
 /** Id of one attempt; the gate echoes it and the entry compares. */
-export const ATTEMPT_ID = 'sequoiaspool-attempt-id';
+export const ATTEMPT_ID = 'sequoiaspool-peer-attempt-id';
 /** Node id of the entry that sends the attempt. */
 export const ENTRY_NODE = 'sequoiaspool-entry-node';
 /** Incarnation of the gate that the entry means. */
--- a/src/test/planned-stop_test.ts
+++ b/src/test/planned-stop_test.ts
@@ -174,7 +174,7 @@
       `http://${host!.peerAddress}/attempts/kona-desk/tickets/1`,
       {
         headers: {
-          'sequoiaspool-attempt-id': 'attempt-1',
+          'sequoiaspool-peer-attempt-id': 'attempt-1',
           'sequoiaspool-gate-incarnation': String(incarnation),
           'connect-timeout-ms': '1000',
           'sequoiaspool-idempotent': '1',
