--- a/src/measure/emulator/heavy-day.ts
+++ b/src/measure/emulator/heavy-day.ts
@@ -9,6 +9,7 @@
 import {SlotAdmission} from '../../coordination/slot-admission.js';
 import type {Slot} from '../../coordination/worker-admission.js';
 import {chooseWorker} from '../../coordination/worker-choice.js';
+import {WorkerSubset} from '../../coordination/worker-subset.js';
 import {profileSchema} from '../../protocol/configuration.js';
 import type {Profile} from '../../protocol/configuration.js';
 import {toRefusal} from '../../protocol/reasons.js';
@@ -17,13 +18,14 @@
 import {VirtualClock} from './virtual-clock.js';
 
 const SERVICE = 'service';
+const DATA_CENTRE = 'one';
 const SECOND_MS = 1000;
 /** A third of the time left is what callers wait at most before a retry. */
 const MOST_RETRY_WAIT_PART = 1 / 3;
 /** Times from entry to gate and back. */
-const HOP_MS = 3;
-/** Age at which an entry hears of a changed load. */
-const NEWS_MS = 60;
+const HOP_MS = 8;
+/** Least pause between two words of a gate about its load. */
+const NEWS_PAUSE_MS = 60;
 /** Gates that an entry asks in vain before it refuses. */
 const MOST_REFUSALS = 3;
 /** Pause between two looks at the hosts. */
@@ -53,6 +55,8 @@
   readonly seed: string;
   readonly seconds: number;
   readonly workers: number;
+  /** Nodes that requests enter at; each chooses among some of the workers. */
+  readonly entries: number;
   readonly slots: number;
   readonly kinds: readonly EmulatedKind[];
 }
@@ -72,15 +76,23 @@
   readonly byKind: Readonly<Record<string, KindOutcome>>;
   /** Worth of the answers in time, as a share of all worth. */
   readonly worth: number;
+  /** Gates asked, those that refused included. */
+  readonly asks: number;
 }
 
 interface EmulatedWorker {
   readonly admission: SlotAdmission;
-  readonly row: WorkerRow;
+  /** The worker as the entries that choose among it and others know it. */
+  readonly rows: WorkerRow[];
   pace: number;
   running: number;
+  toldAt: number;
+  isTelling: boolean;
 }
 
+/** The workers that one entry chooses among, as it knows them. */
+type EmulatedEntry = ReadonlyMap<WorkerRow, EmulatedWorker>;
+
 /** Emulates one day. */
 export async function runHeavyDay(day: HeavyDay): Promise<DayOutcome> {
   return new HeavyDayRun(day).run();
@@ -90,8 +102,10 @@
   private readonly clock = new VirtualClock();
   private readonly random: () => number;
   private readonly workers: EmulatedWorker[];
+  private readonly entries: EmulatedEntry[];
   private readonly outcomes = new Map<string, KindOutcome>();
   private readonly profile: Profile;
+  private asks = 0;
 
   constructor(private readonly day: HeavyDay) {
     this.random = seedrandom(day.seed);
@@ -99,8 +113,9 @@
       balancing: 'paced',
       limits: {queueWait: '1500ms', queueLength: 48},
     });
-    this.workers = Array.from({length: day.workers}, (unused, index) =>
-      this.createWorker(index),
+    this.workers = Array.from({length: day.workers}, () => this.createWorker());
+    this.entries = Array.from({length: day.entries}, (unused, index) =>
+      this.createEntry(index),
     );
   }
 
@@ -117,10 +132,11 @@
     return {
       byKind: Object.fromEntries(this.outcomes),
       worth: this.computeWorth(),
+      asks: this.asks,
     };
   }
 
-  private createWorker(index: number): EmulatedWorker {
+  private createWorker(): EmulatedWorker {
     const {slots} = this.day;
     const admission = new SlotAdmission(
       slots,
@@ -128,31 +144,63 @@
       () => this.clock.nowMs,
       this.clock.timers,
     );
-    const nodeId = `node-${index}`;
-    const row: WorkerRow = {
-      target: {nodeId, incarnation: 1, peerAddress: nodeId},
-      dataCentre: 'one',
-      service: SERVICE,
-      version: 'v1',
-      slots,
-      state: 'ready',
-      isSuspect: false,
-      inFlightHere: 0,
-      observed: undefined,
+    const worker: EmulatedWorker = {
+      admission,
+      rows: [],
+      pace: 1,
+      running: 0,
+      toldAt: -Infinity,
+      isTelling: false,
     };
-    const worker: EmulatedWorker = {admission, row, pace: 1, running: 0};
     admission.update(slots, 'ready', this.profile.limits);
     admission.recordProbeAnswer({status: 200});
-    admission.handleChange = () => this.sendNews(worker);
+    admission.handleChange = () => this.scheduleNews(worker);
     return worker;
   }
 
+  /** An entry keeps to a part of a large fleet, as in the product. */
+  private createEntry(entryIndex: number): EmulatedEntry {
+    const workers = new Map<WorkerRow, EmulatedWorker>();
+    for (const [index, worker] of this.workers.entries()) {
+      const nodeId = `node-${index}`;
+      const row: WorkerRow = {
+        target: {nodeId, incarnation: 1, peerAddress: nodeId},
+        dataCentre: DATA_CENTRE,
+        service: SERVICE,
+        version: 'v1',
+        slots: this.day.slots,
+        state: 'ready',
+        isSuspect: false,
+        inFlightHere: 0,
+        observed: undefined,
+      };
+      workers.set(row, worker);
+    }
+    const subset = new WorkerSubset(`node-${entryIndex}`, DATA_CENTRE);
+    const chosen = subset.select([...workers.keys()]);
+    const entry = new Map(chosen.map(row => [row, workers.get(row)!]));
+    for (const [row, worker] of entry) worker.rows.push(row);
+    return entry;
+  }
+
+  /** Words of a gate keep a pause, and the newest load goes. */
+  private scheduleNews(worker: EmulatedWorker): void {
+    if (worker.isTelling) return;
+    worker.isTelling = true;
+    const pauseMs = worker.toldAt + NEWS_PAUSE_MS - this.clock.nowMs;
+    this.clock.schedule(() => this.sendNews(worker), Math.max(0, pauseMs));
+  }
+
   private sendNews(worker: EmulatedWorker): void {
+    worker.isTelling = false;
+    worker.toldAt = this.clock.nowMs;
     const {load} = worker.admission;
-    this.clock.schedule(() => this.recordNews(worker, load), NEWS_MS);
+    this.clock.schedule(() => {
+      for (const row of worker.rows) this.recordNews(row, load);
+    }, HOP_MS);
   }
 
-  private recordNews({row}: EmulatedWorker, figures: WorkerLoad): void {
+  private recordNews(row: WorkerRow, figures: WorkerLoad): void {
     const {inFlightHere} = row;
     row.observed = {figures, at: this.clock.nowMs, inFlightHere};
   }
@@ -198,29 +246,38 @@
     startedAt: number,
     outcome: KindOutcome,
   ): Promise<number | undefined> {
-    const tried = new Set<EmulatedWorker>();
+    const entry = this.pickEntry();
+    const tried = new Set<WorkerRow>();
     let retryAfterMs = 0;
     while (tried.size <= MOST_REFUSALS) {
-      const worker = this.choose(tried);
-      if (!worker) break;
-      tried.add(worker);
-      worker.row.inFlightHere += 1;
+      const row = this.choose(entry, tried);
+      if (!row) break;
+      this.asks += 1;
+      const worker = entry.get(row)!;
+      tried.add(row);
+      row.inFlightHere += 1;
       await this.wait(HOP_MS);
       try {
         const slot = await this.admit(worker, kind, startedAt);
         await this.runOnWorker(worker, kind, startedAt, slot, outcome);
+        await this.wait(HOP_MS);
+        this.recordNews(row, worker.admission.load);
         return undefined;
       } catch (error) {
         retryAfterMs = toRefusal(error).retryAfterMs ?? 0;
         await this.wait(HOP_MS);
-        this.recordNews(worker, worker.admission.load);
+        this.recordNews(row, worker.admission.load);
       } finally {
-        worker.row.inFlightHere -= 1;
+        row.inFlightHere -= 1;
       }
     }
     return retryAfterMs;
   }
 
+  private pickEntry(): EmulatedEntry {
+    return this.entries[Math.floor(this.random() * this.entries.length)]!;
+  }
+
   private admit(
     worker: EmulatedWorker,
     kind: EmulatedKind,
@@ -237,21 +294,18 @@
   }
 
   private choose(
-    tried: ReadonlySet<EmulatedWorker>,
-  ): EmulatedWorker | undefined {
-    const left = this.workers.filter(worker => !tried.has(worker));
-    const row = chooseWorker(
-      this.profile.balancing,
-      left.map(worker => worker.row),
-      {
-        dataCentre: 'one',
-        farCostMs: 0,
-        random: this.random,
-        turn: 0,
-        now: this.clock.nowMs,
-      },
-    );
-    return left.find(worker => worker.row === row);
+    entry: EmulatedEntry,
+    tried: ReadonlySet<WorkerRow>,
+  ): WorkerRow | undefined {
+    const {nowMs} = this.clock;
+    const left = [...entry.keys()].filter(row => !tried.has(row));
+    return chooseWorker(this.profile.balancing, left, {
+      dataCentre: DATA_CENTRE,
+      farCostMs: 0,
+      random: this.random,
+      turn: 0,
+      now: nowMs,
+    });
   }
 
   private async runOnWorker(
--- a/src/measure/scenarios/heavy-day.ts
+++ b/src/measure/scenarios/heavy-day.ts
@@ -10,8 +10,22 @@
 import {runHeavyDay} from '../emulator/heavy-day.js';
 import type {Scenario} from './scenario.js';
 
-const WORKERS = 8;
-const SLOTS = 6;
+/** Fleets of the two sizes that users run. */
+export const Fleet = {
+  SMALL: 'small',
+  GROWN: 'grown',
+} as const;
+
+export type Fleet = (typeof Fleet)[keyof typeof Fleet];
+
+type FleetSize = Pick<HeavyDay, 'workers' | 'entries' | 'slots'>;
+
+const FLEET_SIZES: Readonly<Record<Fleet, FleetSize>> = {
+  small: {workers: 8, entries: 8, slots: 6},
+  grown: {workers: 48, entries: 60, slots: 4},
+};
+/** Slots for which the rates of the kinds below are load 1. */
+const LOAD_SLOTS = 48;
 /** Requests as a multiple of what fills the workers below their knee. */
 const LOADS = [0.6, 1, 1.3, 1.7];
 /** What the users aim at on heavy days. */
@@ -44,12 +58,15 @@
   seed: string,
   seconds: number,
   load: number,
+  fleet: Fleet,
 ): HeavyDay {
+  const size = FLEET_SIZES[fleet];
+  const factor = (load * size.workers * size.slots) / LOAD_SLOTS;
   const kinds = KINDS.map(kind => ({
     ...kind,
-    perSecond: kind.perSecond * load,
+    perSecond: kind.perSecond * factor,
   }));
-  return {seed, seconds, workers: WORKERS, slots: SLOTS, kinds};
+  return {seed, seconds, ...size, kinds};
 }
 
 /** Who is served in time when more comes than fits. */
@@ -57,18 +74,24 @@
   description: 'worth served in time under emulated overload',
   run: async ({seed, seconds}) => {
     const variants: Record<string, object> = {};
-    const worths = new Map<number, number>();
-    for (const load of LOADS) {
-      const day = createHeavyDay(seed, seconds, load);
-      const {worth, byKind} = await runHeavyDay(day);
-      worths.set(load, worth);
-      variants[`load ${load}`] = {worth, ...formatShares(byKind)};
+    const worths: Record<string, number> = {};
+    for (const fleet of Object.values(Fleet)) {
+      for (const load of LOADS) {
+        const day = createHeavyDay(seed, seconds, load, fleet);
+        const {worth, asks, byKind} = await runHeavyDay(day);
+        const name = `${fleet} fleet, load ${load}`;
+        worths[name] = worth;
+        variants[name] = {worth, asks, ...formatShares(byKind)};
+      }
     }
+    const aimed = Object.values(Fleet).map(
+      fleet => worths[`${fleet} fleet, load ${AIMED_LOAD}`]!,
+    );
     return {
       variants,
-      summary: Object.fromEntries(worths),
+      summary: worths,
       target: `worth in time at load ${AIMED_LOAD} at least ${WORTH_AIM}`,
-      isTargetMet: worths.get(AIMED_LOAD)! >= WORTH_AIM,
+      isTargetMet: aimed.every(worth => worth >= WORTH_AIM),
     };
   },
 };
--- a/src/test/heavy-day_test.ts
+++ b/src/test/heavy-day_test.ts
@@ -5,7 +5,7 @@
  */
 import {describe, expect, it} from 'vitest';
 import {runHeavyDay} from '../measure/emulator/heavy-day.js';
-import {createHeavyDay} from '../measure/scenarios/heavy-day.js';
+import {createHeavyDay, Fleet} from '../measure/scenarios/heavy-day.js';
 
 const SECONDS = 30;
 /** What the users aim at on their grown deployment. */
@@ -17,25 +17,30 @@
 
 /** Load 1 fills the slots below the knee with hosts that are slow at times. */
 const CASES = [0.6, 1, 1.3].flatMap(load =>
-  ['1', '2', '3'].map(seed => ({load, seed})),
+  Object.values(Fleet).flatMap(fleet =>
+    ['1', '2', '3'].map(seed => ({load, fleet, seed})),
+  ),
 );
 
 describe('a heavy day', () => {
-  it.each(CASES)('at load $load, seed $seed', async ({load, seed}) => {
-    const day = createHeavyDay(seed, SECONDS, load);
-    const {worth, byKind} = await runHeavyDay(day);
-    expect(worth).toBeGreaterThan(WORTH_AIM);
-    for (const {failed, all} of Object.values(byKind)) {
-      expect(failed / all).toBeLessThan(MOST_FAILED);
-    }
-    const [lookups, bookings] = [byKind['lookup']!, byKind['booking']!];
-    expect(bookings.inTime / bookings.all).toBeGreaterThan(
-      lookups.inTime / lookups.all - RANK_SLACK,
-    );
-  });
+  it.each(CASES)(
+    'at load $load, $fleet fleet, seed $seed',
+    async ({load, fleet, seed}) => {
+      const day = createHeavyDay(seed, SECONDS, load, fleet);
+      const {worth, byKind} = await runHeavyDay(day);
+      expect(worth).toBeGreaterThan(WORTH_AIM);
+      for (const {failed, all} of Object.values(byKind)) {
+        expect(failed / all).toBeLessThan(MOST_FAILED);
+      }
+      const [lookups, bookings] = [byKind['lookup']!, byKind['booking']!];
+      expect(bookings.inTime / bookings.all).toBeGreaterThan(
+        lookups.inTime / lookups.all - RANK_SLACK,
+      );
+    },
+  );
 
   it('goes the same way each time', async () => {
-    const day = createHeavyDay('7', 5, 1);
+    const day = createHeavyDay('7', 5, 1, Fleet.GROWN);
     expect(await runHeavyDay(day)).toEqual(await runHeavyDay(day));
   });
 });
