--- a/src/coordination/call.ts
+++ b/src/coordination/call.ts
@@ -23,12 +23,8 @@
 import type {WorkerRow} from '../state/worker-table.js';
 import {recordLoad} from '../state/worker-table.js';
 import type {EntryOptions, ServiceFigures} from './entry.js';
-import {
-  findRetryCost,
-  findStatusRetryCost,
-  isLackOfRoom,
-} from './retry-rules.js';
-import {chooseWorker, hasRoom} from './worker-choice.js';
+import {findRetryCost, findStatusRetryCost} from './retry-rules.js';
+import {chooseWorker} from './worker-choice.js';
 
 const HEDGE_COST = 1;
 const US_PER_MS = 1000;
@@ -48,13 +44,6 @@
   private readonly explainer: RequestExplainer;
   private paidAttempts = 1;
   private freeRetries = 0;
-  /**
-   * Whether a gate had no room and asking another costs no budget. Then the
-   * best one left is asked only if it seems to have room: when all are full, a
-   * question delays the refusal and takes processor time from what is served,
-   * and a worse one with room is on a slow host, where the answer would be late.
-   */
-  private seeksRoom = false;
   /** Whether an attempt of this call may have run. */
   private mayHaveRun = false;
 
@@ -93,7 +82,6 @@
 
   private choose(): WorkerRow | undefined {
     const {state, workers, dataCentre, random} = this.options;
-    const now = performance.now();
     const able = workers
       .listWorkers(this.request.service)
       .filter(
@@ -104,7 +92,7 @@
       );
     const {service} = this.request;
     this.figures.turn += 1;
-    const row = chooseWorker(
+    return chooseWorker(
       this.profile.balancing,
       this.options.selectWorkers(service, able),
       {
@@ -112,10 +100,9 @@
         farCostMs: this.profile.farCost,
         random,
         turn: this.figures.turn,
-        now,
+        now: performance.now(),
       },
     );
-    return row && this.seeksRoom && !hasRoom(row, now) ? undefined : row;
   }
 
   /** One attempt, and a hedge beside it when it is slow. */
@@ -208,7 +195,6 @@
   private takeRetry(refusal: RefusalError): boolean {
     if (this.isOver() || !(refusal instanceof AttemptError)) return false;
     const {paysForRefusals} = this.profile.retries;
-    this.seeksRoom ||= !paysForRefusals && isLackOfRoom(refusal.reason);
     const cost = findRetryCost(this.request, refusal, paysForRefusals);
     return this.takeCost(cost, refusal.reason);
   }
--- a/src/coordination/retry-rules.ts
+++ b/src/coordination/retry-rules.ts
@@ -63,13 +63,8 @@
 ): number | undefined {
   const isSafe = error.verdict === Verdict.NOT_RUN || request.idempotent;
   if (!isSafe || !isResendable(request)) return undefined;
-  const isFree = !paysForRefusals && isLackOfRoom(error.reason);
+  const isFree = !paysForRefusals && ROOM_REASONS.has(error.reason);
   const cost = isFree ? FREE : RETRY_COSTS[error.reason];
   const isFailing = error.load?.state === WorkerState.FAILING;
   return cost === FREE && isFailing && paysForRefusals ? FULL : cost;
 }
-
-/** Whether a gate refused because it had no room. */
-export function isLackOfRoom(reason: Reason): boolean {
-  return ROOM_REASONS.has(reason);
-}
--- a/src/coordination/worker-choice.ts
+++ b/src/coordination/worker-choice.ts
@@ -54,8 +54,6 @@
 const CROWDING_WEIGHT = 0.5;
 /** A cold worker takes about this many times as long. */
 const COLD_FACTOR = 2.5;
-/** Age up to which a worker told to be full counts as full: about one run. */
-const FULL_MS = 300;
 /** A node whose silence is looked into is taken only without another. */
 const SUSPECT_FACTOR = 100;
 
@@ -113,15 +111,6 @@
   return row.inFlightHere + others * Math.exp(-ageMs / LOAD_FADING_MS);
 }
 
-/** Whether one more request finds a free slot, as far as was told lately. */
-export function hasRoom(row: WorkerRow, now: number): boolean {
-  const {observed} = row;
-  if (!observed || now - observed.at > FULL_MS) return true;
-  const {inFlight, queued, limit} = observed.figures;
-  const others = Math.max(0, inFlight + queued - observed.inFlightHere);
-  return others + row.inFlightHere < Math.max(1, limit);
-}
-
 function chooseRandom(
   workers: readonly WorkerRow[],
   context: ChoiceContext,
--- a/src/measure/emulator/heavy-day.ts
+++ b/src/measure/emulator/heavy-day.ts
@@ -8,7 +8,7 @@
 import {SlotOutcome} from '../../coordination/concurrency-limit.js';
 import {SlotAdmission} from '../../coordination/slot-admission.js';
 import type {Slot} from '../../coordination/worker-admission.js';
-import {chooseWorker, hasRoom} from '../../coordination/worker-choice.js';
+import {chooseWorker} from '../../coordination/worker-choice.js';
 import {WorkerSubset} from '../../coordination/worker-subset.js';
 import {profileSchema} from '../../protocol/configuration.js';
 import type {Profile} from '../../protocol/configuration.js';
@@ -299,16 +299,13 @@
   ): WorkerRow | undefined {
     const {nowMs} = this.clock;
     const left = [...entry.keys()].filter(row => !tried.has(row));
-    const best = chooseWorker(this.profile.balancing, left, {
+    return chooseWorker(this.profile.balancing, left, {
       dataCentre: DATA_CENTRE,
       farCostMs: 0,
       random: this.random,
       turn: 0,
       now: nowMs,
     });
-    // After a refusal, as in the product.
-    const seeksRoom = tried.size > 0;
-    return best && seeksRoom && !hasRoom(best, nowMs) ? undefined : best;
   }
 
   private async runOnWorker(
