Introduce nodes only to those that have told who they are

Cause, found on reading again: the introductions of one look are bounded, the longest waiting first, and nodes that the store lists but that never answered wait for ever. Five of them kept a node from introducing itself to others until they were forgotten after 20 s.

Change: nodes without news are no candidates; they are asked by calls anyway.

--- a/src/coordination/peer-beacons.ts
+++ b/src/coordination/peer-beacons.ts
@@ -123,7 +123,8 @@
   sendDue(): void {
     const now = performance.now();
     const watched = this.listWatchedNodes();
-    const peers = this.options.listPeers();
+    // The others are asked by calls until they have told who they are.
+    const peers = this.options.listPeers().filter(({news}) => news);
     const intervalMs = computeSpreadInterval(peers.length);
     const wishMs = Math.min(WISH_INTERVAL_MS, intervalMs);
     const toWatched = peers.filter(
--- a/src/test/peer-directory_test.ts
+++ b/src/test/peer-directory_test.ts
@@ -47,6 +47,7 @@
   isDark: boolean;
   received: number;
   receivedBytes: number;
+  readonly heardFrom: Set<string>;
 }
 
 class TestFleet {
@@ -94,6 +95,7 @@
       isDark: false,
       received: 0,
       receivedBytes: 0,
+      heardFrom: new Set(),
     };
     this.nodes.set(address, node);
     directory.updateWorkers([
@@ -109,6 +111,20 @@
     }
   }
 
+  /** Lists a node in the store that answers nobody. */
+  addGone(nodeId: string): void {
+    this.entries.set(nodeId, {
+      nodeId,
+      incarnation: 1,
+      peerAddress: nodeId,
+      dataCentre: DATA_CENTRES[0]!,
+      beaconAddress: nodeId,
+      revision: 1,
+      isLeaving: false,
+      workers: [],
+    });
+  }
+
   isComplete(): boolean {
     const live = [...this.nodes.values()].filter(node => !node.isDark);
     return live.every(
@@ -132,12 +148,15 @@
         if (!node || node.isDark) return;
         node.received += 1;
         node.receivedBytes += text.length;
+        node.heardFrom.add(beacon.nodeId);
         node.directory.handleBeacon(parseBeacon(text)!);
       });
     }
   }
 }
 
+/** More than a node introduces itself to at one look. */
+const GONE = 20;
 /** Longest time that passes until a condition holds. */
 const LIMIT_MS = 30_000;
 const STEP_MS = 20;
@@ -201,6 +220,19 @@
     },
   );
 
+  it('go on to introduce themselves while the store lists nodes that are gone', async () => {
+    fleet = new TestFleet();
+    for (let index = 0; index < GONE; index++) fleet.addGone(`gone-${index}`);
+    fleet.addAll(30);
+    await waitFor('all to know all', () => fleet.isComplete());
+    await runFor(SETTLE_MS);
+    for (const node of fleet.nodes.values()) node.heardFrom.clear();
+    await runFor(SETTLE_MS);
+    for (const node of fleet.nodes.values()) {
+      expect(node.heardFrom.size).toBe(fleet.nodes.size - 1);
+    }
+  });
+
   it('hear at once of the load of workers that they choose among', async () => {
     fleet = new TestFleet();
     fleet.addAll(30);
