Let one piece serve where the change wrote a second, and look once

- sendDue gets the gates chosen among from its caller, which has just worked them out; the interval of introductions is computed in one place.
- The emulator notes loads with recordLoad and keeps the product's pause between beacons instead of copies.
- A comment said that malformed beacons are counted; they are not.

--- a/src/coordination/peer-beacons.ts
+++ b/src/coordination/peer-beacons.ts
@@ -15,7 +15,7 @@
 import type {WorkerRow} from '../state/worker-table.js';
 
 /** Least pause between two datagrams about the load. */
-const BEACON_PAUSE_MS = 60;
+export const BEACON_PAUSE_MS = 60;
 /** Longest pause between two words to a node that wants to hear of the load. */
 const LOAD_INTERVAL_MS = 500;
 /** Pause between two introductions that repeat such a wish. */
@@ -120,25 +120,22 @@
   }
 
   /** Sends what is due; to be called each `CHECK_INTERVAL_MS`. */
-  sendDue(): void {
+  sendDue(watched: ReadonlySet<string>): void {
     const now = performance.now();
-    const watched = this.listWatchedNodes();
     // The others are asked by calls until they have told who they are.
     const peers = this.options.listPeers().filter(({news}) => news);
-    const intervalMs = computeSpreadInterval(peers.length);
-    const wishMs = Math.min(WISH_INTERVAL_MS, intervalMs);
-    const toWatched = peers.filter(
-      ({name, introducedAt}) =>
-        watched.has(name.nodeId) && now - introducedAt > wishMs,
+    const isWatched = ({name}: BeaconPeer): boolean => watched.has(name.nodeId);
+    const due = peers.filter(
+      peer =>
+        now - peer.introducedAt >
+        computeIntroductionInterval(isWatched(peer), peers.length),
     );
-    const toOthers = peers
-      .filter(
-        ({name, introducedAt}) =>
-          !watched.has(name.nodeId) && now - introducedAt > intervalMs,
-      )
+    const intervalMs = computeIntroductionInterval(false, peers.length);
+    const toOthers = due
+      .filter(peer => !isWatched(peer))
       .sort((one, other) => one.introducedAt - other.introducedAt)
       .slice(0, Math.ceil((peers.length * CHECK_INTERVAL_MS) / intervalMs));
-    this.sendIntroductions([...toWatched, ...toOthers], watched);
+    this.sendIntroductions([...due.filter(isWatched), ...toOthers], watched);
     const toWanting = this.listWanting(now).filter(
       ({toldAt}) => now - toldAt > LOAD_INTERVAL_MS,
     );
@@ -200,12 +197,18 @@
   peerCount: number,
 ): number {
   if (isWatched) return LOAD_INTERVAL_MS;
-  const intervalMs = computeSpreadInterval(peerCount);
   const isChosenByIt = peer.wantsLoadUntil > performance.now();
-  return isChosenByIt ? Math.min(WISH_INTERVAL_MS, intervalMs) : intervalMs;
+  return computeIntroductionInterval(isChosenByIt, peerCount);
 }
 
-/** Pause between introductions to a node that this one does not choose. */
-function computeSpreadInterval(peerCount: number): number {
-  return Math.max(LEAST_INTERVAL_MS, peerCount * INTERVAL_PER_NODE_MS);
+/** Pause between two introductions from a node to one that it chooses or not. */
+function computeIntroductionInterval(
+  isChosen: boolean,
+  peerCount: number,
+): number {
+  const intervalMs = Math.max(
+    LEAST_INTERVAL_MS,
+    peerCount * INTERVAL_PER_NODE_MS,
+  );
+  return isChosen ? Math.min(WISH_INTERVAL_MS, intervalMs) : intervalMs;
 }
--- a/src/coordination/peer-directory-options.ts
+++ b/src/coordination/peer-directory-options.ts
@@ -31,6 +31,7 @@
   /** Sends a datagram to each address; any may be lost. */
   sendBeacon(addresses: readonly string[], beacon: LoadBeacon): void;
 }
+
 /** What a directory works with. */
 export interface PeerDirectoryOptions {
   readonly identity: NodeIdentity;
--- a/src/coordination/peer-directory.ts
+++ b/src/coordination/peer-directory.ts
@@ -349,7 +349,7 @@
       }
       this.checkSilent(peer, silentMs, intervalMs);
     }
-    this.beacons.sendDue();
+    this.beacons.sendDue(watched);
     const isLonely = answering === 0 && now - this.listedAt > LONELY_LIST_MS;
     if (isLonely && this.hasListed) void this.listAgain();
   }
--- a/src/measure/emulator/heavy-day.ts
+++ b/src/measure/emulator/heavy-day.ts
@@ -6,6 +6,7 @@
  */
 import seedrandom from 'seedrandom';
 import {SlotOutcome} from '../../coordination/concurrency-limit.js';
+import {BEACON_PAUSE_MS} from '../../coordination/peer-beacons.js';
 import {SlotAdmission} from '../../coordination/slot-admission.js';
 import type {Slot} from '../../coordination/worker-admission.js';
 import {chooseWorker} from '../../coordination/worker-choice.js';
@@ -13,8 +14,8 @@
 import {profileSchema} from '../../protocol/configuration.js';
 import type {Profile} from '../../protocol/configuration.js';
 import {toRefusal} from '../../protocol/reasons.js';
-import type {WorkerLoad} from '../../protocol/worker-load.js';
 import type {WorkerRow} from '../../state/worker-table.js';
+import {recordLoad} from '../../state/worker-table.js';
 import {VirtualClock} from './virtual-clock.js';
 
 const SERVICE = 'service';
@@ -24,8 +25,6 @@
 const MOST_RETRY_WAIT_PART = 1 / 3;
 /** Times from entry to gate and back. */
 const HOP_MS = 8;
-/** Least pause between two words of a gate about its load. */
-const NEWS_PAUSE_MS = 60;
 /** Gates that an entry asks in vain before it refuses. */
 const MOST_REFUSALS = 3;
 /** Pause between two looks at the hosts. */
@@ -187,7 +186,7 @@
   private scheduleNews(worker: EmulatedWorker): void {
     if (worker.isTelling) return;
     worker.isTelling = true;
-    const pauseMs = worker.toldAt + NEWS_PAUSE_MS - this.clock.nowMs;
+    const pauseMs = worker.toldAt + BEACON_PAUSE_MS - this.clock.nowMs;
     this.clock.schedule(() => this.sendNews(worker), Math.max(0, pauseMs));
   }
 
@@ -196,15 +195,10 @@
     worker.toldAt = this.clock.nowMs;
     const {load} = worker.admission;
     this.clock.schedule(() => {
-      for (const row of worker.rows) this.recordNews(row, load);
+      for (const row of worker.rows) recordLoad(row, load, this.clock.nowMs);
     }, HOP_MS);
   }
 
-  private recordNews(row: WorkerRow, figures: WorkerLoad): void {
-    const {inFlightHere} = row;
-    row.observed = {figures, at: this.clock.nowMs, inFlightHere};
-  }
-
   private updateHosts(): void {
     for (const worker of this.workers) {
       worker.pace = this.random() < SLOW_SHARE ? SLOW_PACE : 1;
@@ -261,12 +255,12 @@
         const slot = await this.admit(worker, kind, startedAt);
         await this.runOnWorker(worker, kind, startedAt, slot, outcome);
         await this.wait(HOP_MS);
-        this.recordNews(row, worker.admission.load);
+        recordLoad(row, worker.admission.load, this.clock.nowMs);
         return undefined;
       } catch (error) {
         retryAfterMs = toRefusal(error).retryAfterMs ?? 0;
         await this.wait(HOP_MS);
-        this.recordNews(row, worker.admission.load);
+        recordLoad(row, worker.admission.load, this.clock.nowMs);
       } finally {
         row.inFlightHere -= 1;
       }
--- a/src/protocol/peer-messages.ts
+++ b/src/protocol/peer-messages.ts
@@ -178,7 +178,7 @@
       ...(introduction ? {introduction} : {}),
     };
   } catch {
-    // Bytes of some other sender; the caller counts it.
+    // Bytes of some other sender say nothing of a node.
     return undefined;
   }
 }
--- a/src/state/worker-table.ts
+++ b/src/state/worker-table.ts
@@ -49,9 +49,13 @@
 }
 
 /** Notes load figures that came of a worker just now. */
-export function recordLoad(row: WorkerRow, figures: WorkerLoad): void {
+export function recordLoad(
+  row: WorkerRow,
+  figures: WorkerLoad,
+  now = performance.now(),
+): void {
   const {inFlightHere} = row;
-  row.observed = {figures, at: performance.now(), inFlightHere};
+  row.observed = {figures, at: now, inFlightHere};
   row.state = figures.state;
 }
 
