Tell a node that is behind, and first asks from further ones

The logs of the incident could not tell a gate whose processor is short from a lost connection, nor whether entries meet at the same gates. Counters asks.first, asks.further and their refusals tell the second; a histogram of the loop's lateness and a line at each change tell the first.

--- a/src/coordination/call.ts
+++ b/src/coordination/call.ts
@@ -23,7 +23,11 @@
 import type {WorkerRow} from '../state/worker-table.js';
 import {recordLoad} from '../state/worker-table.js';
 import type {EntryOptions, ServiceFigures} from './entry.js';
-import {findRetryCost, findStatusRetryCost} from './retry-rules.js';
+import {
+  findRetryCost,
+  findStatusRetryCost,
+  isRoomRefusal,
+} from './retry-rules.js';
 import {chooseWorker} from './worker-choice.js';
 
 const HEDGE_COST = 1;
@@ -152,6 +156,8 @@
     signal: AbortSignal,
     kind: string,
   ): Promise<AttemptAnswer> {
+    const ask = this.tried.size === 0 ? 'first' : 'further';
+    this.options.count(`asks.${ask}`);
     this.tried.add(row.target);
     const attempt: Attempt = {
       id: this.options.createAttemptId(),
@@ -179,7 +185,10 @@
     } catch (error) {
       end();
       if (signal.aborted) recordCancelled(row, performance.now() - startedAt);
-      else if (error instanceof AttemptError) recordFailedAttempt(row, error);
+      else if (error instanceof AttemptError) {
+        if (isRoomRefusal(error)) this.options.count(`asks.${ask}.refused`);
+        recordFailedAttempt(row, error);
+      }
       throw error;
     }
   }
--- a/src/coordination/retry-rules.ts
+++ b/src/coordination/retry-rules.ts
@@ -46,6 +46,11 @@
 /** Answers of an upstream after which an idempotent request is tried again. */
 const RETRIED_STATUSES: ReadonlySet<number> = new Set([500, 502, 503, 504]);
 
+/** Whether a gate refused only because it found no room. */
+export function isRoomRefusal({reason}: AttemptError): boolean {
+  return ROOM_REASONS.has(reason);
+}
+
 /** Cost of a retry after an answer of this status; undefined: no retry. */
 export function findStatusRetryCost(
   request: ServiceRequest,
--- a/src/directory-node.ts
+++ b/src/directory-node.ts
@@ -40,6 +40,7 @@
 import {createCallerServer} from './transport/caller-listener.js';
 import {GateClient} from './transport/gate-client.js';
 import {LineWriter} from './transport/line-writer.js';
+import {LoopWatch} from './transport/loop-watch.js';
 import type {LogContext} from './transport/logger.js';
 import {createLogger} from './transport/logger.js';
 import {createMetricsServer, Metrics} from './transport/metrics.js';
@@ -65,6 +66,13 @@
   private readonly identity: NodeIdentity;
   private readonly logger;
   private readonly metrics = new Metrics();
+  private readonly loopWatch = new LoopWatch({
+    record: lateMs => this.metrics.recordLoopDelay(lateMs),
+    handleChange: (isBehind, mostLateMs) => {
+      const text = isBehind ? 'node is behind' : 'node has caught up';
+      this.log(text, {mostLateMs: Math.round(mostLateMs)});
+    },
+  });
   private readonly state = new StateStore(undefined);
   private readonly workers = new WorkerTable();
   private readonly records = new KeyedRecords();
@@ -188,6 +196,7 @@
     this.moves.versions.start();
     this.follower.start();
     this.directory.start();
+    this.loopWatch.start();
     this.log('started', {incarnation: this.identity.incarnation});
   }
 
@@ -394,6 +403,7 @@
   }
 
   private async closeClients(): Promise<void> {
+    this.loopWatch.stop();
     this.moves.versions.stop();
     this.follower.stop();
     await this.gateClient.close();
--- a/src/transport/metrics.ts
+++ b/src/transport/metrics.ts
@@ -37,6 +37,13 @@
     registers: [this.registry],
   });
 
+  private readonly loopDelay = new Histogram({
+    name: 'sequoiaspool_loop_delay_seconds',
+    help: "Lateness of the node's own timers",
+    buckets: LATENCY_BOUNDS_S,
+    registers: [this.registry],
+  });
+
   constructor(private readonly sender?: MetricsSender) {}
 
   /** Adds to a counter, such as `refusals.queue-full`. */
@@ -58,6 +65,11 @@
     this.latency.observe({...labels}, elapsedMs / MS_PER_SECOND);
   }
 
+  /** Adds the lateness of one of the node's timers, in milliseconds. */
+  recordLoopDelay(lateMs: number): void {
+    this.loopDelay.observe(lateMs / MS_PER_SECOND);
+  }
+
   /** Totals since the start of the process. */
   report(): Record<string, number> {
     return Object.fromEntries([...this.totals].sort());
