Serve what a running request waits for before new work

Callers saw: lookups answered 500 or not at all, after they had held a worker for half a second.

Cause: a call that a worker makes while it runs a request was treated as any new request. It waited for a fifth of its own short target, was refused or demoted once it was late, and took its parent's whole run with it.

So a route counts as called when its requests could all be such calls.

Change: the gate keeps the deadlines of what runs, the entry marks calls, and gates serve them first and let them wait until their deadline. Order and patience move from slot-admission to wait-rules.

Ruled out: parents admitted by the room of the called service. A parent holds its slot while its call waits, so the waiting calls bound themselves.

--- a/src/coordination/call.ts
+++ b/src/coordination/call.ts
@@ -59,6 +59,7 @@
     private readonly abort: AbortController,
   ) {
     this.explainer = options.explanations.start(request);
+    if (request.isNested) this.explainer.add('nested', {});
   }
 
   /**
--- a/src/coordination/entry.ts
+++ b/src/coordination/entry.ts
@@ -14,6 +14,7 @@
 import type {StateStore} from '../state/state-store.js';
 import type {WorkerRow, WorkerTable} from '../state/worker-table.js';
 import {Call} from './call.js';
+import type {NestedCalls} from './nested-calls.js';
 import {RetryBudget, TokenBudget} from './retry-budget.js';
 
 /** Times of recent attempts, for the moment of a hedge. */
@@ -37,6 +38,8 @@
   /** Counts retries, hedges and other events by name. */
   readonly count: (name: string) => void;
   /** Whether requests of this fingerprint crash workers. */
+  /** Tells calls of running requests, see NestedCalls. */
+  readonly nestedCalls: NestedCalls;
   readonly isQuarantined: (fingerprint: string) => boolean;
   /** The workers of a service that one attempt may go to, by moves. */
   readonly selectWorkers: (
@@ -67,9 +70,10 @@
    * @throws RefusalError with a true verdict.
    */
   async handleRequest(
-    request: ServiceRequest,
+    received: ServiceRequest,
     signal: AbortSignal,
   ): Promise<ServiceAnswer> {
+    const request = this.markNested(received);
     const profile = this.options.state.findProfile(request.service);
     if (!profile) throw new RefusalError(Reason.UNKNOWN_SERVICE);
     if (this.options.isQuarantined(request.fingerprint)) {
@@ -94,6 +98,15 @@
     }
   }
 
+  private markNested(request: ServiceRequest): ServiceRequest {
+    const {route, awaitedUntil} = request;
+    if (awaitedUntil === undefined) return request;
+    const isNested = this.options.nestedCalls.observe(route, awaitedUntil);
+    if (!isNested) return request;
+    this.options.count('requests.nested');
+    return {...request, isNested};
+  }
+
   /** Retries that this entry may save up. */
   private computeBurst({retries}: Profile): number {
     const nodes = this.options.workers.listNodes().length;
--- a/src/coordination/gate.ts
+++ b/src/coordination/gate.ts
@@ -17,6 +17,7 @@
 import type {CrashQuarantine, CrashRun} from './crash-quarantine.js';
 import type {CreateAdmission, WorkerConnection} from './local-worker.js';
 import {LocalWorker} from './local-worker.js';
+import {NestedCalls} from './nested-calls.js';
 import type {Slot} from './worker-admission.js';
 
 const SERVER_ERROR = 500;
@@ -40,6 +41,8 @@
 /** The gate of one node. */
 export class Gate {
   readonly events = new Emittery<GateEvents>();
+  /** Requests that run on the workers here, and the calls they make. */
+  readonly nestedCalls = new NestedCalls();
   private readonly workers = new Map<string, LocalWorker>();
   private wasOut: boolean;
 
@@ -168,13 +171,16 @@
     run: CrashRun,
   ): Promise<AttemptAnswer> {
     let answer: AttemptAnswer;
+    const endParent = this.nestedCalls.startRun(request.deadline);
     try {
       answer = await worker.connection.sendRequest(request, signal);
     } catch (error) {
+      endParent();
       slot.release(signal.aborted ? SlotOutcome.CANCELLED : toOutcome(error));
       if (!signal.aborted) await recordLoss(worker, run, error);
       throw error;
     }
+    endParent();
     const outcome =
       answer.status >= SERVER_ERROR ? SlotOutcome.FAILURE : SlotOutcome.SUCCESS;
     const end = (): void => {
--- a/src/coordination/slot-admission.ts
+++ b/src/coordination/slot-admission.ts
@@ -20,6 +20,7 @@
 import {SlotOutcome} from './concurrency-limit.js';
 import {KneeLimit} from './knee-limit.js';
 import {RankQueue} from './rank-queue.js';
+import {WaitRules} from './wait-rules.js';
 import type {
   AdmissionRequest,
   Slot,
@@ -38,18 +39,8 @@
 
 const US_PER_MS = 1000;
 const AVERAGE_WEIGHT = 0.1;
-/** Rank added to what can no longer be answered within its target. */
-const LATE_RANK = 1_000_000;
 /** Service time assumed before the first answer. */
 const UNKNOWN_SERVICE_MS = 100;
-/** Times that a request may take as long as usual and still be in time. */
-const SERVICE_MARGIN = 1.3;
-/**
- * Part of the time to spare that is spent on waiting at one gate. A request
- * that waits for all of it runs late whenever its host is slow, and could have
- * been in time elsewhere; then its slot served nobody in time.
- */
-const WAITED_PART = 0.2;
 /** Time that a worker takes to notice that a request was cancelled. */
 const CANCELLATION_MS = 25;
 /** Age at which told figures are old while requests come. */
@@ -72,6 +63,7 @@
   private readonly queue = new RankQueue<Waiting>();
   private readonly knee: KneeLimit;
   private readonly cold: ColdRate;
+  private readonly rules = new WaitRules(route => this.computeServiceMs(route));
   private inFlight = 0;
   private serviceMs = 0;
   private failureShare = 0;
@@ -218,7 +210,9 @@
   }
 
   private isMostImportant(request: AdmissionRequest): boolean {
-    return this.queue.countAhead(this.computeRank(request, this.now())) === 0;
+    return (
+      this.queue.countAhead(this.rules.computeOrder(request, this.now())) === 0
+    );
   }
 
   /** Time at this worker in milliseconds, as far as is known. */
@@ -230,7 +224,7 @@
 
   /** Expected wait for a slot in milliseconds. */
   private computeWait(request: AdmissionRequest, now: number): number {
-    const ahead = this.queue.countAhead(this.computeRank(request, now));
+    const ahead = this.queue.countAhead(this.rules.computeOrder(request, now));
     const mean = this.serviceMs > 0 ? this.serviceMs : UNKNOWN_SERVICE_MS;
     const slotMs = ((ahead + 1) * mean) / this.knee.value;
     if (!this.cold.isCold(now)) return slotMs;
@@ -238,29 +232,9 @@
     return this.cold.computeWait(now) + (ahead * US_PER_MS) / rate;
   }
 
-  /** A wait after which an answer would come too late is refused at once. */
   private computeMostWait(request: AdmissionRequest, now: number): number {
-    const serviceMs = this.computeServiceMs(request.route);
-    const dueAt = this.isLate(request, now)
-      ? request.deadline
-      : (request.targetAt ?? request.deadline);
-    const spareMs = dueAt - now - serviceMs * SERVICE_MARGIN;
-    return Math.min(this.limits.queueWait, spareMs * WAITED_PART);
-  }
-
-  private isLate(request: AdmissionRequest, now: number): boolean {
-    const {targetAt, route} = request;
-    if (targetAt === undefined) return false;
-    return now + this.computeServiceMs(route) > targetAt;
-  }
-
-  private computeRank(
-    request: AdmissionRequest,
-    now: number,
-  ): {rank: number; dueAt: number} {
-    const {rank, targetAt, deadline} = request;
-    const late = this.isLate(request, now) ? LATE_RANK : 0;
-    return {rank: rank + late, dueAt: targetAt ?? deadline};
+    const mostMs = this.rules.computeMostWait(request, now);
+    return Math.min(this.limits.queueWait, mostMs);
   }
 
   private enqueue(
@@ -282,7 +256,7 @@
       const mostMs = this.computeMostWait(request, now);
       const entry: Waiting = {
         request,
-        ...this.computeRank(request, now),
+        ...this.rules.computeOrder(request, now),
         expiresAt: Math.min(now + mostMs, request.deadline),
         resolve: slot => {
           settle();
--- a/src/coordination/worker-admission.ts
+++ b/src/coordination/worker-admission.ts
@@ -22,6 +22,8 @@
   readonly rank: number;
   /** Time on the clock of `performance.now()` after which it is late. */
   readonly targetAt?: number;
+  /** Whether a request that holds a worker elsewhere waits for it. */
+  readonly isNested?: boolean;
 }
 
 /** Right to have one request in flight at the worker. */
--- a/src/directory-node.ts
+++ b/src/directory-node.ts
@@ -280,6 +280,7 @@
       dataCentre: this.identity.dataCentre,
       state: this.state,
       workers: this.workers,
+      nestedCalls: this.gate.nestedCalls,
       explanations: this.explanations,
       sendAttempt: (attempt, signal) => this.path.sendAttempt(attempt, signal),
       random: Math.random,
--- a/src/measure/emulator/heavy-day.ts
+++ b/src/measure/emulator/heavy-day.ts
@@ -6,6 +6,7 @@
  */
 import seedrandom from 'seedrandom';
 import {SlotOutcome} from '../../coordination/concurrency-limit.js';
+import {NestedCalls} from '../../coordination/nested-calls.js';
 import {BEACON_PAUSE_MS} from '../../coordination/peer-beacons.js';
 import {SlotAdmission} from '../../coordination/slot-admission.js';
 import type {
@@ -60,6 +61,7 @@
 }
 
 interface EmulatedNode {
+  readonly nestedCalls: NestedCalls;
   /** The workers of each service that the entry here chooses among. */
   readonly choices: Map<string, ReadonlyMap<WorkerRow, EmulatedWorker>>;
   /** Time at which its processor has done what it was given. */
@@ -101,6 +103,7 @@
     });
     this.kinds = new Map(day.kinds.map(kind => [kind.name, kind]));
     this.nodes = Array.from({length: day.nodes}, () => ({
+      nestedCalls: new NestedCalls(),
       choices: new Map<string, ReadonlyMap<WorkerRow, EmulatedWorker>>(),
       freeAt: 0,
     }));
@@ -271,6 +274,7 @@
       rank: kind.rank,
       targetAt,
       deadline,
+      isNested: node.nestedCalls.observe(kind.name, deadline),
     };
     const tried = new Set<WorkerRow>();
     let retryAfterMs = 0;
@@ -325,6 +329,7 @@
   ): Promise<boolean> {
     const {kind, deadline} = request;
     worker.running += 1;
+    const endRun = worker.node.nestedCalls.startRun(deadline);
     const isCrowded = worker.running > KNEE_PART * worker.slots;
     const spread = Math.exp(WORK_SPREAD * this.generateNormal());
     const crowding = isCrowded ? KNEE_FACTOR : 1;
@@ -333,6 +338,7 @@
     await this.wait(Math.min(runMs, Math.max(0, leftMs)));
     const isCut = runMs > leftMs;
     const hasCalls = !isCut && (await this.runCalls(worker.node, request));
+    endRun();
     worker.running -= 1;
     const isWhole = hasCalls && this.clock.nowMs <= deadline;
     if (isCut) slot.release(SlotOutcome.CANCELLED);
--- a/src/node-process.ts
+++ b/src/node-process.ts
@@ -152,6 +152,7 @@
       dataCentre: node.dataCentre,
       state: this.state,
       workers: this.workers,
+      nestedCalls: this.gate.nestedCalls,
       explanations: this.explanations,
       sendAttempt: (attempt, signal) => this.path.sendAttempt(attempt, signal),
       random: Math.random,
--- a/src/protocol/headers.ts
+++ b/src/protocol/headers.ts
@@ -30,6 +30,8 @@
 export const PEER_RETRY_AFTER = 'sequoiaspool-retry-after-ms';
 /** Signature of an upstream's answer on the way between nodes. */
 export const PEER_SIGNATURE = 'sequoiaspool-signature';
+/** Present with value 1 when a running request made the request. */
+export const NESTED = 'sequoiaspool-nested';
 /** Id of one attempt; the gate echoes it and the entry compares. */
 export const ATTEMPT_ID = 'sequoiaspool-peer-attempt-id';
 /** Node id of the entry that sends the attempt. */
--- a/src/protocol/service-request.ts
+++ b/src/protocol/service-request.ts
@@ -43,6 +43,13 @@
   readonly maxAttempts?: number;
   /** Time on the clock of `performance.now()` after which an answer is late. */
   readonly targetAt?: number;
+  /**
+   * Time on the clock of `performance.now()` until which the caller waits;
+   * absent when it did not say.
+   */
+  readonly awaitedUntil?: number;
+  /** Whether a request that holds a worker elsewhere made this one. */
+  readonly isNested?: boolean;
   /** Value of `Idempotency-Key` of a request that is not idempotent. */
   readonly key?: string;
   /** Digest of service, method, path and held body. */
--- /dev/null
+++ b/src/test/nested-calls_test.ts
@@ -0,0 +1,96 @@
+/**
+ * Calls of running requests come in where callers' requests do. A route counts
+ * as called only when its requests could all come from what runs beside the
+ * node.
+ */
+import {describe, expect, it} from 'vitest';
+import {NestedCalls} from '../coordination/nested-calls.js';
+
+const PARENT_DEADLINE = 1000;
+/** Later than any running request ends, so it must be a caller's. */
+const CALLER_DEADLINE = 2000;
+const ENOUGH = 12;
+
+interface OriginCase {
+  readonly name: string;
+  readonly before: readonly number[];
+  readonly runs: readonly number[];
+  readonly deadline: number;
+  readonly isCall: boolean;
+}
+
+function buildDeadlines(deadline: number, times: number): number[] {
+  return Array.from({length: times}, () => deadline);
+}
+
+const CASES: readonly OriginCase[] = [
+  {
+    name: 'all end before a running request',
+    before: buildDeadlines(500, ENOUGH),
+    runs: [PARENT_DEADLINE],
+    deadline: 500,
+    isCall: true,
+  },
+  {
+    name: 'all end with a running request',
+    before: buildDeadlines(PARENT_DEADLINE, ENOUGH),
+    runs: [400, PARENT_DEADLINE],
+    deadline: PARENT_DEADLINE,
+    isCall: true,
+  },
+  {
+    name: 'too few to tell',
+    before: buildDeadlines(500, ENOUGH / 2),
+    runs: [PARENT_DEADLINE],
+    deadline: 500,
+    isCall: false,
+  },
+  {
+    name: 'nothing runs',
+    before: buildDeadlines(500, ENOUGH),
+    runs: [],
+    deadline: 500,
+    isCall: false,
+  },
+  {
+    name: 'one in four is later than all that runs',
+    before: [
+      500,
+      500,
+      500,
+      CALLER_DEADLINE,
+      500,
+      500,
+      500,
+      CALLER_DEADLINE,
+    ].concat(buildDeadlines(500, 3), [CALLER_DEADLINE]),
+    runs: [PARENT_DEADLINE],
+    deadline: 500,
+    isCall: false,
+  },
+  {
+    name: 'a caller uses a route that was only called before',
+    before: buildDeadlines(500, ENOUGH),
+    runs: [PARENT_DEADLINE],
+    deadline: CALLER_DEADLINE,
+    isCall: false,
+  },
+];
+
+describe('a request', () => {
+  it.each(CASES)('$name: call $isCall', ({before, runs, deadline, isCall}) => {
+    const calls = new NestedCalls();
+    for (const run of runs) calls.startRun(run);
+    for (const earlier of before) calls.observe('route', earlier);
+    expect(calls.observe('route', deadline)).toBe(isCall);
+  });
+
+  it('is no call of a request that has ended', () => {
+    const calls = new NestedCalls();
+    const end = calls.startRun(PARENT_DEADLINE);
+    for (const earlier of buildDeadlines(500, ENOUGH))
+      calls.observe('route', earlier);
+    end();
+    expect(calls.observe('route', 500)).toBe(false);
+  });
+});
--- a/src/test/slot-admission_test.ts
+++ b/src/test/slot-admission_test.ts
@@ -33,13 +33,14 @@
     this.admission.recordProbeAnswer({status: 200});
   }
 
-  admit(rank = 1, targetMs = TARGET_MS): Promise<Slot> {
+  admit(rank = 1, targetMs = TARGET_MS, isNested = false): Promise<Slot> {
     const request = {
       caller: 'c',
       route: 'r',
       rank,
       targetAt: this.now + targetMs,
       deadline: this.now + DEADLINE_MS,
+      isNested,
     };
     return this.admission.admit(request, new AbortController().signal);
   }
@@ -124,6 +125,22 @@
     expect(order).toEqual(['in time', 'late']);
   });
 
+  // Guards against running requests that are lost with a call of theirs.
+  it('serves what a running request waits for before all new work', async () => {
+    const bench = new Bench();
+    await bench.recordTime();
+    const running = await bench.takeSlots();
+    const order: string[] = [];
+    const isNew = bench.admit(0).then(() => void order.push('new'));
+    const nested = bench
+      .admit(5, 1, true)
+      .then(() => void order.push('nested'));
+    await waitForPromises();
+    for (const slot of running) slot.release(SlotOutcome.SUCCESS);
+    await Promise.all([isNew, nested]);
+    expect(order).toEqual(['nested', 'new']);
+  });
+
   it('refuses a request at its turn that can no longer be in time', async () => {
     const bench = new Bench();
     await bench.recordTime();
--- a/src/transport/gate-client.ts
+++ b/src/transport/gate-client.ts
@@ -140,6 +140,7 @@
       headers[headerNames.PEER_TARGET] = String(targetMs);
     }
     if (request.idempotent) headers[headerNames.IDEMPOTENT] = '1';
+    if (request.isNested) headers[headerNames.NESTED] = '1';
     if (request.body.rest) headers[headerNames.STREAMED] = '1';
     if (attempt.version) headers[headerNames.SERVICE_VERSION] = attempt.version;
     if (attempt.keyHomeEpoch !== undefined) {
--- a/src/transport/peer-listener.ts
+++ b/src/transport/peer-listener.ts
@@ -179,6 +179,7 @@
       route: find(headerNames.ROUTE),
       idempotent,
       rank: Number(find(headerNames.PEER_RANK)) || 0,
+      ...(find(headerNames.NESTED) === '1' ? {isNested: true} : {}),
       ...(targetMs ? {targetAt: now + Number(targetMs)} : {}),
       ...(key && !idempotent ? {key} : {}),
       fingerprint: find(headerNames.FINGERPRINT),
--- a/src/transport/request-reader.ts
+++ b/src/transport/request-reader.ts
@@ -75,6 +75,7 @@
   const route = findPolicy(target, profile, method);
   const headers = copyEndToEndHeaders(message.headers);
   headers[REQUEST_ID] = id;
+  const isLimited = findHeader(headers, TIME_LIMIT) !== undefined;
   const timeLimitMs = readTimeLimit(headers, route.timeLimitMs, profile);
   const key = readKey(headers);
   const now = performance.now();
@@ -88,6 +89,7 @@
     headers,
     caller: readCaller(message, headers),
     deadline,
+    ...(isLimited ? {awaitedUntil: deadline} : {}),
     route: route.name,
     idempotent: route.idempotent,
     ...buildRank(target.rule, now),
