Choose the best of a few random workers, not the best of all

Callers saw: refusals although the service had room, most of all for calls to the small one.

Cause: all entries see the same figures of a gate, some 50 ms old, and each took the best of all. Everybody's next request met at that gate, and its figures said nothing of it before the next word.

--- a/src/coordination/worker-choice.ts
+++ b/src/coordination/worker-choice.ts
@@ -44,6 +44,10 @@
 const US_PER_MS = 1000;
 /** Costs that differ by less than this share count as equal. */
 const EQUAL_SHARE = 0.1;
+/** Workers that are compared for one attempt. */
+const PACED_CANDIDATES = 3;
+/** Workers that cost this many times the best are taken without another. */
+const MOST_COST_RATIO = 10;
 /** Pace assumed of a host of which nothing recent is known. */
 const UNKNOWN_PACE = 1.5;
 /** Age at which a told pace has faded to 1/e; spells last some 100 ms. */
@@ -163,25 +167,24 @@
 }
 
 /**
- * The shortest expected time at the pace last told, over all workers: nodes
- * tell each other of each change, so figures are fresh enough to compare all,
- * and a slow spell of one host is met by the others at once. Equal workers
- * are chosen among by chance, or entries would go to the same one together.
+ * The shortest expected time at the pace last told, of a few random workers.
+ * Many entries see the same figures; if each took the best of all, everybody's
+ * next request would meet at one gate while others have room.
  */
 function choosePaced(
   workers: readonly WorkerRow[],
   context: ChoiceContext,
 ): WorkerRow {
-  let best = workers[0]!;
-  let bestCost = Infinity;
-  for (const row of workers) {
-    const chance = 1 + EQUAL_SHARE * context.random();
-    const cost = computePacedCost(row, context) * chance;
-    if (cost >= bestCost) continue;
-    best = row;
-    bestCost = cost;
-  }
-  return best;
+  const costed = workers.map(row => ({
+    row,
+    cost: computePacedCost(row, context) * (1 + EQUAL_SHARE * context.random()),
+  }));
+  const least = Math.min(...costed.map(({cost}) => cost));
+  const fit = costed.filter(({cost}) => cost <= MOST_COST_RATIO * least);
+  const candidates = pickDistinct(fit, PACED_CANDIDATES, context.random);
+  let best = candidates[0]!;
+  for (const other of candidates) if (other.cost < best.cost) best = other;
+  return best.row;
 }
 
 /** Expected time at a worker in usual service times; only for comparison. */
@@ -218,13 +221,13 @@
 }
 
 /** Up to `count` distinct rows, each as likely as any other. */
-function pickDistinct(
-  rows: readonly WorkerRow[],
+function pickDistinct<Row>(
+  rows: readonly Row[],
   count: number,
   random: () => number,
-): WorkerRow[] {
+): Row[] {
   if (rows.length <= count) return [...rows];
-  const picked = new Set<WorkerRow>();
+  const picked = new Set<Row>();
   while (picked.size < count) {
     picked.add(rows[Math.floor(random() * rows.length)]!);
   }
