Ask further gates only while refusals come quickly

Cause: in a full fleet each request asked four gates, seven of eight in vain, and each question used up time on two processors. Gates on small hosts fell behind: a refusal without a wait took 14 ms in second 1 and 31 ms in second 8, gates were silent for 0.5 s and more (383 times in seconds 6 to 11).

Change: asking in vain ends after a part of the time to the target. Busy nodes refuse late, so a fleet that is short of processor asks less. What a running request waits for goes on. Eight requests, not twelve, tell a called route, for until then its calls count as new and ask less as well.

Ruled out: a fixed number of gates.

Test: asking-time_test (new).

--- a/src/coordination/call.ts
+++ b/src/coordination/call.ts
@@ -26,6 +26,7 @@
 import {
   findRetryCost,
   findStatusRetryCost,
+  hasTimeToAsk,
   isRoomRefusal,
 } from './retry-rules.js';
 import {chooseWorker} from './worker-choice.js';
@@ -46,6 +47,7 @@
 export class Call {
   private readonly tried = new Set<AttemptTarget>();
   private readonly explainer: RequestExplainer;
+  private readonly startedAt = performance.now();
   private paidAttempts = 1;
   private freeRetries = 0;
   /** Whether an attempt of this call may have run. */
@@ -205,6 +207,12 @@
   private takeRetry(refusal: RefusalError): boolean {
     if (this.isOver() || !(refusal instanceof AttemptError)) return false;
     const {paysForRefusals} = this.profile.retries;
+    const {request, startedAt} = this;
+    const isWanted =
+      paysForRefusals ||
+      !isRoomRefusal(refusal) ||
+      hasTimeToAsk(request, startedAt, performance.now());
+    if (!isWanted) return false;
     const cost = findRetryCost(this.request, refusal, paysForRefusals);
     return this.takeCost(cost, refusal.reason);
   }
--- a/src/coordination/nested-calls.ts
+++ b/src/coordination/nested-calls.ts
@@ -9,7 +9,7 @@
  */
 
 /** Requests of a route before anything is concluded. */
-const MIN_REQUESTS = 12;
+const MIN_REQUESTS = 8;
 /** Least weight of the newest request of a route. */
 const AVERAGE_WEIGHT = 0.1;
 /** Part of a route's requests that may seem to come from callers. */
--- a/src/coordination/retry-rules.ts
+++ b/src/coordination/retry-rules.ts
@@ -14,6 +14,12 @@
 const FREE = 0;
 const FULL = 1;
 
+/**
+ * Part of the time to the target that goes to asking gates in vain. Refusals
+ * come the later the busier the nodes are, and each uses up two processors.
+ */
+const ASKING_PART = 0.04;
+
 /** Refusals of a gate that found no room; its worker noticed nothing. */
 const ROOM_REASONS: ReadonlySet<Reason> = new Set<Reason>([
   'worker-cold',
@@ -46,6 +52,17 @@
 /** Answers of an upstream after which an idempotent request is tried again. */
 const RETRIED_STATUSES: ReadonlySet<number> = new Set([500, 502, 503, 504]);
 
+/** Whether a request refused for want of room may ask another gate. */
+export function hasTimeToAsk(
+  request: Pick<ServiceRequest, 'targetAt' | 'isNested'>,
+  startedAt: number,
+  now: number,
+): boolean {
+  const {targetAt, isNested} = request;
+  if (targetAt === undefined || isNested) return true;
+  return now - startedAt <= ASKING_PART * (targetAt - startedAt);
+}
+
 /** Whether a gate refused only because it found no room. */
 export function isRoomRefusal({reason}: AttemptError): boolean {
   return ROOM_REASONS.has(reason);
--- a/src/measure/emulator/heavy-day.ts
+++ b/src/measure/emulator/heavy-day.ts
@@ -8,6 +8,7 @@
 import {SlotOutcome} from '../../coordination/concurrency-limit.js';
 import {NestedCalls} from '../../coordination/nested-calls.js';
 import {BEACON_PAUSE_MS} from '../../coordination/peer-beacons.js';
+import {hasTimeToAsk} from '../../coordination/retry-rules.js';
 import {SlotAdmission} from '../../coordination/slot-admission.js';
 import type {
   AdmissionRequest,
@@ -279,6 +280,7 @@
     const tried = new Set<WorkerRow>();
     let retryAfterMs = 0;
     const choice = node.choices.get(kind.service)!;
+    const startedAt = this.clock.nowMs;
     while (tried.size <= MOST_REFUSALS && this.clock.nowMs < deadline) {
       const row = this.choose(choice, tried);
       if (!row) break;
@@ -302,6 +304,7 @@
         row.inFlightHere -= 1;
         recordLoad(row, worker.admission.load, this.clock.nowMs);
       }
+      if (!hasTimeToAsk(request, startedAt, this.clock.nowMs)) break;
     }
     return {result: 'refused', retryAfterMs};
   }
--- /dev/null
+++ b/src/test/asking-time_test.ts
@@ -0,0 +1,30 @@
+/** How long a request that finds no room is taken from gate to gate. */
+import {describe, expect, it} from 'vitest';
+import {hasTimeToAsk} from '../coordination/retry-rules.js';
+
+const STARTED_AT = 1000;
+const TARGET_MS = 500;
+
+const CASES = [
+  {name: 'refused at once', afterMs: 5, isNested: false, goesOn: true},
+  {name: 'refused by busy nodes', afterMs: 30, isNested: false, goesOn: false},
+  {
+    name: 'awaited by a running request',
+    afterMs: 30,
+    isNested: true,
+    goesOn: true,
+  },
+];
+
+describe('a request without room', () => {
+  // Guards against refusals that use up the processors of a full fleet.
+  it.each(CASES)('$name goes on: $goesOn', ({afterMs, isNested, goesOn}) => {
+    const request = {targetAt: STARTED_AT + TARGET_MS, isNested};
+    const now = STARTED_AT + afterMs;
+    expect(hasTimeToAsk(request, STARTED_AT, now)).toBe(goesOn);
+  });
+
+  it('goes on without a target', () => {
+    expect(hasTimeToAsk({}, STARTED_AT, STARTED_AT + TARGET_MS)).toBe(true);
+  });
+});
