Let the important wait longer at a full worker than the less important

Cause: rank orders only what waits, and nothing waited: a full gate refused at once, whatever the rank.

Change: where less important requests were seen lately, a request waits for up to 0.4 of its time to spare, others for 0.2 as before.

Ruled out: 0.6 and 0.8.

Test: slot-admission_test (new row, failed before).

--- a/src/coordination/slot-admission.ts
+++ b/src/coordination/slot-admission.ts
@@ -156,6 +156,7 @@
   async admit(request: AdmissionRequest, signal: AbortSignal): Promise<Slot> {
     const now = this.now();
     this.checkAble(request, now);
+    this.rules.record(request, now);
     const isNext = this.queue.length === 0 || this.isMostImportant(request);
     if (isNext && this.hasRoom(now)) return this.take(request, now);
     const waitMs = this.computeWait(request, now);
--- a/src/test/slot-admission_test.ts
+++ b/src/test/slot-admission_test.ts
@@ -125,6 +125,23 @@
     expect(order).toEqual(['in time', 'late']);
   });
 
+  // Guards against important requests that find all slots taken by others.
+  it.each([
+    {name: 'others are less important', other: 2, isRefused: false},
+    {name: 'others are as important', other: 1, isRefused: true},
+  ])('lets a request wait longer when $name', async ({other, isRefused}) => {
+    const bench = new Bench();
+    await bench.recordTime();
+    const running = await bench.takeSlots(FIRST_LIMIT - 1);
+    running.push(await bench.admit(other));
+    // A third of the time to spare would be over before a slot is expected.
+    const waiting = findOutcome(bench.admit(1, 200));
+    running[0]!.release(SlotOutcome.SUCCESS);
+    expect(await waiting).toBe(
+      isRefused ? 'queue-timeout not-run' : 'admitted',
+    );
+  });
+
   // Guards against running requests that are lost with a call of theirs.
   it('serves what a running request waits for before all new work', async () => {
     const bench = new Bench();
