--- a/src/test/endless-answer_test.ts
+++ b/src/test/endless-answer_test.ts
@@ -95,6 +95,7 @@
 afterEach(async () => {
   server?.close();
   await client?.close();
+  client = undefined;
 });
 
 /** Sends without end, as fast as the other side reads. */
