Let one piece serve where the change wrote a second

Read once more, as a newcomer would; behaviour is as before.

- The tests of endless and unframed answers take their request from the stand-in that there is (createLookup); a parameter nobody passed is gone.
- Whether a refusal for want of room may be followed by another question is decided in findRetryCost alone, where its cost is, not in the call as well.
- The end of a run is noted once, after its exchange, not on both of its ways.
- A request that waits at a gate has its longest wait computed once.
- The comment on quarantine stands beside its option again.

--- a/src/coordination/call.ts
+++ b/src/coordination/call.ts
@@ -208,12 +208,8 @@
     if (this.isOver() || !(refusal instanceof AttemptError)) return false;
     const {paysForRefusals} = this.profile.retries;
     const {request, startedAt} = this;
-    const isWanted =
-      paysForRefusals ||
-      !isRoomRefusal(refusal) ||
-      hasTimeToAsk(request, startedAt, performance.now());
-    if (!isWanted) return false;
-    const cost = findRetryCost(this.request, refusal, paysForRefusals);
+    const hasTime = hasTimeToAsk(request, startedAt, performance.now());
+    const cost = findRetryCost(request, refusal, paysForRefusals, hasTime);
     return this.takeCost(cost, refusal.reason);
   }
 
--- a/src/coordination/entry.ts
+++ b/src/coordination/entry.ts
@@ -37,9 +37,9 @@
   readonly createAttemptId: () => string;
   /** Counts retries, hedges and other events by name. */
   readonly count: (name: string) => void;
-  /** Whether requests of this fingerprint crash workers. */
   /** Tells calls of running requests, see NestedCalls. */
   readonly nestedCalls: NestedCalls;
+  /** Whether requests of this fingerprint crash workers. */
   readonly isQuarantined: (fingerprint: string) => boolean;
   /** The workers of a service that one attempt may go to, by moves. */
   readonly selectWorkers: (
--- a/src/coordination/gate.ts
+++ b/src/coordination/gate.ts
@@ -173,14 +173,14 @@
     let answer: AttemptAnswer;
     const endParent = this.nestedCalls.startRun(request.deadline);
     try {
-      answer = await worker.connection.sendRequest(request, signal);
+      answer = await worker.connection
+        .sendRequest(request, signal)
+        .finally(endParent);
     } catch (error) {
-      endParent();
       slot.release(signal.aborted ? SlotOutcome.CANCELLED : toOutcome(error));
       if (!signal.aborted) await recordLoss(worker, run, error);
       throw error;
     }
-    endParent();
     const outcome =
       answer.status >= SERVER_ERROR ? SlotOutcome.FAILURE : SlotOutcome.SUCCESS;
     const end = (): void => {
--- a/src/coordination/retry-rules.ts
+++ b/src/coordination/retry-rules.ts
@@ -77,15 +77,20 @@
   return isRetried && isResendable(request) ? FULL : undefined;
 }
 
-/** Cost of a retry after this error; undefined when it would not be safe. */
+/**
+ * Cost of a retry after this error; undefined when it would not be safe, or
+ * when a free one would come too late.
+ */
 export function findRetryCost(
   request: ServiceRequest,
   error: AttemptError,
-  paysForRefusals = true,
+  paysForRefusals: boolean,
+  hasTime: boolean,
 ): number | undefined {
   const isSafe = error.verdict === Verdict.NOT_RUN || request.idempotent;
   if (!isSafe || !isResendable(request)) return undefined;
-  const isFree = !paysForRefusals && ROOM_REASONS.has(error.reason);
+  const isFree = !paysForRefusals && isRoomRefusal(error);
+  if (isFree && !hasTime) return undefined;
   const cost = isFree ? FREE : RETRY_COSTS[error.reason];
   const isFailing = error.load?.state === WorkerState.FAILING;
   return cost === FREE && isFailing && paysForRefusals ? FULL : cost;
--- a/src/coordination/slot-admission.ts
+++ b/src/coordination/slot-admission.ts
@@ -160,10 +160,11 @@
     const isNext = this.queue.length === 0 || this.isMostImportant(request);
     if (isNext && this.hasRoom(now)) return this.take(request, now);
     const waitMs = this.computeWait(request, now);
-    if (waitMs > this.computeMostWait(request, now)) {
+    const mostMs = this.computeMostWait(request, now);
+    if (waitMs > mostMs || this.queue.length >= this.limits.queueLength) {
       throw this.buildFull(now, waitMs);
     }
-    return this.enqueue(request, signal, now);
+    return this.enqueue(request, signal, now, mostMs);
   }
 
   /** Small changes wait for the next regular word, for words cost bytes. */
@@ -242,10 +243,8 @@
     request: AdmissionRequest,
     signal: AbortSignal,
     now: number,
+    mostMs: number,
   ): Promise<Slot> {
-    if (this.queue.length >= this.limits.queueLength) {
-      throw this.buildFull(now, this.computeWait(request, now));
-    }
     return new Promise((resolve, reject) => {
       const handleAbort = (): void => {
         if (this.queue.remove(entry)) {
@@ -254,7 +253,6 @@
       };
       const settle = (): void =>
         signal.removeEventListener('abort', handleAbort);
-      const mostMs = this.computeMostWait(request, now);
       const entry: Waiting = {
         request,
         ...this.rules.computeOrder(request, now),
--- a/src/measure/emulator/heavy-day.ts
+++ b/src/measure/emulator/heavy-day.ts
@@ -261,20 +261,15 @@
   /** One try at an entry, which asks several gates if need be. */
   private async runOnce(
     node: EmulatedNode,
-    {
-      kind,
-      targetAt,
-      deadline,
-    }: {kind: EmulatedKind; targetAt: number; deadline: number},
+    sent: Pick<EmulatedRequest, 'kind' | 'targetAt' | 'deadline'>,
   ): Promise<TryOutcome> {
     await this.handleMessage(node);
+    const {kind, deadline} = sent;
     const request: EmulatedRequest = {
+      ...sent,
       caller: 'caller',
       route: kind.name,
-      kind,
       rank: kind.rank,
-      targetAt,
-      deadline,
       isNested: node.nestedCalls.observe(kind.name, deadline),
     };
     const tried = new Set<WorkerRow>();
--- a/src/test/endless-answer_test.ts
+++ b/src/test/endless-answer_test.ts
@@ -14,11 +14,11 @@
 import {profileSchema} from '../protocol/configuration.js';
 import {Reason, RefusalError} from '../protocol/reasons.js';
 import type {ServiceRequest} from '../protocol/service-request.js';
-import {EMPTY_BODY} from '../protocol/service-request.js';
 import {Explanations} from '../state/explanations.js';
 import type {WorkerRow} from '../state/worker-table.js';
 import {UpstreamClient} from '../transport/upstream-client.js';
 import {waitFor} from '../measure/wait-for.js';
+import {createLookup} from './stand-ins/lookup.js';
 
 const CONNECT_TIMEOUT_MS = 1000;
 const DEADLINE_MS = 1000;
@@ -104,10 +104,7 @@
   if (!socket.destroyed) socket.once('drain', () => sendParts(socket, part));
 }
 
-async function startClient(
-  {head, part}: Pick<EndlessCase, 'head' | 'part'>,
-  slots = 1,
-): Promise<UpstreamClient> {
+async function startClient({head, part}: EndlessCase): Promise<UpstreamClient> {
   sending = 0;
   server = createServer(socket => {
     socket.on('error', () => {});
@@ -120,25 +117,20 @@
   });
   await new Promise<void>(resolve => server!.listen(0, '127.0.0.1', resolve));
   const {port} = server.address() as AddressInfo;
-  client = new UpstreamClient(`127.0.0.1:${port}`, slots, CONNECT_TIMEOUT_MS);
+  client = new UpstreamClient(`127.0.0.1:${port}`, 1, CONNECT_TIMEOUT_MS);
   return client;
 }
 
-function buildRequest(idempotent: boolean): ServiceRequest {
-  return {
-    id: 'r1',
-    service: 'desk',
-    method: 'GET',
-    path: '/',
-    headers: {},
-    caller: 'c',
-    deadline: performance.now() + DEADLINE_MS,
-    route: 'r',
-    idempotent,
-    rank: 0,
-    fingerprint: 'f',
-    body: EMPTY_BODY,
-  };
+function createRequest(idempotent: boolean): ServiceRequest {
+  return {...createLookup(performance.now() + DEADLINE_MS), idempotent};
+}
+
+function waitForClose(): Promise<void> {
+  return waitFor(
+    'the connection to close',
+    () => sending === 0,
+    CLOSE_LIMIT_MS,
+  );
 }
 
 /** Once the outcome is known, nobody waits for the rest any more. */
@@ -151,7 +143,7 @@
     () => abort.abort(new RefusalError(Reason.DEADLINE_EXCEEDED)),
     DEADLINE_MS,
   );
-  const answer = upstream.sendRequest(buildRequest(idempotent), abort.signal);
+  const answer = upstream.sendRequest(createRequest(idempotent), abort.signal);
   const outcome = await formatOutcome(answer);
   clearTimeout(timer);
   return outcome;
@@ -172,22 +164,14 @@
     const upstream = await startClient(row);
     const outcome = await sendUntilDeadline(upstream, row.idempotent);
     expect(outcome).toMatch(row.expected);
-    await waitFor(
-      'the connection to close',
-      () => sending === 0,
-      CLOSE_LIMIT_MS,
-    );
+    await waitForClose();
   });
 
   it.each(CASES)('$name, as answer to a probe', async row => {
     const upstream = await startClient(row);
     const signal = AbortSignal.timeout(DEADLINE_MS);
     await upstream.sendProbe('/', signal).catch(() => {});
-    await waitFor(
-      'the connection to close',
-      () => sending === 0,
-      CLOSE_LIMIT_MS,
-    );
+    await waitForClose();
   });
 });
 
@@ -229,7 +213,7 @@
       selectWorkers: (service: string, rows: readonly WorkerRow[]) => rows,
     } as unknown as EntryOptions);
     const {signal} = new AbortController();
-    const answer = await entry.handleRequest(buildRequest(true), signal);
+    const answer = await entry.handleRequest(createRequest(true), signal);
     answer.body.rest!.on('error', () => {}).resume();
     await waitFor('the body to be cut', () => rest.destroyed, CLOSE_LIMIT_MS);
   });
--- a/src/test/unframed-answer_test.ts
+++ b/src/test/unframed-answer_test.ts
@@ -3,9 +3,8 @@
 import type {AddressInfo, Server, Socket} from 'node:net';
 import {afterEach, describe, expect, it} from 'vitest';
 import type {AttemptError} from '../protocol/attempt.js';
-import type {ServiceRequest} from '../protocol/service-request.js';
-import {EMPTY_BODY} from '../protocol/service-request.js';
 import {UpstreamClient} from '../transport/upstream-client.js';
+import {createLookup} from './stand-ins/lookup.js';
 
 const CONNECT_TIMEOUT_MS = 1000;
 const DEADLINE_MS = 5000;
@@ -74,34 +73,18 @@
   });
 }
 
-function buildRequest(idempotent: boolean): ServiceRequest {
-  return {
-    id: 'r1',
-    service: 'desk',
-    method: 'GET',
-    path: '/',
-    headers: {},
-    caller: 'c',
-    deadline: performance.now() + DEADLINE_MS,
-    route: 'r',
-    idempotent,
-    rank: 0,
-    fingerprint: 'f',
-    body: EMPTY_BODY,
-  };
-}
-
 describe('a body without a length', () => {
   it.each(CASES)('$name, idempotent $idempotent: $expected', async endCase => {
     const address = await startServer(endCase);
     const client = new UpstreamClient(address, 1, CONNECT_TIMEOUT_MS);
     const {signal} = new AbortController();
-    const outcome = await client
-      .sendRequest(buildRequest(endCase.idempotent), signal)
-      .then(
-        answer => answer.body.held.toString(),
-        (error: AttemptError) => `${error.reason} ${error.verdict}`,
-      );
+    const {idempotent} = endCase;
+    const lookup = createLookup(performance.now() + DEADLINE_MS);
+    const request = {...lookup, idempotent};
+    const outcome = await client.sendRequest(request, signal).then(
+      answer => answer.body.held.toString(),
+      (error: AttemptError) => `${error.reason} ${error.verdict}`,
+    );
     expect(outcome).toBe(endCase.expected);
     await client.close();
   });
