--- a/src/coordination/peer-directory.ts
+++ b/src/coordination/peer-directory.ts
@@ -24,6 +24,7 @@
 import {pickRandom} from './member-order.js';
 import type {BeaconPeer} from './peer-beacons.js';
 import type {PeerDirectoryOptions} from './peer-directory-options.js';
+import {RecordCatchUp} from './record-catch-up.js';
 import {
   CHECK_INTERVAL_MS,
   computeDatagramInterval,
@@ -50,8 +51,6 @@
 /** Maximum backoff between two exchanges with a node that does not reply. */
 const MAX_EXCHANGE_PAUSE_MS = 2000;
 const MIN_EXCHANGE_PAUSE_MS = 250;
-/** Time within which the store usually delivers a new record to all nodes. */
-const STORE_PROPAGATION_MS = 250;
 /** Minimum silence after which a node is removed; the store still lists it. */
 const MIN_REMOVAL_MS = 20_000;
 /** The same in datagram intervals, for large clusters. */
@@ -77,14 +76,14 @@
   private isLeaving = false;
   private hasListed = false;
   private checkTimer: NodeJS.Timeout | undefined;
-  private catchUpTimer: NodeJS.Timeout | undefined;
-  private isCatchingUp = false;
   private exchanges = 0;
   private listedAt = -Infinity;
 
   private readonly beacons: PeerBeacons;
+  private readonly catchUp: RecordCatchUp;
 
   constructor(private readonly options: PeerDirectoryOptions) {
+    this.catchUp = new RecordCatchUp(options);
     this.beacons = new PeerBeacons({
       describe: () => this.describe(),
       listPeers: () => [...this.peers.values()],
@@ -110,7 +109,7 @@
     this.abort.abort();
     clearInterval(this.checkTimer);
     this.beacons.stop();
-    clearTimeout(this.catchUpTimer);
+    this.catchUp.stop();
   }
 
   /** Announces to all nodes that this one accepts no more attempts. */
@@ -324,20 +323,10 @@
     }
   }
 
-  /**
-   * Checks whether another node has later records. The store usually delivers
-   * them shortly; only after that are they requested from the node.
-   */
   private checkRecords(peer: Peer, recordsEnd: number): void {
-    const {records} = this.options;
-    if (recordsEnd <= records.end || this.catchUpTimer) return;
-    this.catchUpTimer = setTimeout(() => {
-      this.catchUpTimer = undefined;
-      if (recordsEnd <= records.end) return;
-      this.options.handleLaterRecords();
-      this.isCatchingUp = true;
-      void this.sendUpdateTo(peer).then(() => (this.isCatchingUp = false));
-    }, STORE_PROPAGATION_MS);
+    this.catchUp.schedule(peer.name.nodeId, recordsEnd, () =>
+      this.sendUpdateTo(peer),
+    );
   }
 
   private recordLoads(nodeId: string, loads: readonly ServiceLoad[]): void {
@@ -427,7 +416,7 @@
       node: this.describe(),
       peers: pickRandom(names, MAX_SHARED_PEERS, random),
       recordsEnd: records.end,
-      wantsRecords: this.isCatchingUp,
+      wantsRecords: this.catchUp.wantsRecords,
       records: records.list().filter(({offset}) => offset >= recordsFrom),
       moves: listMoves(),
     };
--- /dev/null
+++ b/src/coordination/record-catch-up.ts
@@ -0,0 +1,62 @@
+/**
+ * Requests operators' records from another node that has later ones. The store
+ * usually delivers them to all nodes at about the same time, so a node waits
+ * for it before it asks.
+ */
+import type {KeyedRecords} from '../state/keyed-records.js';
+
+/** Time within which the store usually delivers a new record to all nodes. */
+const STORE_PROPAGATION_MS = 250;
+
+/** Dependencies of the catch-up of a node. */
+export interface RecordCatchUpOptions {
+  readonly records: KeyedRecords;
+  /** Called when another node has later records. */
+  readonly handleLaterRecords: () => void;
+  /** Writes a log line with its context. */
+  readonly report: (
+    text: string,
+    context: Readonly<Record<string, string | number>>,
+  ) => void;
+}
+
+/** Catches up with the records of other nodes. */
+export class RecordCatchUp {
+  private timer: NodeJS.Timeout | undefined;
+  private isRequesting = false;
+
+  constructor(private readonly options: RecordCatchUpOptions) {}
+
+  /** Whether the next update to another node is to request records. */
+  get wantsRecords(): boolean {
+    return this.isRequesting;
+  }
+
+  stop(): void {
+    clearTimeout(this.timer);
+  }
+
+  /**
+   * Schedules a request if another node still has later records after a while.
+   *
+   * @param recordsEnd end of the records of the other node.
+   * @param request exchanges updates with the other node.
+   */
+  schedule(
+    nodeId: string,
+    recordsEnd: number,
+    request: () => Promise<void>,
+  ): void {
+    const {records, handleLaterRecords, report} = this.options;
+    if (recordsEnd <= records.end || this.timer) return;
+    this.timer = setTimeout(() => {
+      this.timer = undefined;
+      if (recordsEnd <= records.end) return;
+      const context = {nodeId, recordsEnd, knownEnd: records.end};
+      report('another node has later records', context);
+      handleLaterRecords();
+      this.isRequesting = true;
+      void request().then(() => (this.isRequesting = false));
+    }, STORE_PROPAGATION_MS);
+  }
+}
