--- a/src/coordination/keyed-follower.ts
+++ b/src/coordination/keyed-follower.ts
@@ -11,6 +11,7 @@
   KeyedRecord,
   KeyedRecords,
   KeyedSnapshot,
+  RecordPosition,
 } from '../state/keyed-records.js';
 
 /** Result of one read of a topic. */
@@ -18,8 +19,8 @@
   readonly records: readonly KeyedRecord[];
   /** Offset from which to read next. */
   readonly next: number;
-  /** Offset that the next record will get. */
-  readonly end: number;
+  /** Position that the next record will get. */
+  readonly end: RecordPosition;
 }
 
 /**
@@ -67,6 +68,11 @@
   readonly random: () => number;
   /** Called when the store becomes available or unavailable. */
   readonly handleAvailability: (isAvailable: boolean, detail: string) => void;
+  /** Writes a log line with its context. */
+  readonly report: (
+    text: string,
+    context: Readonly<Record<string, string | number>>,
+  ) => void;
 }
 
 const MIN_BACKOFF_MS = 100;
@@ -79,6 +85,7 @@
   private next: number | undefined;
   private pollAbort: AbortController | undefined;
   private isAvailable = true;
+  private era: number | undefined;
 
   constructor(private readonly options: KeyedFollowerOptions) {
     this.backoff = new Backoff(MIN_BACKOFF_MS, MAX_BACKOFF_MS, options.random);
@@ -125,24 +132,43 @@
     const {topic, records, pollWaitMs} = this.options;
     if (this.next === undefined) {
       const snapshot = await topic.readNewest(signal);
+      this.recordEra(snapshot.end);
       records.applySnapshot(snapshot);
-      this.next = snapshot.end;
+      this.next = snapshot.end.offset;
       return;
     }
     const page = await topic.read(this.next, pollWaitMs, signal);
     if (!page) {
+      this.options.report('store no longer has the next records', {
+        from: this.next,
+      });
       this.next = undefined;
       await waitMs(MIN_BACKOFF_MS, signal);
       return;
     }
+    this.recordEra(page.end);
     // The store has lost records or lags behind if its end is before `next`.
-    if (page.end < this.next) this.next = undefined;
-    else {
+    if (page.end.offset < this.next) {
+      const {offset: end} = page.end;
+      this.options.report('store ends before the next record', {
+        from: this.next,
+        end,
+      });
+      this.next = undefined;
+    } else {
       records.applyRecords(page.records, page.next);
       this.next = page.next;
     }
   }
 
+  private recordEra({era, offset: end}: RecordPosition): void {
+    if (this.era !== undefined && this.era !== era) {
+      const {era: from} = this;
+      this.options.report('store was restored', {from, to: era, end});
+    }
+    this.era = era;
+  }
+
   private recordAvailability(isAvailable: boolean, detail: string): void {
     if (isAvailable) this.backoff.reset();
     if (isAvailable === this.isAvailable) return;
--- a/src/directory-node.ts
+++ b/src/directory-node.ts
@@ -190,6 +190,15 @@
       node.metricsAddress,
     );
     this.records.events.on('changed', () => this.applyRecords());
+    this.records.events.on('outdated', ({record, known}) => {
+      const {key, offset} = record;
+      this.metrics.count('operator-records.outdated');
+      this.log('operator record older than the known one', {
+        key,
+        offset,
+        known: known.offset,
+      });
+    });
     this.state.events.on('changed', () => this.reports.refresh());
     this.gate.events.on('workersChanged', () => this.updateWorkers());
     this.workers.events.on('changed', () => this.updateVersions());
@@ -239,6 +248,7 @@
         this.metrics.count(isAvailable ? 'store.back' : 'store.away');
         this.logger.write('warn', text, {detail});
       },
+      report: (text, context) => this.log(text, context),
     });
   }
 
--- a/src/state/keyed-records.ts
+++ b/src/state/keyed-records.ts
@@ -6,6 +6,13 @@
  */
 import Emittery from 'emittery';
 
+/** Place of a record, or of the end, in a topic. */
+export interface RecordPosition {
+  /** Number of times that the store was restored from an older copy. */
+  readonly era: number;
+  readonly offset: number;
+}
+
 /** One record of a keyed topic. */
 export interface KeyedRecord {
   readonly key: string;
@@ -17,13 +24,15 @@
 /** The newest record of each key and the end of the topic at that time. */
 export interface KeyedSnapshot {
   readonly records: readonly KeyedRecord[];
-  /** Offset that the next record will get. */
-  readonly end: number;
+  /** Position that the next record will get. */
+  readonly end: RecordPosition;
 }
 
 interface KeyedRecordsEvents {
   /** Keys whose value changed. */
   changed: readonly string[];
+  /** A record was not applied because a newer one of its key is known. */
+  outdated: {readonly record: KeyedRecord; readonly known: KeyedRecord};
 }
 
 /** Records of one topic. */
@@ -55,10 +64,10 @@
     const listed = new Set(records.map(({key}) => key));
     const dropped = this.list()
       .filter(({key, offset, value}) => {
-        return value !== undefined && !listed.has(key) && offset < end;
+        return value !== undefined && !listed.has(key) && offset < end.offset;
       })
-      .map(({key}) => ({key, offset: end - 1}));
-    this.applyRecords([...records, ...dropped], end);
+      .map(({key}) => ({key, offset: end.offset - 1}));
+    this.applyRecords([...records, ...dropped], end.offset);
   }
 
   /**
@@ -69,7 +78,12 @@
     const changed: string[] = [];
     for (const record of records) {
       const known = this.byKey.get(record.key);
-      if (known && known.offset >= record.offset) continue;
+      if (known && known.offset >= record.offset) {
+        if (known.value !== record.value) {
+          void this.events.emit('outdated', {record, known});
+        }
+        continue;
+      }
       this.byKey.set(record.key, record);
       if (known?.value !== record.value) changed.push(record.key);
     }
--- a/src/test/keyed-records_test.ts
+++ b/src/test/keyed-records_test.ts
@@ -31,7 +31,7 @@
       name: 'a snapshot without a key deletes it',
       steps: [
         {records: [{key: 'a', offset: 1, value: 'x'}]},
-        {snapshot: {records: [], end: 4}},
+        {snapshot: {records: [], end: {era: 0, offset: 4}}},
       ],
       values: {a: undefined},
     },
@@ -39,7 +39,7 @@
       name: 'an old snapshot does not delete newer records',
       steps: [
         {records: [{key: 'a', offset: 9, value: 'x'}]},
-        {snapshot: {records: [], end: 4}},
+        {snapshot: {records: [], end: {era: 0, offset: 4}}},
       ],
       values: {a: 'x'},
     },
@@ -99,11 +99,11 @@
 
 const FIRST: KeyedSnapshot = {
   records: [{key: 'a', offset: 0, value: '1'}],
-  end: 1,
+  end: {era: 0, offset: 1},
 };
 const LATER: KeyedSnapshot = {
   records: [{key: 'a', offset: 4, value: '2'}],
-  end: 5,
+  end: {era: 0, offset: 5},
 };
 
 interface FollowCase {
@@ -118,7 +118,13 @@
     {
       name: 'a record is appended',
       newest: [FIRST],
-      pages: [{records: [{key: 'a', offset: 1, value: '2'}], next: 2, end: 2}],
+      pages: [
+        {
+          records: [{key: 'a', offset: 1, value: '2'}],
+          next: 2,
+          end: {era: 0, offset: 2},
+        },
+      ],
     },
     {
       name: 'the next records are no longer in the store',
@@ -131,7 +137,11 @@
       pages: [
         'unavailable',
         'unavailable',
-        {records: [{key: 'a', offset: 1, value: '2'}], next: 2, end: 2},
+        {
+          records: [{key: 'a', offset: 1, value: '2'}],
+          next: 2,
+          end: {era: 0, offset: 2},
+        },
       ],
     },
     {
@@ -149,6 +159,7 @@
       pollWaitMs: 1000,
       random: () => 0,
       handleAvailability: () => {},
+      report: () => {},
     });
     follower.start();
     await waitFor('the first record', () => records.find('a') !== undefined);
