--- a/src/directory-node.ts
+++ b/src/directory-node.ts
@@ -8,8 +8,7 @@
 import {AttemptDispatcher} from './attempt-dispatcher.js';
 import {Entry} from './coordination/entry.js';
 import type {Gate} from './coordination/gate.js';
-import {KeyedFollower} from './coordination/keyed-follower.js';
-import {DesiredStateApplier} from './coordination/desired-state.js';
+import type {DesiredState} from './coordination/desired-state.js';
 import {PeerDirectory} from './coordination/peer-directory.js';
 import {RouteSplitter} from './coordination/route-split.js';
 import type {BadVersionReport} from './coordination/version-moves.js';
@@ -17,6 +16,7 @@
 import {WorkerReports} from './coordination/worker-reports.js';
 import {createDirectoryGate} from './directory-gate.js';
 import {DirectoryMoves} from './directory-moves.js';
+import {DirectoryRecords} from './directory-records.js';
 import type {NodeAdapter, NodePort} from './node-adapter.js';
 import {describeReadiness, NodeStop} from './node-stop.js';
 import type {DirectorySettings} from './protocol/directory-settings.js';
@@ -33,7 +33,6 @@
 import {AttemptRegistry} from './state/attempt-registry.js';
 import {CrashTable} from './state/crash-table.js';
 import {Explanations} from './state/explanations.js';
-import {KeyedRecords} from './state/keyed-records.js';
 import {StateStore} from './state/state-store.js';
 import type {WorkerRow} from './state/worker-table.js';
 import {WorkerTable} from './state/worker-table.js';
@@ -75,9 +74,7 @@
   });
   private readonly state = new StateStore(undefined);
   private readonly workers = new WorkerTable();
-  private readonly records = new KeyedRecords();
-  private readonly stateApplier: DesiredStateApplier;
-  private readonly follower: KeyedFollower;
+  private readonly records: DirectoryRecords;
   private readonly peers = new PeerExchange();
   private readonly directory: PeerDirectory;
   private readonly gateClient: GateClient;
@@ -114,10 +111,7 @@
     };
     this.subset = new WorkerSubset(node.id, node.dataCentre);
     this.port = this.createPort();
-    this.stateApplier = new DesiredStateApplier(this.state, (text, context) =>
-      this.log(text, context),
-    );
-    this.follower = this.createFollower();
+    this.records = this.createRecords();
     this.gateClient = new GateClient(node.id, DIRECTORY_CONNECTIONS);
     this.gate = createDirectoryGate({
       state: this.state,
@@ -189,21 +183,11 @@
       createMetricsServer(this.metrics),
       node.metricsAddress,
     );
-    this.records.events.on('changed', () => this.applyRecords());
-    this.records.events.on('outdated', ({record, known}) => {
-      const {key, offset} = record;
-      this.metrics.count('operator-records.outdated');
-      this.log('operator record older than the known one', {
-        key,
-        offset,
-        known: known.offset,
-      });
-    });
     this.state.events.on('changed', () => this.reports.refresh());
     this.gate.events.on('workersChanged', () => this.updateWorkers());
     this.workers.events.on('changed', () => this.updateVersions());
     this.moves.versions.start();
-    this.follower.start();
+    this.records.start();
     this.directory.start();
     this.loopWatch.start();
     this.log('started', {incarnation: this.identity.incarnation});
@@ -237,18 +221,17 @@
     };
   }
 
-  private createFollower(): KeyedFollower {
-    return new KeyedFollower({
+  private createRecords(): DirectoryRecords {
+    return new DirectoryRecords({
       topic: this.adapter.operatorTopic,
-      records: this.records,
       pollWaitMs: this.settings.store.pollWait,
-      random: Math.random,
-      handleAvailability: (isAvailable, detail) => {
-        const text = isAvailable ? 'store answers' : 'store is away';
-        this.metrics.count(isAvailable ? 'store.back' : 'store.away');
-        this.logger.write('warn', text, {detail});
-      },
+      state: this.state,
+      readRecords: records =>
+        this.adapter.readOperatorRecords(records, this.port),
+      handleApplied: desiredState => this.handleApplied(desiredState),
+      count: name => this.metrics.count(name),
       report: (text, context) => this.log(text, context),
+      warn: (text, context) => this.logger.write('warn', text, context),
     });
   }
 
@@ -259,7 +242,7 @@
       workers: this.workers,
       directory: this.adapter.directory,
       calls: this.peers,
-      records: this.records,
+      records: this.records.records,
       listSubset: () => this.listSubset(),
       random: Math.random,
       listLoads: () =>
@@ -269,7 +252,7 @@
         }),
       listMoves: () => this.moves.orders.listMoveUpdates(),
       handleMoves: moves => this.moves.orders.applyMoveUpdates(moves),
-      handleLaterRecords: () => this.follower.checkNow(),
+      handleLaterRecords: () => this.records.checkNow(),
       report: (text, context) => this.log(text, context),
     });
   }
@@ -372,13 +355,8 @@
     this.logger.write('info', 'refused', context);
   }
 
-  private applyRecords(): void {
-    const desiredState = this.adapter.readOperatorRecords(
-      this.records.list(),
-      this.port,
-    );
-    this.stateApplier.apply(desiredState);
-    this.moves.orders.applyOrders(desiredState.moveOrders);
+  private handleApplied({moveOrders}: DesiredState): void {
+    this.moves.orders.applyOrders(moveOrders);
     const {callerLimits} = this.state;
     if (!callerLimits) return;
     const {idleTimeout, headerTimeout} = callerLimits;
@@ -417,7 +395,7 @@
   private async closeClients(): Promise<void> {
     this.loopWatch.stop();
     this.moves.versions.stop();
-    this.follower.stop();
+    this.records.stop();
     await this.gateClient.close();
     await this.gate.close();
     this.peers.close();
--- /dev/null
+++ b/src/directory-records.ts
@@ -0,0 +1,84 @@
+/**
+ * Wires what a node with a peer directory does with operators' records: follows
+ * them in the platform's store and applies the desired state that an adapter
+ * reads from them.
+ */
+import type {DesiredState} from './coordination/desired-state.js';
+import {DesiredStateApplier} from './coordination/desired-state.js';
+import type {KeyedTopic} from './coordination/keyed-follower.js';
+import {KeyedFollower} from './coordination/keyed-follower.js';
+import type {KeyedRecord} from './state/keyed-records.js';
+import {KeyedRecords} from './state/keyed-records.js';
+import type {StateStore} from './state/state-store.js';
+
+/** Dependencies of a node's operator records. */
+export interface DirectoryRecordsOptions {
+  readonly topic: KeyedTopic;
+  /** Maximum time that one read waits for a new record, in milliseconds. */
+  readonly pollWaitMs: number;
+  readonly state: StateStore;
+  readonly readRecords: (records: readonly KeyedRecord[]) => DesiredState;
+  /** Called with each desired state after it was applied to `state`. */
+  readonly handleApplied: (desiredState: DesiredState) => void;
+  readonly count: (name: string) => void;
+  /** Writes a log line with its context. */
+  readonly report: (
+    text: string,
+    context: Readonly<Record<string, string | number>>,
+  ) => void;
+  readonly warn: (text: string, context: {readonly detail: string}) => void;
+}
+
+/** Operators' records as known to one node. */
+export class DirectoryRecords {
+  readonly records = new KeyedRecords();
+  private readonly follower: KeyedFollower;
+  private readonly applier: DesiredStateApplier;
+
+  constructor(private readonly options: DirectoryRecordsOptions) {
+    const {topic, pollWaitMs, state, report} = options;
+    this.applier = new DesiredStateApplier(state, report);
+    this.follower = new KeyedFollower({
+      topic,
+      records: this.records,
+      pollWaitMs,
+      random: Math.random,
+      handleAvailability: (isAvailable, detail) => {
+        options.count(isAvailable ? 'store.back' : 'store.away');
+        options.warn(isAvailable ? 'store answers' : 'store is away', {detail});
+      },
+      report,
+    });
+    this.records.events.on('changed', () => this.applyRecords());
+    this.records.events.on('outdated', ({record, known}) => {
+      const {key, offset} = record;
+      options.count('operator-records.outdated');
+      report('operator record older than the known one', {
+        key,
+        offset,
+        known: known.offset,
+      });
+    });
+  }
+
+  /** Starts reading the records in the background. */
+  start(): void {
+    this.follower.start();
+  }
+
+  stop(): void {
+    this.follower.stop();
+  }
+
+  /** Reads the newest records at once, because another node has later ones. */
+  checkNow(): void {
+    this.follower.checkNow();
+  }
+
+  private applyRecords(): void {
+    const {readRecords, handleApplied} = this.options;
+    const desiredState = readRecords(this.records.list());
+    this.applier.apply(desiredState);
+    handleApplied(desiredState);
+  }
+}
