Read the store beside polls that may be silent

Cause: a node learnt of changes by one long poll, which only its own time limit of 16 s ended. All nodes poll again after each record, so all wait on silent connections at once and no beacon names later records. Change: the last answer of the store has an age, which beacons carry. A read that finds other records than the poll delivered ends the poll, and all nodes are told at once. While the store is unavailable, reads don't wait.

--- a/src/coordination/keyed-follower.ts
+++ b/src/coordination/keyed-follower.ts
@@ -4,7 +4,8 @@
  * records again when the store no longer has the next ones, or has lost records
  * that this node has read. A known record is never replaced by an older one.
  * While the store is unavailable, other nodes may have newer records: a node
- * that learns of a later end offset checks the store at once.
+ * that learns of a later end offset checks the store at once. A poll whose
+ * connection went silent is found by a read beside it.
  */
 import {Backoff, waitMs} from '../protocol/backoff.js';
 import type {
@@ -66,6 +67,10 @@
   /** Maximum time that one read waits for a new record, in milliseconds. */
   readonly pollWaitMs: number;
   readonly random: () => number;
+  /** Called after each answer that shows what the store holds. */
+  readonly handleAnswer: () => void;
+  /** Called when a check found records that the poll had not delivered. */
+  readonly handleSilentPoll: () => void;
   /** Called when the store becomes available or unavailable. */
   readonly handleAvailability: (isAvailable: boolean, detail: string) => void;
   /** Writes a log line with its context. */
@@ -109,6 +114,33 @@
     this.pollAbort?.abort();
   }
 
+  /**
+   * Reads the topic beside the poll in progress. If the store has other records
+   * than the poll has delivered, the poll's connection is silent; the records
+   * are then read again at once.
+   */
+  async checkPoll(): Promise<void> {
+    const {topic, records, handleAnswer, handleSilentPoll} = this.options;
+    const {next, pollAbort} = this;
+    // While the store is unavailable, reads do not wait and need no check.
+    if (next === undefined || !this.isAvailable) return;
+    try {
+      const page = await topic.read(next, 0, this.abort.signal);
+      if (this.next !== next) return;
+      if (page?.end.offset === next) {
+        handleAnswer();
+        return;
+      }
+      if (page && page.end.offset > next) {
+        records.applyRecords(page.records, page.next);
+      }
+      pollAbort?.abort();
+      handleSilentPoll();
+    } catch (error) {
+      if (!(error instanceof StoreUnavailableError)) throw error;
+    }
+  }
+
   private async run(): Promise<void> {
     while (!this.abort.signal.aborted) {
       const pollAbort = new AbortController();
@@ -135,9 +167,11 @@
       this.recordEra(snapshot.end);
       records.applySnapshot(snapshot);
       this.next = snapshot.end.offset;
+      this.options.handleAnswer();
       return;
     }
-    const page = await topic.read(this.next, pollWaitMs, signal);
+    const timeoutMs = this.isAvailable ? pollWaitMs : 0;
+    const page = await topic.read(this.next, timeoutMs, signal);
     if (!page) {
       this.options.report('store no longer has the next records', {
         from: this.next,
@@ -158,6 +192,7 @@
     } else {
       records.applyRecords(page.records, page.next);
       this.next = page.next;
+      this.options.handleAnswer();
     }
   }
 
--- a/src/coordination/peer-beacons.ts
+++ b/src/coordination/peer-beacons.ts
@@ -56,6 +56,8 @@
   readonly listSubset: () => readonly WorkerRow[];
   readonly listLoads: () => readonly ServiceLoad[];
   readonly findRecordsEnd: () => number;
+  /** Returns the age of the store's last answer in milliseconds. */
+  readonly findRecordsAge: () => number;
   readonly send: (addresses: readonly string[], beacon: LoadBeacon) => void;
 }
 
@@ -185,12 +187,13 @@
   }
 
   private buildBeacon({nodeId, incarnation, revision}: NodeInfo): LoadBeacon {
-    const {listLoads, findRecordsEnd} = this.options;
+    const {listLoads, findRecordsEnd, findRecordsAge} = this.options;
     return {
       nodeId,
       incarnation,
       revision,
       recordsEnd: findRecordsEnd(),
+      recordsAgeMs: Math.round(findRecordsAge()),
       loads: listLoads(),
     };
   }
--- a/src/coordination/peer-directory-options.ts
+++ b/src/coordination/peer-directory-options.ts
@@ -12,6 +12,7 @@
 } from '../protocol/peer-messages.js';
 import type {KeyedRecords} from '../state/keyed-records.js';
 import type {WorkerRow, WorkerTable} from '../state/worker-table.js';
+import type {StoreFreshness} from './store-freshness.js';
 
 /** The list of nodes in the platform's store. */
 export interface NodeDirectory {
@@ -48,6 +49,7 @@
   readonly directory: NodeDirectory;
   readonly calls: PeerCalls;
   readonly records: KeyedRecords;
+  readonly freshness: StoreFreshness;
   /** Returns the workers in the current subset of this node's entry. */
   readonly listSubset: () => readonly WorkerRow[];
   readonly random: () => number;
--- a/src/coordination/peer-directory.ts
+++ b/src/coordination/peer-directory.ts
@@ -90,6 +90,7 @@
       listSubset: options.listSubset,
       listLoads: options.listLoads,
       findRecordsEnd: () => options.records.end,
+      findRecordsAge: () => options.freshness.ageMs,
       send: (addresses, beacon) => options.calls.sendBeacon(addresses, beacon),
     });
   }
@@ -143,6 +144,11 @@
     this.beacons.schedule();
   }
 
+  /** Announces records that the polls of other nodes may not deliver. */
+  announceRecords(): void {
+    this.beacons.sendChangedDescription();
+  }
+
   /** Applies another node's update and returns this node's own. */
   handleUpdate(update: PeerUpdate): PeerUpdate {
     this.applyUpdate(update);
@@ -162,6 +168,9 @@
     if (!peer || peer.name.incarnation > beacon.incarnation) return;
     this.recordContact(peer);
     this.checkRecords(peer, beacon.recordsEnd);
+    if (beacon.recordsEnd === this.options.records.end) {
+      this.options.freshness.recordAnswer(beacon.recordsAgeMs);
+    }
     if (!isKnown) {
       void this.sendUpdateTo(peer);
       return;
@@ -340,6 +349,7 @@
     const now = performance.now();
     const subsetNodeIds = this.beacons.listSubsetNodeIds();
     let answering = 0;
+    let preceding = 0;
     for (const peer of this.peers.values()) {
       const isInSubset = subsetNodeIds.has(peer.name.nodeId);
       const intervalMs = computeDatagramInterval(
@@ -350,10 +360,12 @@
       const silentMs = now - peer.lastHeardAt;
       if (silentMs < MAX_SILENT_INTERVALS * intervalMs && peer.info) {
         answering += 1;
+        if (peer.name.nodeId < this.options.identity.nodeId) preceding += 1;
         continue;
       }
       this.checkSilent(peer, silentMs, intervalMs);
     }
+    this.options.freshness.setPrecedingCount(preceding);
     this.beacons.sendDue(subsetNodeIds);
     const isIsolated =
       answering === 0 && now - this.listedAt > RELIST_INTERVAL_MS;
--- a/src/directory-node.ts
+++ b/src/directory-node.ts
@@ -226,6 +226,7 @@
       topic: this.adapter.operatorTopic,
       pollWaitMs: this.settings.store.pollWait,
       state: this.state,
+      handleSilentPoll: () => this.directory.announceRecords(),
       readRecords: records =>
         this.adapter.readOperatorRecords(records, this.port),
       handleApplied: desiredState => this.handleApplied(desiredState),
@@ -243,6 +244,7 @@
       directory: this.adapter.directory,
       calls: this.peers,
       records: this.records.records,
+      freshness: this.records.freshness,
       listSubset: () => this.listSubset(),
       random: Math.random,
       listLoads: () =>
--- a/src/directory-records.ts
+++ b/src/directory-records.ts
@@ -7,6 +7,7 @@
 import {DesiredStateApplier} from './coordination/desired-state.js';
 import type {KeyedTopic} from './coordination/keyed-follower.js';
 import {KeyedFollower} from './coordination/keyed-follower.js';
+import {StoreFreshness} from './coordination/store-freshness.js';
 import type {KeyedRecord} from './state/keyed-records.js';
 import {KeyedRecords} from './state/keyed-records.js';
 import type {StateStore} from './state/state-store.js';
@@ -20,6 +21,8 @@
   readonly readRecords: (records: readonly KeyedRecord[]) => DesiredState;
   /** Called with each desired state after it was applied to `state`. */
   readonly handleApplied: (desiredState: DesiredState) => void;
+  /** Called with records that the polls of other nodes may not deliver. */
+  readonly handleSilentPoll: () => void;
   readonly count: (name: string) => void;
   /** Writes a log line with its context. */
   readonly report: (
@@ -32,6 +35,7 @@
 /** Operators' records as known to one node. */
 export class DirectoryRecords {
   readonly records = new KeyedRecords();
+  readonly freshness: StoreFreshness;
   private readonly follower: KeyedFollower;
   private readonly applier: DesiredStateApplier;
 
@@ -43,12 +47,19 @@
       records: this.records,
       pollWaitMs,
       random: Math.random,
+      handleAnswer: () => this.freshness.recordAnswer(),
+      handleSilentPoll: () => {
+        options.count('store.silent-polls');
+        report('poll of the store was silent', {end: this.records.end});
+        options.handleSilentPoll();
+      },
       handleAvailability: (isAvailable, detail) => {
         options.count(isAvailable ? 'store.back' : 'store.away');
         options.warn(isAvailable ? 'store answers' : 'store is away', {detail});
       },
       report,
     });
+    this.freshness = new StoreFreshness(() => this.follower.checkPoll());
     this.records.events.on('changed', () => this.applyRecords());
     this.records.events.on('outdated', ({record, known}) => {
       const {key, offset} = record;
@@ -64,9 +75,11 @@
   /** Starts reading the records in the background. */
   start(): void {
     this.follower.start();
+    this.freshness.start();
   }
 
   stop(): void {
+    this.freshness.stop();
     this.follower.stop();
   }
 
--- a/src/protocol/peer-messages.ts
+++ b/src/protocol/peer-messages.ts
@@ -90,6 +90,11 @@
   readonly revision: number;
   /** Offset after the last of the operators' records that the sender has. */
   readonly recordsEnd: number;
+  /**
+   * Milliseconds since the store is known to have had no later records; infinite
+   * if the sender has had no answer of the store.
+   */
+  readonly recordsAgeMs: number;
   readonly loads: readonly ServiceLoad[];
   /** Present in periodic datagrams, absent in those that report load only. */
   readonly introduction?: Introduction;
@@ -109,11 +114,13 @@
 const LOAD_SEPARATOR = '=';
 const INTRODUCTION_PREFIX = '@';
 const WORKER_PREFIX = '+';
+const AGE_PREFIX = '~';
 const FLAG_SET = '1';
 
 /** Formats a load datagram as a line of fields, which is cheaper than JSON. */
 export function formatBeacon(beacon: LoadBeacon): string {
-  const {nodeId, incarnation, revision, recordsEnd, loads} = beacon;
+  const {nodeId, incarnation, revision, recordsEnd, recordsAgeMs, loads} =
+    beacon;
   const fields = loads.map(
     ({service, load}) =>
       `${encodeURIComponent(service)}${LOAD_SEPARATOR}${formatWorkerLoad(load)}`,
@@ -123,6 +130,7 @@
     incarnation,
     revision,
     recordsEnd,
+    `${AGE_PREFIX}${recordsAgeMs}`,
     ...fields,
     ...formatIntroduction(beacon.introduction),
   ].join(FIELD_SEPARATOR);
@@ -178,6 +186,7 @@
       incarnation,
       revision,
       recordsEnd,
+      recordsAgeMs: parseAge(fields),
       loads: fields.flatMap(parseServiceLoad),
       ...(introduction ? {introduction} : {}),
     };
@@ -187,6 +196,13 @@
   }
 }
 
+/** Parses the age of the records; infinite if it is missing or malformed. */
+function parseAge(fields: readonly string[]): number {
+  const field = fields.find(one => one.startsWith(AGE_PREFIX));
+  const ageMs = Number(field?.slice(AGE_PREFIX.length) || NaN);
+  return ageMs >= 0 ? ageMs : Infinity;
+}
+
 function parseServiceLoad(field: string): ServiceLoad[] {
   const at = field.indexOf(LOAD_SEPARATOR);
   if (at <= 0) return [];
--- a/src/test/keyed-records_test.ts
+++ b/src/test/keyed-records_test.ts
@@ -106,6 +106,29 @@
   end: {era: 0, offset: 5},
 };
 
+/** What a follower told its node. */
+interface FollowerEvents {
+  answers: number;
+  silentPolls: number;
+}
+
+function createFollower(
+  topic: KeyedTopic,
+  records: KeyedRecords,
+  events: FollowerEvents = {answers: 0, silentPolls: 0},
+): KeyedFollower {
+  return new KeyedFollower({
+    topic,
+    records,
+    pollWaitMs: 1000,
+    random: () => 0,
+    handleAnswer: () => (events.answers += 1),
+    handleSilentPoll: () => (events.silentPolls += 1),
+    handleAvailability: () => {},
+    report: () => {},
+  });
+}
+
 interface FollowCase {
   readonly name: string;
   readonly newest: KeyedSnapshot[];
@@ -153,14 +176,8 @@
   ];
   it.each(cases)('$name: the newest record is known', async row => {
     const records = new KeyedRecords();
-    const follower = new KeyedFollower({
-      topic: new ScriptedTopic([...row.newest], [...row.pages]),
-      records,
-      pollWaitMs: 1000,
-      random: () => 0,
-      handleAvailability: () => {},
-      report: () => {},
-    });
+    const topic = new ScriptedTopic([...row.newest], [...row.pages]);
+    const follower = createFollower(topic, records);
     follower.start();
     await waitFor('the first record', () => records.find('a') !== undefined);
     if (row.checksNow) {
@@ -171,3 +188,55 @@
     follower.stop();
   });
 });
+
+describe('a check beside a poll on a silent connection', () => {
+  const cases = [
+    {
+      name: 'takes later records and repeats the poll',
+      newest: [FIRST, LATER],
+      check: {
+        records: [{key: 'a', offset: 1, value: '2'}],
+        next: 2,
+        end: {era: 0, offset: 2},
+      },
+      value: '2',
+      events: {answers: 2, silentPolls: 1},
+    },
+    {
+      name: 'reads the newest records when the next ones are gone',
+      newest: [FIRST, LATER],
+      check: undefined,
+      value: '2',
+      events: {answers: 2, silentPolls: 1},
+    },
+    {
+      name: 'confirms the known records',
+      newest: [FIRST],
+      check: {records: [], next: 1, end: {era: 0, offset: 1}},
+      value: '1',
+      events: {answers: 2, silentPolls: 0},
+    },
+    {
+      name: 'leaves the poll as it is when the store does not answer',
+      newest: [FIRST],
+      check: 'unavailable' as const,
+      value: '1',
+      events: {answers: 1, silentPolls: 0},
+    },
+  ];
+  // Guards against a node that misses records until its poll times out.
+  it.each(cases)('$name', async ({newest, check, value, events}) => {
+    const records = new KeyedRecords();
+    const seen = {answers: 0, silentPolls: 0};
+    const topic = new ScriptedTopic([...newest], ['silent', check]);
+    const follower = createFollower(topic, records, seen);
+    follower.start();
+    await waitFor('the first answer', () => seen.answers === 1);
+    await new Promise(resolve => setImmediate(resolve));
+    await follower.checkPoll();
+    await waitFor('the newest', () => records.find('a')?.value === value);
+    await waitFor('all answers', () => seen.answers === events.answers);
+    expect(seen).toEqual(events);
+    follower.stop();
+  });
+});
--- a/src/test/peer-directory_test.ts
+++ b/src/test/peer-directory_test.ts
@@ -7,6 +7,7 @@
  */
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
 import {PeerDirectory} from '../coordination/peer-directory.js';
+import {StoreFreshness} from '../coordination/store-freshness.js';
 import {WorkerSubset} from '../coordination/worker-subset.js';
 import type {
   LoadBeacon,
@@ -37,6 +38,10 @@
 const MEASUREMENT_MS = 12_000;
 /** Exceeds the lifetime of load subscriptions to gates of an initial subset. */
 const SETTLE_MS = 5000;
+/** The platform excuses stale nodes for so long after connections go silent. */
+const MAX_STORE_AGE_MS = 3000;
+/** Reads of the whole cluster: a few hundred in a day of 45 s at most. */
+const MAX_STORE_READS_PER_SECOND = 5;
 /** Initial exchanges of a node, and those that other nodes start with it. */
 const MAX_CALLS_PER_NODE = 12;
 
@@ -44,6 +49,9 @@
   readonly directory: PeerDirectory;
   readonly workers: WorkerTable;
   readonly records: KeyedRecords;
+  readonly freshness: StoreFreshness;
+  /** Whether the store answers this node. */
+  isServedByStore: boolean;
   load: WorkerLoad;
   isUnresponsive: boolean;
   received: number;
@@ -55,11 +63,16 @@
   readonly nodes = new Map<string, TestNode>();
   readonly entries = new Map<string, NodeInfo>();
   calls = 0;
+  storeReads = 0;
 
   add(nodeId: string, dataCentre: string, incarnation = 1): TestNode {
     const workers = new WorkerTable();
     const records = new KeyedRecords();
     const subset = new WorkerSubset(nodeId, dataCentre);
+    const freshness = new StoreFreshness(async () => {
+      this.storeReads += 1;
+      if (node.isServedByStore) freshness.recordAnswer();
+    });
     const address = nodeId;
     const directory = new PeerDirectory({
       identity: {
@@ -80,6 +93,7 @@
         sendBeacon: (to, beacon) => this.sendBeacon(to, beacon),
       },
       records,
+      freshness,
       listSubset: () => subset.select(workers.listWorkers(SERVICE)),
       random: Math.random,
       listLoads: () => [{service: SERVICE, load: node.load}],
@@ -92,6 +106,8 @@
       directory,
       workers,
       records,
+      freshness,
+      isServedByStore: true,
       load: IDLE,
       isUnresponsive: false,
       received: 0,
@@ -103,6 +119,7 @@
       {service: SERVICE, version: 'v1', slots: 6, state: 'ready'},
     ]);
     directory.start();
+    freshness.start();
     return node;
   }
 
@@ -182,7 +199,10 @@
 });
 
 afterEach(() => {
-  for (const {directory} of fleet.nodes.values()) directory.stop();
+  for (const {directory, freshness} of fleet.nodes.values()) {
+    directory.stop();
+    freshness.stop();
+  }
   vi.useRealTimers();
 });
 
@@ -226,6 +246,42 @@
     },
   );
 
+  // Guards against nodes that all wait on polls gone silent: one reads the store
+  // for the others, and the next takes its place when it is not served.
+  it.each([
+    {size: 11, refused: 0},
+    {size: 11, refused: 3},
+    {size: 73, refused: 0},
+    {size: 73, refused: 3},
+  ])(
+    '$size know the state of the store while it serves all but $refused',
+    async ({size, refused}) => {
+      fleet = new TestFleet();
+      fleet.addAll(size);
+      await waitFor('all nodes to know all workers', () => fleet.isComplete());
+      const nodeIds = [...fleet.nodes.keys()].sort();
+      for (const nodeId of nodeIds.slice(0, refused)) {
+        fleet.nodes.get(nodeId)!.isServedByStore = false;
+      }
+      await runFor(SETTLE_MS);
+      fleet.storeReads = 0;
+      let maxAgeMs = 0;
+      for (
+        let elapsedMs = 0;
+        elapsedMs < MEASUREMENT_MS;
+        elapsedMs += STEP_MS
+      ) {
+        await runFor(STEP_MS);
+        for (const {freshness} of fleet.nodes.values()) {
+          maxAgeMs = Math.max(maxAgeMs, freshness.ageMs);
+        }
+      }
+      expect(maxAgeMs).toBeLessThan(MAX_STORE_AGE_MS);
+      const readsPerSecond = (fleet.storeReads * 1000) / MEASUREMENT_MS;
+      expect(readsPerSecond).toBeLessThan(MAX_STORE_READS_PER_SECOND);
+    },
+  );
+
   it('keep introducing themselves while the store has stale entries', async () => {
     fleet = new TestFleet();
     for (let index = 0; index < STALE_ENTRY_COUNT; index++)
--- a/src/test/peer-messages_test.ts
+++ b/src/test/peer-messages_test.ts
@@ -8,6 +8,7 @@
   incarnation: 7,
   revision: 3,
   recordsEnd: 12,
+  recordsAgeMs: 340,
   loads: [
     {
       service: 'kona=desk|1',
@@ -48,6 +49,10 @@
 describe('a datagram', () => {
   it.each([
     {name: 'of load', beacon: BEACON},
+    {
+      name: 'of a node without an answer of the store',
+      beacon: {...BEACON, recordsAgeMs: Infinity},
+    },
     {name: 'without load', beacon: {...BEACON, loads: []}},
     {name: 'of introduction', beacon: BEACON_WITH_INTRODUCTION},
   ])('$name arrives whole', ({beacon}) => {
