Compare records by the era of the store before their offsets

Cause: which of two offsets is later can't be told without the era they were given in. What nodes tell each other compared offsets, too.

A position is now the era and the offset, in records, ends and between nodes (recordsEra, and a field of the datagram; absent is era 0). A read whose answer is of another era than its offset is not applied, the newest records are read instead; an answer of an earlier era counts as none. A record that the restored store lacks is kept for 20 s, so that a data centre that is out doesn't come back until its record is written again; it goes if it isn't.

--- a/src/coordination/keyed-follower.ts
+++ b/src/coordination/keyed-follower.ts
@@ -2,7 +2,8 @@
  * Follows a keyed topic in the platform's store: reads the newest record of
  * each key first, then the records appended after them. It reads the newest
  * records again when the store no longer has the next ones, or has lost records
- * that this node has read. A known record is never replaced by an older one.
+ * that this node has read. Offsets are valid only in the era of the store in
+ * which they were read. A known record is never replaced by an older one.
  * While the store is unavailable, other nodes may have newer records: a node
  * that learns of a later end offset checks the store at once.
  */
@@ -11,14 +12,14 @@
   KeyedRecord,
   KeyedRecords,
   KeyedSnapshot,
-  RecordPosition,
 } from '../state/keyed-records.js';
+import type {RecordPosition} from '../protocol/record-position.js';
 
 /** Result of one read of a topic. */
 export interface KeyedPage {
   readonly records: readonly KeyedRecord[];
-  /** Offset from which to read next. */
-  readonly next: number;
+  /** Position from which to read next. */
+  readonly next: RecordPosition;
   /** Position that the next record will get. */
   readonly end: RecordPosition;
 }
@@ -82,10 +83,9 @@
 export class KeyedFollower {
   private readonly abort = new AbortController();
   private readonly backoff: Backoff;
-  private next: number | undefined;
+  private next: RecordPosition | undefined;
   private pollAbort: AbortController | undefined;
   private isAvailable = true;
-  private era: number | undefined;
 
   constructor(private readonly options: KeyedFollowerOptions) {
     this.backoff = new Backoff(MIN_BACKOFF_MS, MAX_BACKOFF_MS, options.random);
@@ -132,43 +132,40 @@
     const {topic, records, pollWaitMs} = this.options;
     if (this.next === undefined) {
       const snapshot = await topic.readNewest(signal);
-      this.recordEra(snapshot.end);
+      if (snapshot.end.era < records.end.era) {
+        throw new StoreUnavailableError('store answered from an earlier era');
+      }
       records.applySnapshot(snapshot);
-      this.next = snapshot.end.offset;
+      records.expireLost();
+      this.next = snapshot.end;
       return;
     }
-    const page = await topic.read(this.next, pollWaitMs, signal);
+    const {next} = this;
+    const page = await topic.read(next.offset, pollWaitMs, signal);
     if (!page) {
       this.options.report('store no longer has the next records', {
-        from: this.next,
+        from: next.offset,
       });
       this.next = undefined;
       await waitMs(MIN_BACKOFF_MS, signal);
       return;
     }
-    this.recordEra(page.end);
-    // The store has lost records or lags behind if its end is before `next`.
-    if (page.end.offset < this.next) {
-      const {offset: end} = page.end;
-      this.options.report('store ends before the next record', {
-        from: this.next,
+    // The store was restored, or lags behind if its end is before `next`.
+    if (page.end.era !== next.era || page.end.offset < next.offset) {
+      const {era, offset: end} = page.end;
+      this.options.report('store lacks the next record', {
+        from: next.offset,
+        era,
         end,
       });
       this.next = undefined;
     } else {
       records.applyRecords(page.records, page.next);
+      records.expireLost();
       this.next = page.next;
     }
   }
 
-  private recordEra({era, offset: end}: RecordPosition): void {
-    if (this.era !== undefined && this.era !== era) {
-      const {era: from} = this;
-      this.options.report('store was restored', {from, to: era, end});
-    }
-    this.era = era;
-  }
-
   private recordAvailability(isAvailable: boolean, detail: string): void {
     if (isAvailable) this.backoff.reset();
     if (isAvailable === this.isAvailable) return;
--- a/src/coordination/peer-beacons.ts
+++ b/src/coordination/peer-beacons.ts
@@ -12,6 +12,7 @@
   NodeInfo,
   ServiceLoad,
 } from '../protocol/peer-messages.js';
+import type {RecordPosition} from '../protocol/record-position.js';
 import type {WorkerRow} from '../state/worker-table.js';
 
 /** Minimum interval between two load datagrams. */
@@ -55,7 +56,7 @@
   /** Returns the workers in the current subset of this node's entry. */
   readonly listSubset: () => readonly WorkerRow[];
   readonly listLoads: () => readonly ServiceLoad[];
-  readonly findRecordsEnd: () => number;
+  readonly findRecordsEnd: () => RecordPosition;
   readonly send: (addresses: readonly string[], beacon: LoadBeacon) => void;
 }
 
--- a/src/coordination/peer-directory.ts
+++ b/src/coordination/peer-directory.ts
@@ -10,6 +10,7 @@
  * or does not reply.
  */
 import {Backoff} from '../protocol/backoff.js';
+import {findRecordsEnd} from '../protocol/peer-messages.js';
 import type {
   Introduction,
   LoadBeacon,
@@ -18,6 +19,8 @@
   PeerUpdate,
   ServiceLoad,
 } from '../protocol/peer-messages.js';
+import type {RecordPosition} from '../protocol/record-position.js';
+import {comparePositions} from '../protocol/record-position.js';
 import type {WorkerDescription} from '../state/worker-table.js';
 import {recordLoad} from '../state/worker-table.js';
 import {StoreUnavailableError} from './keyed-follower.js';
@@ -148,7 +151,7 @@
   handleUpdate(update: PeerUpdate): PeerUpdate {
     this.applyUpdate(update);
     return this.buildUpdate(
-      update.wantsRecords ? update.recordsEnd : undefined,
+      update.wantsRecords ? findRecordsEnd(update) : undefined,
     );
   }
 
@@ -280,11 +283,12 @@
     const peer = this.recordNodeInfo(update.node);
     if (!peer) return;
     for (const name of update.peers) this.addPeer(name);
+    const recordsEnd = findRecordsEnd(update);
     if (update.records.length > 0) {
-      records.applyRecords(update.records, update.recordsEnd);
+      records.applyRecords(update.records, recordsEnd);
     }
     if (update.moves.length > 0) handleMoves(update.moves);
-    this.checkRecords(peer, update.recordsEnd);
+    this.checkRecords(peer, recordsEnd);
   }
 
   /** Records a node's description; returns undefined for an older process. */
@@ -328,12 +332,14 @@
    * Checks whether another node has later records. The store usually delivers
    * them shortly; only after that are they requested from the node.
    */
-  private checkRecords(peer: Peer, recordsEnd: number): void {
+  private checkRecords(peer: Peer, recordsEnd: RecordPosition): void {
     const {records} = this.options;
-    if (recordsEnd <= records.end || this.catchUpTimer) return;
+    const isLater = (): boolean =>
+      comparePositions(recordsEnd, records.end) > 0;
+    if (!isLater() || this.catchUpTimer) return;
     this.catchUpTimer = setTimeout(() => {
       this.catchUpTimer = undefined;
-      if (recordsEnd <= records.end) return;
+      if (!isLater()) return;
       this.options.handleLaterRecords();
       this.isCatchingUp = true;
       void this.sendUpdateTo(peer).then(() => (this.isCatchingUp = false));
@@ -412,8 +418,8 @@
     };
   }
 
-  /** Builds an update; it carries the records from an offset on, if given. */
-  private buildUpdate(recordsFrom = Infinity): PeerUpdate {
+  /** Builds an update; it carries the records from a position on, if given. */
+  private buildUpdate(recordsFrom?: RecordPosition): PeerUpdate {
     const {records, listMoves, random} = this.options;
     const now = performance.now();
     // Without the silence limit, nodes would name a dead node forever.
@@ -426,9 +432,10 @@
     return {
       node: this.describe(),
       peers: pickRandom(names, MAX_SHARED_PEERS, random),
-      recordsEnd: records.end,
+      recordsEnd: records.end.offset,
+      recordsEra: records.end.era,
       wantsRecords: this.isCatchingUp,
-      records: records.list().filter(({offset}) => offset >= recordsFrom),
+      records: recordsFrom ? records.listSince(recordsFrom) : [],
       moves: listMoves(),
     };
   }
--- a/src/directory-records.ts
+++ b/src/directory-records.ts
@@ -50,13 +50,24 @@
       report,
     });
     this.records.events.on('changed', () => this.applyRecords());
+    this.records.events.on('restored', ({from, to}) => {
+      options.count('store.restored');
+      report('store was restored', {
+        fromEra: from.era,
+        fromEnd: from.offset,
+        era: to.era,
+        end: to.offset,
+      });
+    });
     this.records.events.on('outdated', ({record, known}) => {
-      const {key, offset} = record;
+      const {key, era, offset} = record;
       options.count('operator-records.outdated');
       report('operator record older than the known one', {
         key,
+        era,
         offset,
-        known: known.offset,
+        knownEra: known.era,
+        knownOffset: known.offset,
       });
     });
   }
--- a/src/protocol/peer-messages.ts
+++ b/src/protocol/peer-messages.ts
@@ -4,10 +4,13 @@
  * records that the receiver may lack. The types are derived from the schemas.
  */
 import * as z from 'zod';
+import type {RecordPosition} from './record-position.js';
 import type {WorkerLoad} from './worker-load.js';
 import {formatWorkerLoad, parseWorkerLoad, WorkerState} from './worker-load.js';
 
 const offsetSchema = z.int().min(0);
+/** Era of the store; absent in messages of nodes that know of none. */
+const eraSchema = z.int().min(0).default(0);
 
 const peerSchema = z.object({
   nodeId: z.string().min(1).max(128),
@@ -55,12 +58,15 @@
   peers: z.array(peerSchema),
   /** Offset after the last of the operators' records that the sender has. */
   recordsEnd: offsetSchema,
+  /** Era of the store in which `recordsEnd` is valid. */
+  recordsEra: eraSchema,
   /** Whether the reply is to contain the records from `recordsEnd` on. */
   wantsRecords: z.boolean(),
   /** Records that the receiver requested. */
   records: z.array(
     z.object({
       key: z.string(),
+      era: eraSchema,
       offset: offsetSchema,
       value: z.string().optional(),
     }),
@@ -73,6 +79,14 @@
 export type MoveUpdate = z.output<typeof moveUpdateSchema>;
 export type PeerUpdate = z.output<typeof peerUpdateSchema>;
 
+/** Returns the position after the last record that an update's sender has. */
+export function findRecordsEnd({
+  recordsEra: era,
+  recordsEnd: offset,
+}: PeerUpdate): RecordPosition {
+  return {era, offset};
+}
+
 /** Load of the worker of a service. */
 export interface ServiceLoad {
   readonly service: string;
@@ -88,8 +102,8 @@
    * requests the description.
    */
   readonly revision: number;
-  /** Offset after the last of the operators' records that the sender has. */
-  readonly recordsEnd: number;
+  /** Position after the last of the operators' records that the sender has. */
+  readonly recordsEnd: RecordPosition;
   readonly loads: readonly ServiceLoad[];
   /** Present in periodic datagrams, absent in those that report load only. */
   readonly introduction?: Introduction;
@@ -109,6 +123,7 @@
 const LOAD_SEPARATOR = '=';
 const INTRODUCTION_PREFIX = '@';
 const WORKER_PREFIX = '+';
+const ERA_PREFIX = '~';
 const FLAG_SET = '1';
 
 /** Formats a load datagram as a line of fields, which is cheaper than JSON. */
@@ -122,12 +137,18 @@
     encodeURIComponent(nodeId),
     incarnation,
     revision,
-    recordsEnd,
+    recordsEnd.offset,
+    ...formatEra(recordsEnd),
     ...fields,
     ...formatIntroduction(beacon.introduction),
   ].join(FIELD_SEPARATOR);
 }
 
+/** Formats an era; the first one has no field. */
+function formatEra({era}: RecordPosition): string[] {
+  return era === 0 ? [] : [`${ERA_PREFIX}${era}`];
+}
+
 function formatIntroduction(introduction: Introduction | undefined): string[] {
   if (!introduction) return [];
   const {node, wantsLoad, wantsReply} = introduction;
@@ -160,11 +181,7 @@
   const isReadable =
     name && rest.length >= 3 && numbers.every(Number.isSafeInteger);
   if (!isReadable) return undefined;
-  const [incarnation, revision, recordsEnd] = numbers as [
-    number,
-    number,
-    number,
-  ];
+  const [incarnation, revision, offset] = numbers as [number, number, number];
   try {
     const fields = rest.slice(3);
     const nodeId = decodeURIComponent(name);
@@ -177,7 +194,7 @@
       nodeId,
       incarnation,
       revision,
-      recordsEnd,
+      recordsEnd: {era: parseEra(fields), offset},
       loads: fields.flatMap(parseServiceLoad),
       ...(introduction ? {introduction} : {}),
     };
@@ -187,6 +204,12 @@
   }
 }
 
+/** @throws when the field is malformed. */
+function parseEra(fields: readonly string[]): number {
+  const field = fields.find(one => one.startsWith(ERA_PREFIX));
+  return eraSchema.parse(field && Number(field.slice(ERA_PREFIX.length)));
+}
+
 function parseServiceLoad(field: string): ServiceLoad[] {
   const at = field.indexOf(LOAD_SEPARATOR);
   if (at <= 0) return [];
--- a/src/state/keyed-records.ts
+++ b/src/state/keyed-records.ts
@@ -1,22 +1,19 @@
 /**
  * The newest record of each key of a topic, as known to one node. Records
  * arrive from the store and from other nodes, possibly late and in any order.
- * Only the offset decides which one is newer, so a record is never replaced by
- * an older one.
+ * Only their positions decide which one is newer, so a record is never replaced
+ * by an older one. A store that comes back from an older copy begins an era and
+ * gives offsets out again; so positions compare by era first. It lists what
+ * writers wrote again, but may not yet list all that it lost: records of
+ * earlier eras are kept for a while unless the store holds newer ones.
  */
 import Emittery from 'emittery';
-
-/** Place of a record, or of the end, in a topic. */
-export interface RecordPosition {
-  /** Number of times that the store was restored from an older copy. */
-  readonly era: number;
-  readonly offset: number;
-}
+import type {RecordPosition} from '../protocol/record-position.js';
+import {comparePositions} from '../protocol/record-position.js';
 
 /** One record of a keyed topic. */
-export interface KeyedRecord {
+export interface KeyedRecord extends RecordPosition {
   readonly key: string;
-  readonly offset: number;
   /** Undefined when the key was deleted. */
   readonly value?: string;
 }
@@ -33,17 +30,27 @@
   changed: readonly string[];
   /** A record was not applied because a newer one of its key is known. */
   outdated: {readonly record: KeyedRecord; readonly known: KeyedRecord};
+  /** The store was restored; the end known before and the one afterwards. */
+  restored: {readonly from: RecordPosition; readonly to: RecordPosition};
 }
 
+/** Time for writers to write again what a restored store has lost. */
+const REWRITE_TIME_MS = 20_000;
+const START: RecordPosition = {era: 0, offset: 0};
+
 /** Records of one topic. */
 export class KeyedRecords {
   readonly events = new Emittery<KeyedRecordsEvents>();
   private readonly byKey = new Map<string, KeyedRecord>();
-  private known = 0;
+  private known: RecordPosition | undefined;
+  private restoredAt = -Infinity;
 
-  /** Returns the offset before which all records are known. */
-  get end(): number {
-    return this.known;
+  /** @param now monotonic time in milliseconds */
+  constructor(private readonly now = () => performance.now()) {}
+
+  /** Returns the position before which all records are known. */
+  get end(): RecordPosition {
+    return this.known ?? START;
   }
 
   /** Returns the newest record of a key, or undefined if there is none. */
@@ -56,29 +63,39 @@
     return [...this.byKey.values()];
   }
 
+  /** Lists the newest records that are at a position or after it. */
+  listSince(position: RecordPosition): KeyedRecord[] {
+    return this.list().filter(
+      record => comparePositions(record, position) >= 0,
+    );
+  }
+
   /**
    * Applies a snapshot. Known keys that are missing from it were deleted before
-   * its end, unless their known record is newer.
+   * its end, unless their known record is newer or of an earlier era.
    */
   applySnapshot({records, end}: KeyedSnapshot): void {
     const listed = new Set(records.map(({key}) => key));
     const dropped = this.list()
-      .filter(({key, offset, value}) => {
-        return value !== undefined && !listed.has(key) && offset < end.offset;
+      .filter(({key, era, offset, value}) => {
+        const isBeforeEnd = era === end.era && offset < end.offset;
+        return value !== undefined && !listed.has(key) && isBeforeEnd;
       })
-      .map(({key}) => ({key, offset: end.offset - 1}));
-    this.applyRecords([...records, ...dropped], end.offset);
+      .map(({key}) => ({key, era: end.era, offset: end.offset - 1}));
+    this.applyRecords([...records, ...dropped], end);
   }
 
   /**
-   * Applies records in any order. If `end` is given, all records before it are
-   * known afterwards.
+   * Applies records in any order; all records before `end` are known
+   * afterwards.
    */
-  applyRecords(records: readonly KeyedRecord[], end?: number): void {
+  applyRecords(records: readonly KeyedRecord[], end: RecordPosition): void {
+    this.recordEnd(end);
     const changed: string[] = [];
     for (const record of records) {
       const known = this.byKey.get(record.key);
-      if (known && known.offset >= record.offset) {
+      if (record.era < this.end.era) continue;
+      if (known && comparePositions(known, record) >= 0) {
         if (known.value !== record.value) {
           void this.events.emit('outdated', {record, known});
         }
@@ -87,7 +104,31 @@
       this.byKey.set(record.key, record);
       if (known?.value !== record.value) changed.push(record.key);
     }
-    this.known = Math.max(this.known, end ?? 0);
     if (changed.length > 0) void this.events.emit('changed', changed);
   }
+
+  /**
+   * Drops what writers have not written again since the store was restored.
+   * Called after a read that found no further records.
+   */
+  expireLost(): void {
+    if (this.now() - this.restoredAt < REWRITE_TIME_MS) return;
+    const lost = this.list().filter(({era}) => era < this.end.era);
+    for (const {key} of lost) this.byKey.delete(key);
+    const changed = lost.filter(({value}) => value !== undefined);
+    if (changed.length === 0) return;
+    void this.events.emit(
+      'changed',
+      changed.map(({key}) => key),
+    );
+  }
+
+  private recordEnd(end: RecordPosition): void {
+    const {known: from} = this;
+    if (from && comparePositions(from, end) >= 0) return;
+    this.known = end;
+    if (!from || from.era === end.era) return;
+    this.restoredAt = this.now();
+    void this.events.emit('restored', {from, to: end});
+  }
 }
--- a/src/test/keyed-records_test.ts
+++ b/src/test/keyed-records_test.ts
@@ -1,4 +1,7 @@
-/** A known operator record is never replaced by an older one. */
+/**
+ * A known operator record is never replaced by an older one, also when a store
+ * that was restored from an older copy gives offsets out again.
+ */
 import {describe, expect, it} from 'vitest';
 import type {KeyedPage, KeyedTopic} from '../coordination/keyed-follower.js';
 import {
@@ -7,12 +10,20 @@
 } from '../coordination/keyed-follower.js';
 import {waitFor} from '../measure/wait-for.js';
 import type {KeyedRecord, KeyedSnapshot} from '../state/keyed-records.js';
+import type {RecordPosition} from '../protocol/record-position.js';
 import {KeyedRecords} from '../state/keyed-records.js';
 
+const START: RecordPosition = {era: 0, offset: 0};
+const RESTORED: RecordPosition = {era: 1, offset: 4};
+/** Time that the records of earlier eras are kept. */
+const REWRITE_TIME_MS = 20_000;
+
 interface StepCase {
   readonly name: string;
   readonly steps: ReadonlyArray<
-    {records: KeyedRecord[]; end?: number} | {snapshot: KeyedSnapshot}
+    | {records: KeyedRecord[]; end?: RecordPosition}
+    | {snapshot: KeyedSnapshot}
+    | {elapsedMs: number}
   >;
   readonly values: Record<string, string | undefined>;
 }
@@ -22,15 +33,15 @@
     {
       name: 'the later offset wins in any order',
       steps: [
-        {records: [{key: 'a', offset: 5, value: 'new'}]},
-        {records: [{key: 'a', offset: 3, value: 'old'}]},
+        {records: [{key: 'a', era: 0, offset: 5, value: 'new'}]},
+        {records: [{key: 'a', era: 0, offset: 3, value: 'old'}]},
       ],
       values: {a: 'new'},
     },
     {
       name: 'a snapshot without a key deletes it',
       steps: [
-        {records: [{key: 'a', offset: 1, value: 'x'}]},
+        {records: [{key: 'a', era: 0, offset: 1, value: 'x'}]},
         {snapshot: {records: [], end: {era: 0, offset: 4}}},
       ],
       values: {a: undefined},
@@ -38,7 +49,7 @@
     {
       name: 'an old snapshot does not delete newer records',
       steps: [
-        {records: [{key: 'a', offset: 9, value: 'x'}]},
+        {records: [{key: 'a', era: 0, offset: 9, value: 'x'}]},
         {snapshot: {records: [], end: {era: 0, offset: 4}}},
       ],
       values: {a: 'x'},
@@ -46,17 +57,109 @@
     {
       name: 'an older record does not restore a deleted key',
       steps: [
-        {records: [{key: 'a', offset: 7}]},
-        {records: [{key: 'a', offset: 6, value: 'x'}]},
+        {records: [{key: 'a', era: 0, offset: 7}]},
+        {records: [{key: 'a', era: 0, offset: 6, value: 'x'}]},
+      ],
+      values: {a: undefined},
+    },
+    {
+      name: 'a later era wins over a higher offset',
+      steps: [
+        {records: [{key: 'a', era: 0, offset: 5, value: 'lost'}]},
+        {records: [{key: 'a', era: 1, offset: 3, value: 'new'}], end: RESTORED},
+        {records: [{key: 'a', era: 0, offset: 9, value: 'late'}]},
+      ],
+      values: {a: 'new'},
+    },
+    {
+      name: 'an offset that is given out again has a new record',
+      steps: [
+        {records: [{key: 'a', era: 0, offset: 3, value: 'lost'}]},
+        {records: [{key: 'a', era: 1, offset: 3, value: 'new'}], end: RESTORED},
+      ],
+      values: {a: 'new'},
+    },
+    {
+      name: 'a snapshot of an earlier era changes nothing',
+      steps: [
+        {records: [{key: 'a', era: 1, offset: 3, value: 'new'}], end: RESTORED},
+        {
+          snapshot: {
+            records: [{key: 'b', era: 0, offset: 7, value: 'lost'}],
+            end: {era: 0, offset: 9},
+          },
+        },
+      ],
+      values: {a: 'new', b: undefined},
+    },
+    {
+      name: 'a record that is lost for a moment stays until it is written again',
+      steps: [
+        {records: [{key: 'a', era: 0, offset: 5, value: 'lost'}]},
+        {snapshot: {records: [], end: RESTORED}},
+        {elapsedMs: REWRITE_TIME_MS - 1},
+      ],
+      values: {a: 'lost'},
+    },
+    {
+      name: 'a record that is not written again goes in the end',
+      steps: [
+        {records: [{key: 'a', era: 0, offset: 5, value: 'lost'}]},
+        {snapshot: {records: [], end: RESTORED}},
+        {elapsedMs: REWRITE_TIME_MS},
+      ],
+      values: {a: undefined},
+    },
+    {
+      name: 'a record that is written again stays',
+      steps: [
+        {records: [{key: 'a', era: 0, offset: 5, value: 'lost'}]},
+        {snapshot: {records: [], end: RESTORED}},
+        {
+          records: [{key: 'a', era: 1, offset: 4, value: 'lost'}],
+          end: {era: 1, offset: 5},
+        },
+        {elapsedMs: REWRITE_TIME_MS},
+      ],
+      values: {a: 'lost'},
+    },
+    {
+      name: 'a record that is deleted after the restore goes at once',
+      steps: [
+        {records: [{key: 'a', era: 0, offset: 5, value: 'lost'}]},
+        {snapshot: {records: [], end: RESTORED}},
+        {records: [{key: 'a', era: 1, offset: 4}], end: {era: 1, offset: 5}},
+      ],
+      values: {a: undefined},
+    },
+    {
+      name: 'a second restore gives writers their time anew',
+      steps: [
+        {records: [{key: 'a', era: 0, offset: 5, value: 'lost'}]},
+        {snapshot: {records: [], end: RESTORED}},
+        {elapsedMs: REWRITE_TIME_MS - 1},
+        {snapshot: {records: [], end: {era: 2, offset: 1}}},
+        {elapsedMs: REWRITE_TIME_MS - 1},
+      ],
+      values: {a: 'lost'},
+    },
+    {
+      name: 'a snapshot of the era still deletes what the era had',
+      steps: [
+        {records: [{key: 'a', era: 1, offset: 1, value: 'x'}], end: RESTORED},
+        {snapshot: {records: [], end: RESTORED}},
       ],
       values: {a: undefined},
     },
   ];
   it.each(cases)('$name', ({steps, values}) => {
-    const records = new KeyedRecords();
+    let now = 0;
+    const records = new KeyedRecords(() => now);
     for (const step of steps) {
       if ('snapshot' in step) records.applySnapshot(step.snapshot);
-      else records.applyRecords(step.records, step.end);
+      else if ('elapsedMs' in step) now += step.elapsedMs;
+      else records.applyRecords(step.records, step.end ?? START);
+      records.expireLost();
     }
     for (const [key, value] of Object.entries(values)) {
       expect(records.find(key)?.value).toBe(value);
@@ -98,14 +201,26 @@
 }
 
 const FIRST: KeyedSnapshot = {
-  records: [{key: 'a', offset: 0, value: '1'}],
+  records: [{key: 'a', era: 0, offset: 0, value: '1'}],
   end: {era: 0, offset: 1},
 };
 const LATER: KeyedSnapshot = {
-  records: [{key: 'a', offset: 4, value: '2'}],
+  records: [{key: 'a', era: 0, offset: 4, value: '2'}],
   end: {era: 0, offset: 5},
 };
 
+/** After a restore: the new record has an offset that was read before. */
+const REWRITTEN: KeyedSnapshot = {
+  records: [{key: 'a', era: 2, offset: 0, value: '2'}],
+  end: {era: 2, offset: 1},
+};
+
+/** After an earlier restore. */
+const RESTORED_COPY: KeyedSnapshot = {
+  records: [{key: 'a', era: 1, offset: 0, value: '0'}],
+  end: {era: 1, offset: 1},
+};
+
 interface FollowCase {
   readonly name: string;
   readonly newest: KeyedSnapshot[];
@@ -120,8 +235,8 @@
       newest: [FIRST],
       pages: [
         {
-          records: [{key: 'a', offset: 1, value: '2'}],
-          next: 2,
+          records: [{key: 'a', era: 0, offset: 1, value: '2'}],
+          next: {era: 0, offset: 2},
           end: {era: 0, offset: 2},
         },
       ],
@@ -138,8 +253,8 @@
         'unavailable',
         'unavailable',
         {
-          records: [{key: 'a', offset: 1, value: '2'}],
-          next: 2,
+          records: [{key: 'a', era: 0, offset: 1, value: '2'}],
+          next: {era: 0, offset: 2},
           end: {era: 0, offset: 2},
         },
       ],
@@ -150,6 +265,38 @@
       pages: ['silent'],
       checksNow: true,
     },
+    {
+      name: 'the store was restored and lacks the next offset',
+      newest: [FIRST, REWRITTEN],
+      pages: [undefined],
+    },
+    {
+      name: 'a read from before a restore gets records of reused offsets',
+      newest: [FIRST, REWRITTEN],
+      pages: [
+        {
+          records: [{key: 'b', era: 2, offset: 1, value: 'x'}],
+          next: {era: 2, offset: 2},
+          end: {era: 2, offset: 2},
+        },
+      ],
+    },
+    {
+      name: 'a read from before a restore gets no record',
+      newest: [FIRST, REWRITTEN],
+      pages: [
+        {
+          records: [],
+          next: {era: 2, offset: 1},
+          end: {era: 2, offset: 1},
+        },
+      ],
+    },
+    {
+      name: 'an answer of an earlier era comes late',
+      newest: [FIRST, RESTORED_COPY, FIRST, REWRITTEN],
+      pages: [undefined, undefined],
+    },
   ];
   it.each(cases)('$name: the newest record is known', async row => {
     const records = new KeyedRecords();
--- a/src/test/peer-directory_test.ts
+++ b/src/test/peer-directory_test.ts
@@ -286,6 +286,29 @@
   });
 });
 
+describe('operator records after the store was restored', () => {
+  // Guards against a node that holds the records of an earlier era for newer
+  // ones, because their offsets are higher.
+  it('reach a node that the store does not answer from the others', async () => {
+    fleet = new TestFleet();
+    fleet.addAll(3);
+    await waitFor('all nodes to know all workers', () => fleet.isComplete());
+    const [first, ...others] = [...fleet.nodes.values()];
+    const key = 'config';
+    for (const {records} of fleet.nodes.values()) {
+      const end = {era: 0, offset: 9};
+      records.applyRecords([{key, era: 0, offset: 8, value: 'lost'}], end);
+    }
+    const end = {era: 1, offset: 4};
+    first!.records.applyRecords([{key, era: 1, offset: 3, value: 'new'}], end);
+    await waitFor('the others to have the new record', () =>
+      others.every(({records}) => records.find(key)?.value === 'new'),
+    );
+    expect(first!.records.end).toEqual(end);
+    for (const {records} of others) expect(records.end).toEqual(end);
+  });
+});
+
 describe('the worker subset of an entry', () => {
   const cases = [
     {name: 'all workers of a small cluster', size: 10, inSubset: 10, near: 4},
--- a/src/test/peer-messages_test.ts
+++ b/src/test/peer-messages_test.ts
@@ -7,7 +7,7 @@
   nodeId: 'node|1,@=+',
   incarnation: 7,
   revision: 3,
-  recordsEnd: 12,
+  recordsEnd: {era: 0, offset: 12},
   loads: [
     {
       service: 'kona=desk|1',
@@ -50,6 +50,10 @@
     {name: 'of load', beacon: BEACON},
     {name: 'without load', beacon: {...BEACON, loads: []}},
     {name: 'of introduction', beacon: BEACON_WITH_INTRODUCTION},
+    {
+      name: 'of a restored store',
+      beacon: {...BEACON, recordsEnd: {era: 3, offset: 2}},
+    },
   ])('$name arrives whole', ({beacon}) => {
     expect(parseBeacon(formatBeacon(beacon))).toEqual(beacon);
   });
@@ -59,6 +63,7 @@
     {name: 'no numbers', text: 'node|a|b|c'},
     {name: 'too short', text: 'node|1|2'},
     {name: 'bad encoding', text: '%E0%A4%A|1|2|3'},
+    {name: 'a malformed era', text: 'node|1|2|3|~x'},
     {name: 'an introduction without fields', text: 'node|1|2|3|@'},
     {name: 'a worker without slots', text: 'node|1|2|3|@a,b:1,c:1,,,|+s,v'},
   ])('that is $name is left out', ({text}) => {
