Write a node's list entry again when a restored store has lost it

A node that started in the seconds that a restored store has lost stood in the node list no more, so nodes that started later couldn't find it by the list, and two that started together might not find each other.

Cause: the entry was written once, at the start. Each node now looks for its entry when the store's era is later than the one in which the entry was last seen, spread over 5 s, and writes it only if it is missing: one read for each node of 73, and no more writes than lost entries.

--- a/src/coordination/peer-directory-options.ts
+++ b/src/coordination/peer-directory-options.ts
@@ -18,15 +18,22 @@
   /**
    * Writes this node's entry, replacing an earlier one of the same id.
    *
+   * @returns the era of the store in which it was written.
    * @throws StoreUnavailableError
    */
-  announce(entry: NodeInfo): Promise<void>;
+  announce(entry: NodeInfo): Promise<number>;
   /**
    * Lists the entries of all nodes.
    *
    * @throws StoreUnavailableError
    */
-  list(): Promise<NodeInfo[]>;
+  list(): Promise<NodeList>;
+}
+
+/** Entries of all nodes and the era of the store in which they were read. */
+export interface NodeList {
+  readonly era: number;
+  readonly entries: readonly NodeInfo[];
 }
 
 /** Calls to other nodes. */
--- a/src/coordination/peer-directory.ts
+++ b/src/coordination/peer-directory.ts
@@ -9,7 +9,6 @@
  * routing only, not safety: a gate that gets an attempt by mistake refuses it
  * or does not reply.
  */
-import {Backoff} from '../protocol/backoff.js';
 import {findRecordsEnd} from '../protocol/peer-messages.js';
 import type {
   Introduction,
@@ -23,8 +22,8 @@
 import {comparePositions} from '../protocol/record-position.js';
 import type {WorkerDescription} from '../state/worker-table.js';
 import {recordLoad} from '../state/worker-table.js';
-import {StoreUnavailableError} from './keyed-follower.js';
 import {pickRandom} from './member-order.js';
+import {NodeListing} from './node-listing.js';
 import type {BeaconPeer} from './peer-beacons.js';
 import type {PeerDirectoryOptions} from './peer-directory-options.js';
 import {
@@ -63,8 +62,6 @@
 const LEAVING_REMOVAL_MS = 3000;
 /** Minimum interval between two reads of the list while no node answers. */
 const RELIST_INTERVAL_MS = 1000;
-const MIN_BACKOFF_MS = 200;
-const MAX_BACKOFF_MS = 1000;
 
 /** Maximum silence of the nodes that are named to others. */
 const MAX_SHARED_SILENCE_MS = 1400;
@@ -74,20 +71,28 @@
 /** Directory of the other nodes, as known to one node. */
 export class PeerDirectory {
   private readonly peers = new Map<string, Peer>();
-  private readonly abort = new AbortController();
   private localWorkers: readonly WorkerDescription[] = [];
   private revision = 1;
   private isLeaving = false;
-  private hasListed = false;
   private checkTimer: NodeJS.Timeout | undefined;
   private catchUpTimer: NodeJS.Timeout | undefined;
   private isCatchingUp = false;
   private exchanges = 0;
-  private listedAt = -Infinity;
 
+  private readonly listing: NodeListing;
   private readonly beacons: PeerBeacons;
 
   constructor(private readonly options: PeerDirectoryOptions) {
+    this.listing = new NodeListing({
+      directory: options.directory,
+      describe: () => this.describe(),
+      handleEntries: entries => {
+        for (const entry of entries) this.addListedNode(entry);
+      },
+      findEra: () => options.records.end.era,
+      random: options.random,
+      report: options.report,
+    });
     this.beacons = new PeerBeacons({
       describe: () => this.describe(),
       listPeers: () => [...this.peers.values()],
@@ -100,17 +105,18 @@
 
   /** Whether the store's list was read or another node described itself. */
   get hasJoined(): boolean {
-    return this.hasListed || [...this.peers.values()].some(peer => peer.info);
+    const {hasListed} = this.listing;
+    return hasListed || [...this.peers.values()].some(peer => peer.info);
   }
 
   /** Registers in the store and contacts the nodes that it lists. */
   start(): void {
-    void this.register();
+    void this.listing.register();
     this.checkTimer = setInterval(() => this.checkPeers(), CHECK_INTERVAL_MS);
   }
 
   stop(): void {
-    this.abort.abort();
+    this.listing.stop();
     clearInterval(this.checkTimer);
     this.beacons.stop();
     clearTimeout(this.catchUpTimer);
@@ -186,39 +192,6 @@
       void this.sendUpdateTo(peer);
   }
 
-  private async register(): Promise<void> {
-    const backoff = new Backoff(
-      MIN_BACKOFF_MS,
-      MAX_BACKOFF_MS,
-      this.options.random,
-    );
-    const {directory} = this.options;
-    // Retries without limit: without the list this node finds no others.
-    while (!this.abort.signal.aborted) {
-      try {
-        await directory.announce(this.describe());
-        await this.readStoreList();
-        return;
-      } catch (error) {
-        this.reportUnreachableStore(error);
-        await backoff.wait(this.abort.signal);
-      }
-    }
-  }
-
-  /** Reports an unreachable store; any other error is a bug and is thrown. */
-  private reportUnreachableStore(error: unknown): void {
-    if (!(error instanceof StoreUnavailableError)) throw error;
-    this.options.report('directory not reached', {detail: error.message});
-  }
-
-  private async readStoreList(): Promise<void> {
-    this.listedAt = performance.now();
-    const entries = await this.options.directory.list();
-    this.hasListed = true;
-    for (const entry of entries) this.addListedNode(entry);
-  }
-
   /** Introduces this node to one in the store's list, which may be stale. */
   private addListedNode(entry: NodeInfo): void {
     if (!this.isNewer(entry)) return;
@@ -372,9 +345,10 @@
       this.checkSilent(peer, silentMs, intervalMs);
     }
     this.beacons.sendDue(subsetNodeIds);
-    const isIsolated =
-      answering === 0 && now - this.listedAt > RELIST_INTERVAL_MS;
-    if (isIsolated && this.hasListed) void this.refreshList();
+    const {hasListed, listedAt} = this.listing;
+    const isIsolated = answering === 0 && now - listedAt > RELIST_INTERVAL_MS;
+    if (isIsolated && hasListed) void this.listing.refresh();
+    void this.listing.checkEntry();
   }
 
   private checkSilent(peer: Peer, silentMs: number, intervalMs: number): void {
@@ -394,15 +368,6 @@
     this.options.workers.remove(peer.name.nodeId);
   }
 
-  /** Reads the list again to find nodes that started during a partition. */
-  private async refreshList(): Promise<void> {
-    try {
-      await this.readStoreList();
-    } catch (error) {
-      this.reportUnreachableStore(error);
-    }
-  }
-
   private describe(): NodeInfo {
     const {identity, beaconAddress} = this.options;
     const {nodeId, incarnation, peerAddress, dataCentre} = identity;
--- a/src/test/peer-directory_test.ts
+++ b/src/test/peer-directory_test.ts
@@ -6,29 +6,15 @@
  * a busy machine would run late, suspect each other and make extra calls.
  */
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
-import {PeerDirectory} from '../coordination/peer-directory.js';
 import {WorkerSubset} from '../coordination/worker-subset.js';
-import type {
-  LoadBeacon,
-  NodeInfo,
-  PeerUpdate,
-} from '../protocol/peer-messages.js';
-import {formatBeacon, parseBeacon} from '../protocol/peer-messages.js';
-import type {WorkerLoad} from '../protocol/worker-load.js';
-import {KeyedRecords} from '../state/keyed-records.js';
 import {WorkerTable} from '../state/worker-table.js';
+import {
+  DATA_CENTRES,
+  IDLE,
+  SERVICE,
+  TestFleet,
+} from './stand-ins/peer-fleet.js';
 
-const SERVICE = 'kona-desk';
-const DATA_CENTRES = ['dsm', 'aru', 'mwz'];
-const IDLE: WorkerLoad = {
-  state: 'ready',
-  inFlight: 0,
-  queued: 0,
-  limit: 4,
-  serviceTimeUs: 0,
-  failureShare: 0,
-  pace: 1,
-};
 /** Well above the introductions and load datagrams that a node receives. */
 const MAX_DATAGRAMS_PER_SECOND = 200;
 /** Budget of a node for control traffic, see docs/CAPACITY.md. */
@@ -40,132 +26,13 @@
 /** Initial exchanges of a node, and those that other nodes start with it. */
 const MAX_CALLS_PER_NODE = 12;
 
-interface TestNode {
-  readonly directory: PeerDirectory;
-  readonly workers: WorkerTable;
-  readonly records: KeyedRecords;
-  load: WorkerLoad;
-  isUnresponsive: boolean;
-  received: number;
-  receivedBytes: number;
-  readonly heardFrom: Set<string>;
-}
-
-class TestFleet {
-  readonly nodes = new Map<string, TestNode>();
-  readonly entries = new Map<string, NodeInfo>();
-  calls = 0;
-
-  add(nodeId: string, dataCentre: string, incarnation = 1): TestNode {
-    const workers = new WorkerTable();
-    const records = new KeyedRecords();
-    const subset = new WorkerSubset(nodeId, dataCentre);
-    const address = nodeId;
-    const directory = new PeerDirectory({
-      identity: {
-        nodeId,
-        incarnation,
-        dataCentre,
-        callerAddress: address,
-        peerAddress: address,
-      },
-      beaconAddress: address,
-      workers,
-      directory: {
-        announce: async entry => void this.entries.set(nodeId, entry),
-        list: async () => [...this.entries.values()],
-      },
-      calls: {
-        sendUpdate: (to, update) => this.sendUpdate(to, update),
-        sendBeacon: (to, beacon) => this.sendBeacon(to, beacon),
-      },
-      records,
-      listSubset: () => subset.select(workers.listWorkers(SERVICE)),
-      random: Math.random,
-      listLoads: () => [{service: SERVICE, load: node.load}],
-      listMoves: () => [],
-      handleMoves: () => {},
-      handleLaterRecords: () => {},
-      report: () => {},
-    });
-    const node: TestNode = {
-      directory,
-      workers,
-      records,
-      load: IDLE,
-      isUnresponsive: false,
-      received: 0,
-      receivedBytes: 0,
-      heardFrom: new Set(),
-    };
-    this.nodes.set(address, node);
-    directory.updateWorkers([
-      {service: SERVICE, version: 'v1', slots: 6, state: 'ready'},
-    ]);
-    directory.start();
-    return node;
-  }
-
-  addAll(count: number): void {
-    for (let index = 0; index < count; index++) {
-      this.add(`node-${index}`, DATA_CENTRES[index % DATA_CENTRES.length]!);
-    }
-  }
-
-  /** Adds an entry to the store for a node that does not exist. */
-  addStaleEntry(nodeId: string): void {
-    this.entries.set(nodeId, {
-      nodeId,
-      incarnation: 1,
-      peerAddress: nodeId,
-      dataCentre: DATA_CENTRES[0]!,
-      beaconAddress: nodeId,
-      revision: 1,
-      isLeaving: false,
-      workers: [],
-    });
-  }
-
-  isComplete(): boolean {
-    const live = [...this.nodes.values()].filter(node => !node.isUnresponsive);
-    return live.every(
-      ({workers}) => workers.listWorkers(SERVICE).length === this.nodes.size,
-    );
-  }
-
-  private async sendUpdate(
-    to: string,
-    update: PeerUpdate,
-  ): Promise<PeerUpdate> {
-    this.calls += 1;
-    const node = this.nodes.get(to);
-    await new Promise(resolve => setImmediate(resolve));
-    if (!node || node.isUnresponsive) throw new Error('node does not reply');
-    return structuredClone(
-      node.directory.handleUpdate(structuredClone(update)),
-    );
-  }
-
-  private sendBeacon(to: readonly string[], beacon: LoadBeacon): void {
-    const text = formatBeacon(beacon);
-    for (const address of to) {
-      setImmediate(() => {
-        const node = this.nodes.get(address);
-        if (!node || node.isUnresponsive) return;
-        node.received += 1;
-        node.receivedBytes += text.length;
-        node.heardFrom.add(beacon.nodeId);
-        node.directory.handleBeacon(parseBeacon(text)!);
-      });
-    }
-  }
-}
-
 /** Exceeds the number of introductions that a node sends per check. */
 const STALE_ENTRY_COUNT = 20;
 /** Longest emulated time until a condition holds. */
 const TIMEOUT_MS = 30_000;
 const STEP_MS = 20;
+/** Exceeds the time over which nodes look for their entries. */
+const ENTRY_CHECK_MS = 6000;
 
 let fleet: TestFleet;
 
@@ -309,6 +176,51 @@
   });
 });
 
+describe('the node list of a restored store', () => {
+  const cases = [
+    {name: 'lost no entry', restores: 1, lostCount: 0},
+    {name: 'lost some entries', restores: 1, lostCount: 3},
+    {name: 'lost entries twice', restores: 2, lostCount: 3},
+    {name: 'lost all entries', restores: 1, lostCount: 73},
+  ];
+  // Guards against a node that new nodes can't find, because its entry was
+  // written in the seconds that the store has lost.
+  it.each(cases)('that $name gets them again', async row => {
+    const {restores, lostCount} = row;
+    fleet = new TestFleet();
+    fleet.addAll(73);
+    await waitFor('all nodes to know all workers', () => fleet.isComplete());
+    const nodes = [...fleet.nodes.values()];
+    for (let restore = 0; restore < restores; restore++) {
+      fleet.era += 1;
+      fleet.announcements = 0;
+      fleet.listReads = 0;
+      for (const nodeId of [...fleet.nodes.keys()].slice(0, lostCount)) {
+        fleet.entries.delete(nodeId);
+      }
+      for (const {records} of nodes) {
+        records.applyRecords([], {era: fleet.era, offset: 1});
+      }
+      await runFor(ENTRY_CHECK_MS);
+      expect(fleet.entries.size).toBe(nodes.length);
+      expect(fleet.announcements).toBe(lostCount);
+      expect(fleet.listReads).toBe(nodes.length);
+    }
+  });
+
+  it('gets the entry of a node that registered just before', async () => {
+    fleet = new TestFleet();
+    const {records} = fleet.add('node-0', DATA_CENTRES[0]!);
+    await runFor(STEP_MS);
+    fleet.era = 1;
+    fleet.entries.clear();
+    // The first records that the node reads are of the later era.
+    records.applyRecords([], {era: 1, offset: 1});
+    await runFor(ENTRY_CHECK_MS);
+    expect([...fleet.entries.keys()]).toEqual(['node-0']);
+  });
+});
+
 describe('the worker subset of an entry', () => {
   const cases = [
     {name: 'all workers of a small cluster', size: 10, inSubset: 10, near: 4},
--- /dev/null
+++ b/src/test/stand-ins/peer-fleet.ts
@@ -0,0 +1,160 @@
+/**
+ * Clusters of nodes with a peer directory, without a network. Messages are
+ * encoded and delivered in the same process, and counted.
+ */
+import {PeerDirectory} from '../../coordination/peer-directory.js';
+import {WorkerSubset} from '../../coordination/worker-subset.js';
+import type {
+  LoadBeacon,
+  NodeInfo,
+  PeerUpdate,
+} from '../../protocol/peer-messages.js';
+import {formatBeacon, parseBeacon} from '../../protocol/peer-messages.js';
+import type {WorkerLoad} from '../../protocol/worker-load.js';
+import {KeyedRecords} from '../../state/keyed-records.js';
+import {WorkerTable} from '../../state/worker-table.js';
+
+export const SERVICE = 'kona-desk';
+export const DATA_CENTRES = ['dsm', 'aru', 'mwz'];
+export const IDLE: WorkerLoad = {
+  state: 'ready',
+  inFlight: 0,
+  queued: 0,
+  limit: 4,
+  serviceTimeUs: 0,
+  failureShare: 0,
+  pace: 1,
+};
+/** A node of a cluster without a network. */
+export interface TestNode {
+  readonly directory: PeerDirectory;
+  readonly workers: WorkerTable;
+  readonly records: KeyedRecords;
+  load: WorkerLoad;
+  isUnresponsive: boolean;
+  received: number;
+  receivedBytes: number;
+  readonly heardFrom: Set<string>;
+}
+
+/** A cluster whose nodes share a node list and exchange messages directly. */
+export class TestFleet {
+  readonly nodes = new Map<string, TestNode>();
+  readonly entries = new Map<string, NodeInfo>();
+  calls = 0;
+  /** Era of the store. */
+  era = 0;
+  announcements = 0;
+  listReads = 0;
+
+  add(nodeId: string, dataCentre: string, incarnation = 1): TestNode {
+    const workers = new WorkerTable();
+    const records = new KeyedRecords();
+    const subset = new WorkerSubset(nodeId, dataCentre);
+    const address = nodeId;
+    const directory = new PeerDirectory({
+      identity: {
+        nodeId,
+        incarnation,
+        dataCentre,
+        callerAddress: address,
+        peerAddress: address,
+      },
+      beaconAddress: address,
+      workers,
+      directory: {
+        announce: async entry => {
+          this.entries.set(nodeId, entry);
+          this.announcements += 1;
+          return this.era;
+        },
+        list: async () => {
+          this.listReads += 1;
+          return {era: this.era, entries: [...this.entries.values()]};
+        },
+      },
+      calls: {
+        sendUpdate: (to, update) => this.sendUpdate(to, update),
+        sendBeacon: (to, beacon) => this.sendBeacon(to, beacon),
+      },
+      records,
+      listSubset: () => subset.select(workers.listWorkers(SERVICE)),
+      random: Math.random,
+      listLoads: () => [{service: SERVICE, load: node.load}],
+      listMoves: () => [],
+      handleMoves: () => {},
+      handleLaterRecords: () => {},
+      report: () => {},
+    });
+    const node: TestNode = {
+      directory,
+      workers,
+      records,
+      load: IDLE,
+      isUnresponsive: false,
+      received: 0,
+      receivedBytes: 0,
+      heardFrom: new Set(),
+    };
+    this.nodes.set(address, node);
+    directory.updateWorkers([
+      {service: SERVICE, version: 'v1', slots: 6, state: 'ready'},
+    ]);
+    directory.start();
+    return node;
+  }
+
+  addAll(count: number): void {
+    for (let index = 0; index < count; index++) {
+      this.add(`node-${index}`, DATA_CENTRES[index % DATA_CENTRES.length]!);
+    }
+  }
+
+  /** Adds an entry to the store for a node that does not exist. */
+  addStaleEntry(nodeId: string): void {
+    this.entries.set(nodeId, {
+      nodeId,
+      incarnation: 1,
+      peerAddress: nodeId,
+      dataCentre: DATA_CENTRES[0]!,
+      beaconAddress: nodeId,
+      revision: 1,
+      isLeaving: false,
+      workers: [],
+    });
+  }
+
+  isComplete(): boolean {
+    const live = [...this.nodes.values()].filter(node => !node.isUnresponsive);
+    return live.every(
+      ({workers}) => workers.listWorkers(SERVICE).length === this.nodes.size,
+    );
+  }
+
+  private async sendUpdate(
+    to: string,
+    update: PeerUpdate,
+  ): Promise<PeerUpdate> {
+    this.calls += 1;
+    const node = this.nodes.get(to);
+    await new Promise(resolve => setImmediate(resolve));
+    if (!node || node.isUnresponsive) throw new Error('node does not reply');
+    return structuredClone(
+      node.directory.handleUpdate(structuredClone(update)),
+    );
+  }
+
+  private sendBeacon(to: readonly string[], beacon: LoadBeacon): void {
+    const text = formatBeacon(beacon);
+    for (const address of to) {
+      setImmediate(() => {
+        const node = this.nodes.get(address);
+        if (!node || node.isUnresponsive) return;
+        node.received += 1;
+        node.receivedBytes += text.length;
+        node.heardFrom.add(beacon.nodeId);
+        node.directory.handleBeacon(parseBeacon(text)!);
+      });
+    }
+  }
+}
