Merge positions with eras into the reads beside polls

The known end of another node, the check beside a poll and the age of the store's last answer compare positions with eras.

--- a/src/coordination/peer-directory.ts
+++ b/src/coordination/peer-directory.ts
@@ -9,7 +9,7 @@
  * routing only, not safety: a gate that gets an attempt by mistake refuses it
  * or does not reply.
  */
-import {Backoff} from '../protocol/backoff.js';
+import {findRecordsEnd} from '../protocol/peer-messages.js';
 import type {
   Introduction,
   LoadBeacon,
@@ -18,10 +18,12 @@
   PeerUpdate,
   ServiceLoad,
 } from '../protocol/peer-messages.js';
+import type {RecordPosition} from '../protocol/record-position.js';
+import {comparePositions} from '../protocol/record-position.js';
 import type {WorkerDescription} from '../state/worker-table.js';
 import {recordLoad} from '../state/worker-table.js';
-import {StoreUnavailableError} from './keyed-follower.js';
 import {pickRandom} from './member-order.js';
+import {NodeListing} from './node-listing.js';
 import type {BeaconPeer} from './peer-beacons.js';
 import type {PeerDirectoryOptions} from './peer-directory-options.js';
 import {RecordCatchUp} from './record-catch-up.js';
@@ -59,8 +61,6 @@
 const LEAVING_REMOVAL_MS = 3000;
 /** Minimum interval between two reads of the list while no node answers. */
 const RELIST_INTERVAL_MS = 1000;
-const MIN_BACKOFF_MS = 200;
-const MAX_BACKOFF_MS = 1000;
 
 /** Maximum silence of the nodes that are named to others. */
 const MAX_SHARED_SILENCE_MS = 1400;
@@ -70,20 +70,28 @@
 /** Directory of the other nodes, as known to one node. */
 export class PeerDirectory {
   private readonly peers = new Map<string, Peer>();
-  private readonly abort = new AbortController();
   private localWorkers: readonly WorkerDescription[] = [];
   private revision = 1;
   private isLeaving = false;
-  private hasListed = false;
   private checkTimer: NodeJS.Timeout | undefined;
   private exchanges = 0;
-  private listedAt = -Infinity;
 
+  private readonly listing: NodeListing;
   private readonly beacons: PeerBeacons;
   private readonly catchUp: RecordCatchUp;
 
   constructor(private readonly options: PeerDirectoryOptions) {
     this.catchUp = new RecordCatchUp(options);
+    this.listing = new NodeListing({
+      directory: options.directory,
+      describe: () => this.describe(),
+      handleEntries: entries => {
+        for (const entry of entries) this.addListedNode(entry);
+      },
+      findEra: () => options.records.end.era,
+      random: options.random,
+      report: options.report,
+    });
     this.beacons = new PeerBeacons({
       describe: () => this.describe(),
       listPeers: () => [...this.peers.values()],
@@ -97,17 +105,18 @@
 
   /** Whether the store's list was read or another node described itself. */
   get hasJoined(): boolean {
-    return this.hasListed || [...this.peers.values()].some(peer => peer.info);
+    const {hasListed} = this.listing;
+    return hasListed || [...this.peers.values()].some(peer => peer.info);
   }
 
   /** Registers in the store and contacts the nodes that it lists. */
   start(): void {
-    void this.register();
+    void this.listing.register();
     this.checkTimer = setInterval(() => this.checkPeers(), CHECK_INTERVAL_MS);
   }
 
   stop(): void {
-    this.abort.abort();
+    this.listing.stop();
     clearInterval(this.checkTimer);
     this.beacons.stop();
     this.catchUp.stop();
@@ -153,7 +162,7 @@
   handleUpdate(update: PeerUpdate): PeerUpdate {
     this.applyUpdate(update);
     return this.buildUpdate(
-      update.wantsRecords ? update.recordsEnd : undefined,
+      update.wantsRecords ? findRecordsEnd(update) : undefined,
     );
   }
 
@@ -168,7 +177,7 @@
     if (!peer || peer.name.incarnation > beacon.incarnation) return;
     this.recordContact(peer);
     this.checkRecords(peer, beacon.recordsEnd);
-    if (beacon.recordsEnd === this.options.records.end) {
+    if (comparePositions(beacon.recordsEnd, this.options.records.end) === 0) {
       this.options.freshness.recordAnswer(beacon.recordsAgeMs);
     }
     if (!isKnown) {
@@ -191,39 +200,6 @@
       void this.sendUpdateTo(peer);
   }
 
-  private async register(): Promise<void> {
-    const backoff = new Backoff(
-      MIN_BACKOFF_MS,
-      MAX_BACKOFF_MS,
-      this.options.random,
-    );
-    const {directory} = this.options;
-    // Retries without limit: without the list this node finds no others.
-    while (!this.abort.signal.aborted) {
-      try {
-        await directory.announce(this.describe());
-        await this.readStoreList();
-        return;
-      } catch (error) {
-        this.reportUnreachableStore(error);
-        await backoff.wait(this.abort.signal);
-      }
-    }
-  }
-
-  /** Reports an unreachable store; any other error is a bug and is thrown. */
-  private reportUnreachableStore(error: unknown): void {
-    if (!(error instanceof StoreUnavailableError)) throw error;
-    this.options.report('directory not reached', {detail: error.message});
-  }
-
-  private async readStoreList(): Promise<void> {
-    this.listedAt = performance.now();
-    const entries = await this.options.directory.list();
-    this.hasListed = true;
-    for (const entry of entries) this.addListedNode(entry);
-  }
-
   /** Introduces this node to one in the store's list, which may be stale. */
   private addListedNode(entry: NodeInfo): void {
     if (!this.isNewer(entry)) return;
@@ -288,11 +264,12 @@
     const peer = this.recordNodeInfo(update.node);
     if (!peer) return;
     for (const name of update.peers) this.addPeer(name);
+    const recordsEnd = findRecordsEnd(update);
     if (update.records.length > 0) {
-      records.applyRecords(update.records, update.recordsEnd);
+      records.applyRecords(update.records, recordsEnd);
     }
     if (update.moves.length > 0) handleMoves(update.moves);
-    this.checkRecords(peer, update.recordsEnd);
+    this.checkRecords(peer, recordsEnd);
   }
 
   /** Records a node's description; returns undefined for an older process. */
@@ -332,7 +309,7 @@
     }
   }
 
-  private checkRecords(peer: Peer, recordsEnd: number): void {
+  private checkRecords(peer: Peer, recordsEnd: RecordPosition): void {
     this.catchUp.schedule(peer.name.nodeId, recordsEnd, () =>
       this.sendUpdateTo(peer),
     );
@@ -367,9 +344,10 @@
     }
     this.options.freshness.setPrecedingCount(preceding);
     this.beacons.sendDue(subsetNodeIds);
-    const isIsolated =
-      answering === 0 && now - this.listedAt > RELIST_INTERVAL_MS;
-    if (isIsolated && this.hasListed) void this.refreshList();
+    const {hasListed, listedAt} = this.listing;
+    const isIsolated = answering === 0 && now - listedAt > RELIST_INTERVAL_MS;
+    if (isIsolated && hasListed) void this.listing.refresh();
+    void this.listing.checkEntry();
   }
 
   private checkSilent(peer: Peer, silentMs: number, intervalMs: number): void {
@@ -389,15 +367,6 @@
     this.options.workers.remove(peer.name.nodeId);
   }
 
-  /** Reads the list again to find nodes that started during a partition. */
-  private async refreshList(): Promise<void> {
-    try {
-      await this.readStoreList();
-    } catch (error) {
-      this.reportUnreachableStore(error);
-    }
-  }
-
   private describe(): NodeInfo {
     const {identity, beaconAddress} = this.options;
     const {nodeId, incarnation, peerAddress, dataCentre} = identity;
@@ -413,8 +382,8 @@
     };
   }
 
-  /** Builds an update; it carries the records from an offset on, if given. */
-  private buildUpdate(recordsFrom = Infinity): PeerUpdate {
+  /** Builds an update; it carries the records from a position on, if given. */
+  private buildUpdate(recordsFrom?: RecordPosition): PeerUpdate {
     const {records, listMoves, random} = this.options;
     const now = performance.now();
     // Without the silence limit, nodes would name a dead node forever.
@@ -427,9 +396,10 @@
     return {
       node: this.describe(),
       peers: pickRandom(names, MAX_SHARED_PEERS, random),
-      recordsEnd: records.end,
+      recordsEnd: records.end.offset,
+      recordsEra: records.end.era,
       wantsRecords: this.catchUp.wantsRecords,
-      records: records.list().filter(({offset}) => offset >= recordsFrom),
+      records: recordsFrom ? records.listSince(recordsFrom) : [],
       moves: listMoves(),
     };
   }
--- a/src/coordination/record-catch-up.ts
+++ b/src/coordination/record-catch-up.ts
@@ -3,6 +3,8 @@
  * usually delivers them to all nodes at about the same time, so a node waits
  * for it before it asks.
  */
+import type {RecordPosition} from '../protocol/record-position.js';
+import {comparePositions} from '../protocol/record-position.js';
 import type {KeyedRecords} from '../state/keyed-records.js';
 
 /** Time within which the store usually delivers a new record to all nodes. */
@@ -44,16 +46,23 @@
    */
   schedule(
     nodeId: string,
-    recordsEnd: number,
+    recordsEnd: RecordPosition,
     request: () => Promise<void>,
   ): void {
     const {records, handleLaterRecords, report} = this.options;
-    if (recordsEnd <= records.end || this.timer) return;
+    const isLater = (): boolean =>
+      comparePositions(recordsEnd, records.end) > 0;
+    if (!isLater() || this.timer) return;
     this.timer = setTimeout(() => {
       this.timer = undefined;
-      if (recordsEnd <= records.end) return;
-      const context = {nodeId, recordsEnd, knownEnd: records.end};
-      report('another node has later records', context);
+      if (!isLater()) return;
+      report('another node has later records', {
+        nodeId,
+        era: recordsEnd.era,
+        end: recordsEnd.offset,
+        knownEra: records.end.era,
+        knownEnd: records.end.offset,
+      });
       handleLaterRecords();
       this.isRequesting = true;
       void request().then(() => (this.isRequesting = false));
