--- a/src/coordination/keyed-follower.ts
+++ b/src/coordination/keyed-follower.ts
@@ -108,11 +108,12 @@
   }
 
   /**
-   * Reads the newest records at once. A read on a stalled connection would
-   * otherwise delay records that other nodes already have.
+   * Ends the poll and reads the newest records at once. A read on a stalled
+   * connection would otherwise delay records that other nodes already have. A
+   * read of the newest records in progress goes on.
    */
   checkNow(): void {
-    this.pollAbort?.abort();
+    if (this.next !== undefined) this.pollAbort?.abort();
   }
 
   /**
--- a/src/test/keyed-records_test.ts
+++ b/src/test/keyed-records_test.ts
@@ -8,6 +8,7 @@
   KeyedFollower,
   StoreUnavailableError,
 } from '../coordination/keyed-follower.js';
+import {waitMs} from '../protocol/backoff.js';
 import {waitFor} from '../measure/wait-for.js';
 import type {KeyedRecord, KeyedSnapshot} from '../state/keyed-records.js';
 import type {RecordPosition} from '../protocol/record-position.js';
@@ -244,6 +245,8 @@
   });
 }
 
+const SLOW_READ_MS = 200;
+
 interface FollowCase {
   readonly name: string;
   readonly newest: KeyedSnapshot[];
@@ -336,6 +339,30 @@
   });
 });
 
+/** A topic whose newest records take some time to read. */
+class SlowTopic extends ScriptedTopic {
+  async readNewest(signal?: AbortSignal): Promise<KeyedSnapshot> {
+    const snapshot = await super.readNewest();
+    await waitMs(SLOW_READ_MS, signal);
+    if (signal?.aborted) throw new StoreUnavailableError('aborted');
+    return snapshot;
+  }
+}
+
+// Guards against a node that ends each read of a slow store for the next one,
+// because it hears of later records from others all the time.
+it('a read of the newest records goes on when others have later ones', async () => {
+  const records = new KeyedRecords();
+  const topic = new SlowTopic([FIRST], ['silent']);
+  const follower = createFollower(topic, records);
+  follower.start();
+  const timer = setInterval(() => follower.checkNow(), SLOW_READ_MS / 2);
+  await waitFor('the first record', () => records.find('a') !== undefined);
+  clearInterval(timer);
+  expect(records.find('a')).toEqual(FIRST.records[0]);
+  follower.stop();
+});
+
 describe('a check beside a poll on a silent connection', () => {
   const cases = [
     {
