Tell orders of moves apart by what they ask and by era

An operator's order that a restored store got again at another offset was another move: it began anew from the trial share, although it had ended. Another order at a reused offset was taken for the one before it, and never carried out.

Cause: a move's id was made from the offset of its record alone. What was found of a bad version goes with it. Records that are read in a later era are reported as changed even when their values are the same.

--- a/src/coordination/desired-state.ts
+++ b/src/coordination/desired-state.ts
@@ -8,8 +8,13 @@
 
 /** An order to move a service to another version. */
 export interface MoveOrder {
-  /** Identifies the order; each new order for a service has another id. */
+  /**
+   * Identifies the order; each new order for a service has another id. The same
+   * order has another id after a restored store got it again at another offset.
+   */
   readonly moveId: string;
+  /** Era of the store in which the order was last read. */
+  readonly era: number;
   readonly service: string;
   readonly toVersion: string;
   /** Time for the whole move, starting at the order, in milliseconds. */
--- a/src/coordination/ordered-moves.ts
+++ b/src/coordination/ordered-moves.ts
@@ -43,6 +43,8 @@
   readonly now: () => number;
   /** Sends a change to all nodes. */
   readonly push: () => void;
+  /** Called when a move has another id, because its order was written again. */
+  readonly handleNewId: (move: Move, previousId: string) => void;
   readonly report: (
     text: string,
     context: Readonly<Record<string, string | number>>,
@@ -67,10 +69,12 @@
   applyOrders(orders: readonly MoveOrder[]): void {
     for (const order of orders) {
       const known = this.orders.get(order.service);
-      if (known?.moveId === order.moveId) continue;
       this.orders.set(order.service, order);
-      this.startMove(order);
-      void this.readOutcome(order);
+      if (known && isWrittenAgain(known, order)) this.recoverMove(order);
+      else if (known?.moveId !== order.moveId) {
+        this.startMove(order);
+        void this.readOutcome(order);
+      }
     }
   }
 
@@ -160,12 +164,33 @@
     order: MoveOrder,
     outcome: 'done' | 'taken-back',
   ): Promise<MoveStage> {
-    const stage = await this.options.outcomes.write(order, outcome);
     const {service, toVersion} = order;
+    const stage = await this.options.outcomes.write(order, outcome);
     this.options.report('move ended', {service, toVersion, stage});
     return stage;
   }
 
+  /** Goes on with a move whose order is the same in a restored store. */
+  private recoverMove(order: MoveOrder): void {
+    const {service, moveId, era} = order;
+    const {state, handleNewId, report} = this.options;
+    const move = state.findMove(service);
+    if (!move) return;
+    const {moveId: previousId, stage} = move;
+    if (previousId !== moveId) {
+      const renamed = {...move, moveId};
+      this.setMove(service, renamed);
+      handleNewId(renamed, previousId);
+    }
+    report('move goes on in a restored store', {
+      service,
+      moveId,
+      previousId,
+      stage,
+      era,
+    });
+  }
+
   private startMove(order: MoveOrder): void {
     const {service, toVersion, moveId, durationMs} = order;
     const now = this.options.now();
@@ -187,21 +212,32 @@
   private async readOutcome(order: MoveOrder): Promise<void> {
     try {
       const stage = await this.options.outcomes.read(order);
-      const move = this.options.state.findMove(order.service);
-      if (move?.moveId !== order.moveId || !stage) return;
-      if (STAGE_RANKS[stage] > STAGE_RANKS[move.stage]) {
-        this.setMove(order.service, {...move, stage, number: move.number + 1});
-      }
+      if (stage) this.applyOutcome(order, stage);
     } catch (error) {
-      if (!(error instanceof StoreUnavailableError)) throw error;
-      const {moveId} = order;
-      this.options.report('move outcome not read', {
-        moveId,
-        detail: error.message,
-      });
+      this.reportUnreadOutcome(order, error);
+    }
+  }
+
+  /** Applies a stage that the store holds, if it is beyond the known one. */
+  private applyOutcome({service, moveId}: MoveOrder, stage: MoveStage): void {
+    const move = this.options.state.findMove(service);
+    if (move?.moveId !== moveId) return;
+    const areEnded = ![stage, move.stage].includes('running');
+    if (areEnded && stage !== move.stage) {
+      const {stage: known} = move;
+      this.options.report('move outcome differs', {moveId, known, stage});
+    } else if (STAGE_RANKS[stage] > STAGE_RANKS[move.stage]) {
+      this.setMove(service, {...move, stage, number: move.number + 1});
     }
   }
 
+  /** Reports an unreachable store; any other error is a bug and is thrown. */
+  private reportUnreadOutcome({moveId}: MoveOrder, error: unknown): void {
+    if (!(error instanceof StoreUnavailableError)) throw error;
+    const {message: detail} = error;
+    this.options.report('move outcome not read', {moveId, detail});
+  }
+
   private refreshFromVersion(service: string, move: Move): void {
     const fromVersion = this.findFromVersion(service, move.toVersion);
     if (fromVersion) this.setMove(service, {...move, fromVersion});
@@ -235,3 +271,12 @@
     }
   }
 }
+
+/** Whether a restored store has the same order, perhaps at another offset. */
+function isWrittenAgain(known: MoveOrder, order: MoveOrder): boolean {
+  return (
+    order.era > known.era &&
+    order.toVersion === known.toVersion &&
+    order.durationMs === known.durationMs
+  );
+}
--- a/src/coordination/version-moves.ts
+++ b/src/coordination/version-moves.ts
@@ -170,6 +170,12 @@
     await this.pushBadness(bad);
   }
 
+  /** Applies what was found of a move to the id that it has from now on. */
+  copyBadVersion(previousId: string, moveId: string): void {
+    const bad = this.badMoves.get(previousId);
+    if (bad) this.badMoves.set(moveId, {...bad, moveId});
+  }
+
   private chooseVersion(service: string, move: Move): string {
     if (move.stage === 'done') return move.toVersion;
     if (move.stage === 'taken-back' || this.badMoves.has(move.moveId)) {
--- a/src/directory-moves.ts
+++ b/src/directory-moves.ts
@@ -44,6 +44,8 @@
       outcomes,
       now: readClock,
       push,
+      handleNewId: (move, previousId) =>
+        this.versions.copyBadVersion(previousId, move.moveId),
       report,
     });
     this.versions = new VersionMoves({
--- a/src/state/keyed-records.ts
+++ b/src/state/keyed-records.ts
@@ -26,7 +26,7 @@
 }
 
 interface KeyedRecordsEvents {
-  /** Keys whose value changed. */
+  /** Keys whose value changed or was written again in a later era. */
   changed: readonly string[];
   /** A record was not applied because a newer one of its key is known. */
   outdated: {readonly record: KeyedRecord; readonly known: KeyedRecord};
@@ -102,7 +102,8 @@
         continue;
       }
       this.byKey.set(record.key, record);
-      if (known?.value !== record.value) changed.push(record.key);
+      const isSame = known?.value === record.value && known?.era === record.era;
+      if (!isSame) changed.push(record.key);
     }
     if (changed.length > 0) void this.events.emit('changed', changed);
   }
--- a/src/test/ordered-moves_test.ts
+++ b/src/test/ordered-moves_test.ts
@@ -13,6 +13,7 @@
 
 const ORDER: MoveOrder = {
   moveId: 'desk-4',
+  era: 0,
   service: 'desk',
   toVersion: 'v2',
   durationMs: 12_000,
@@ -55,6 +56,7 @@
       },
       now: () => this.now,
       push: () => {},
+      handleNewId: () => {},
       report: () => {},
     });
   }
