Write outcomes of moves again when a restored store has lost them

An operator who had read that a move was completed or rolled back found no status after the store came back from an older copy; a node that had missed the outcome could write the other one.

Cause: an outcome was written once, and the condition of its append, the end of the topic, says nothing across a restore. Each node now looks for the stage that it knows when it reads its order in a later era, spread over 2 s, and writes it only if it is missing. For 4 s no node writes an outcome of its own.

--- a/src/coordination/ordered-moves.ts
+++ b/src/coordination/ordered-moves.ts
@@ -2,9 +2,12 @@
  * Moves that operators order through the platform's store. Each node reads the
  * order and starts at the trial share on its own. Later steps spread from node
  * to node, and the higher step number wins. Only the outcome needs agreement:
- * the first one written to the store is final. Each node keeps times on its own
- * monotonic clock, since the wall clocks of hosts jump.
+ * the first one written to the store is final. A store that was restored from an
+ * older copy may have lost it: the nodes that know it write it again, before any
+ * of them writes another. Each node keeps times on its own monotonic clock, since
+ * the wall clocks of hosts jump.
  */
+import {waitMs} from '../protocol/backoff.js';
 import type {MoveUpdate} from '../protocol/peer-messages.js';
 import type {LogRecord} from '../protocol/records.js';
 import type {Move} from '../state/replicated-state.js';
@@ -41,6 +44,7 @@
   readonly outcomes: MoveOutcomes;
   /** Monotonic time in milliseconds. */
   readonly now: () => number;
+  readonly random: () => number;
   /** Sends a change to all nodes. */
   readonly push: () => void;
   /** Called when a move has another id, because its order was written again. */
@@ -57,11 +61,20 @@
   'taken-back': 2,
 };
 
+/** Time over which nodes write stages that a restored store has lost. */
+const REWRITE_SPREAD_MS = 2000;
+/** Time after a restore during which only known outcomes are written. */
+const REWRITE_TIME_MS = 2 * REWRITE_SPREAD_MS;
+/** Attempts to write a stage again; other nodes know it, too. */
+const MAX_REWRITE_ATTEMPTS = 10;
+
 /** Moves that operators ordered, as one node knows them. */
 export class OrderedMoves {
   private readonly orders = new Map<string, MoveOrder>();
   /** Version of each service that serves while no move runs. */
   private readonly baseVersions = new Map<string, string>();
+  /** Time by service until which lost outcomes are written again. */
+  private readonly rewriteUntil = new Map<string, number>();
 
   constructor(private readonly options: OrderedMovesOptions) {}
 
@@ -165,6 +178,9 @@
     outcome: 'done' | 'taken-back',
   ): Promise<MoveStage> {
     const {service, toVersion} = order;
+    if (this.options.now() < (this.rewriteUntil.get(service) ?? -Infinity)) {
+      throw new StoreUnavailableError('known outcomes are written again first');
+    }
     const stage = await this.options.outcomes.write(order, outcome);
     this.options.report('move ended', {service, toVersion, stage});
     return stage;
@@ -173,9 +189,10 @@
   /** Goes on with a move whose order is the same in a restored store. */
   private recoverMove(order: MoveOrder): void {
     const {service, moveId, era} = order;
-    const {state, handleNewId, report} = this.options;
+    const {state, now, handleNewId, report} = this.options;
     const move = state.findMove(service);
     if (!move) return;
+    this.rewriteUntil.set(service, now() + REWRITE_TIME_MS);
     const {moveId: previousId, stage} = move;
     if (previousId !== moveId) {
       const renamed = {...move, moveId};
@@ -189,6 +206,26 @@
       stage,
       era,
     });
+    void this.writeAgain(order);
+  }
+
+  /** Writes the stage of a move again unless the restored store has it. */
+  private async writeAgain(order: MoveOrder): Promise<void> {
+    const {random, outcomes, state} = this.options;
+    for (let attempts = 0; attempts < MAX_REWRITE_ATTEMPTS; attempts++) {
+      await waitMs(random() * REWRITE_SPREAD_MS);
+      const move = state.findMove(order.service);
+      const current = this.orders.get(order.service);
+      const isCurrent =
+        current?.moveId === order.moveId && current.era === order.era;
+      if (!isCurrent || !move) return;
+      try {
+        this.applyOutcome(order, await outcomes.write(order, move.stage));
+        return;
+      } catch (error) {
+        this.reportUnreadOutcome(order, error);
+      }
+    }
   }
 
   private startMove(order: MoveOrder): void {
--- a/src/directory-moves.ts
+++ b/src/directory-moves.ts
@@ -43,6 +43,7 @@
       workers,
       outcomes,
       now: readClock,
+      random: Math.random,
       push,
       handleNewId: (move, previousId) =>
         this.versions.copyBadVersion(previousId, move.moveId),
--- a/src/test/ordered-moves_test.ts
+++ b/src/test/ordered-moves_test.ts
@@ -55,6 +55,7 @@
         },
       },
       now: () => this.now,
+      random: () => 0,
       push: () => {},
       handleNewId: () => {},
       report: () => {},
