Keep a new order that comes while the end of the one before is written

A service that was ordered to move again while the outcome of its last move was being written stayed at that outcome; the new order was never carried out.

Cause: after the write the ended move was set without looking whether it is still the current one. It is now dropped as superseded.

The new case of ordered-moves_test failed before ('accepted' in place of 'superseded').

--- a/src/coordination/ordered-moves.ts
+++ b/src/coordination/ordered-moves.ts
@@ -161,6 +161,8 @@
       this.setMove(service, {...move, sharePercent, evidence, number});
     } else {
       const stage = await this.writeEnd(order, record.outcome);
+      const current = this.options.state.findMove(service);
+      if (current?.moveId !== moveId) return RecordOutcome.SUPERSEDED;
       this.setMove(service, {...move, stage, evidence, number});
     }
     this.options.push();
--- a/src/test/ordered-moves_test.ts
+++ b/src/test/ordered-moves_test.ts
@@ -191,4 +191,16 @@
     store.isAway = false;
     expect(await node.appendEnd('done')).toBe('accepted');
   });
+
+  // Guards against a new order that is never carried out, because the end of the
+  // one before it was written when it came.
+  it('is not applied to an order that came while it was written', async () => {
+    const node = new Node({});
+    node.moves.applyOrders([ORDER]);
+    const ended = node.appendEnd('done');
+    const next = {...ORDER, moveId: 'desk-9', toVersion: 'v3'};
+    node.moves.applyOrders([next]);
+    expect(await ended).toBe('superseded');
+    expect(node.move).toMatchObject({moveId: 'desk-9', toVersion: 'v3'});
+  });
 });
