Read without waiting after an outage of the store

Cause: the first read after an outage was a long poll. It now doesn't wait, so its answer states the era at once; this costs one read for each node and outage. The new case of keyed-records_test failed before (waits 1000, 1000, 1000 in place of 1000, 0, 1000).

--- a/src/coordination/keyed-follower.ts
+++ b/src/coordination/keyed-follower.ts
@@ -141,7 +141,9 @@
       return;
     }
     const {next} = this;
-    const page = await topic.read(next.offset, pollWaitMs, signal);
+    // After an outage the era tells at once whether the store was restored.
+    const longestWaitMs = this.isAvailable ? pollWaitMs : 0;
+    const page = await topic.read(next.offset, longestWaitMs, signal);
     if (!page) {
       this.options.report('store no longer has the next records', {
         from: next.offset,
--- a/src/test/keyed-records_test.ts
+++ b/src/test/keyed-records_test.ts
@@ -170,6 +170,8 @@
 /** A topic that answers reads from a script. */
 class ScriptedTopic implements KeyedTopic {
   newestReads = 0;
+  /** Longest wait of each read by offset, in milliseconds. */
+  readonly waits: number[] = [];
 
   constructor(
     private readonly newest: KeyedSnapshot[],
@@ -188,6 +190,7 @@
     waitMs: number,
     signal?: AbortSignal,
   ): Promise<KeyedPage | undefined> {
+    this.waits.push(waitMs);
     const page = this.pages.length > 0 ? this.pages.shift() : 'silent';
     if (page === 'unavailable') {
       return Promise.reject(new StoreUnavailableError('unavailable'));
@@ -317,4 +320,25 @@
     await waitFor('the newest', () => records.find('a')?.value === '2');
     follower.stop();
   });
+
+  // Guards against a node that learns only at the next record, or at the end of
+  // its wait, that the store was restored while it was away.
+  it('the first read after an outage does not wait', async () => {
+    const topic = new ScriptedTopic(
+      [FIRST],
+      ['unavailable', {records: [], next: FIRST.end, end: FIRST.end}],
+    );
+    const follower = new KeyedFollower({
+      topic,
+      records: new KeyedRecords(),
+      pollWaitMs: 1000,
+      random: () => 0,
+      handleAvailability: () => {},
+      report: () => {},
+    });
+    follower.start();
+    await waitFor('three reads', () => topic.waits.length === 3);
+    follower.stop();
+    expect(topic.waits).toEqual([1000, 0, 1000]);
+  });
 });
