--- a/src/coordination/keyed-follower.ts
+++ b/src/coordination/keyed-follower.ts
@@ -177,8 +177,9 @@
       return;
     }
     const {next} = this;
-    const timeoutMs = this.isAvailable ? pollWaitMs : 0;
-    const page = await topic.read(next.offset, timeoutMs, signal);
+    // After an outage a read that waits would hide a restore, or be silent.
+    const longestWaitMs = this.isAvailable ? pollWaitMs : 0;
+    const page = await topic.read(next.offset, longestWaitMs, signal);
     if (!page) {
       this.options.report('store no longer has the next records', {
         from: next.offset,
--- a/src/coordination/ordered-moves.ts
+++ b/src/coordination/ordered-moves.ts
@@ -2,9 +2,12 @@
  * Moves that operators order through the platform's store. Each node reads the
  * order and starts at the trial share on its own. Later steps spread from node
  * to node, and the higher step number wins. Only the outcome needs agreement:
- * the first one written to the store is final. Each node keeps times on its own
- * monotonic clock, since the wall clocks of hosts jump.
+ * the first one written to the store is final. A store that was restored from an
+ * older copy may have lost it: the nodes that know it write it again, before any
+ * of them writes another. Each node keeps times on its own monotonic clock, since
+ * the wall clocks of hosts jump.
  */
+import {waitMs} from '../protocol/backoff.js';
 import type {MoveUpdate} from '../protocol/peer-messages.js';
 import type {LogRecord} from '../protocol/records.js';
 import type {Move} from '../state/replicated-state.js';
@@ -41,8 +44,11 @@
   readonly outcomes: MoveOutcomes;
   /** Monotonic time in milliseconds. */
   readonly now: () => number;
+  readonly random: () => number;
   /** Sends a change to all nodes. */
   readonly push: () => void;
+  /** Called when a move has another id, because its order was written again. */
+  readonly handleNewId: (move: Move, previousId: string) => void;
   readonly report: (
     text: string,
     context: Readonly<Record<string, string | number>>,
@@ -55,11 +61,20 @@
   'taken-back': 2,
 };
 
+/** Time over which nodes write stages that a restored store has lost. */
+const REWRITE_SPREAD_MS = 2000;
+/** Time after a restore during which only known outcomes are written. */
+const REWRITE_TIME_MS = 2 * REWRITE_SPREAD_MS;
+/** Attempts to write a stage again; other nodes know it, too. */
+const MAX_REWRITE_ATTEMPTS = 10;
+
 /** Moves that operators ordered, as one node knows them. */
 export class OrderedMoves {
   private readonly orders = new Map<string, MoveOrder>();
   /** Version of each service that serves while no move runs. */
   private readonly baseVersions = new Map<string, string>();
+  /** Time by service until which lost outcomes are written again. */
+  private readonly rewriteUntil = new Map<string, number>();
 
   constructor(private readonly options: OrderedMovesOptions) {}
 
@@ -67,10 +82,12 @@
   applyOrders(orders: readonly MoveOrder[]): void {
     for (const order of orders) {
       const known = this.orders.get(order.service);
-      if (known?.moveId === order.moveId) continue;
       this.orders.set(order.service, order);
-      this.startMove(order);
-      void this.readOutcome(order);
+      if (known && isWrittenAgain(known, order)) this.recoverMove(order);
+      else if (known?.moveId !== order.moveId) {
+        this.startMove(order);
+        void this.readOutcome(order);
+      }
     }
   }
 
@@ -144,6 +161,8 @@
       this.setMove(service, {...move, sharePercent, evidence, number});
     } else {
       const stage = await this.writeEnd(order, record.outcome);
+      const current = this.options.state.findMove(service);
+      if (current?.moveId !== moveId) return RecordOutcome.SUPERSEDED;
       this.setMove(service, {...move, stage, evidence, number});
     }
     this.options.push();
@@ -160,12 +179,57 @@
     order: MoveOrder,
     outcome: 'done' | 'taken-back',
   ): Promise<MoveStage> {
-    const stage = await this.options.outcomes.write(order, outcome);
     const {service, toVersion} = order;
+    if (this.options.now() < (this.rewriteUntil.get(service) ?? -Infinity)) {
+      throw new StoreUnavailableError('known outcomes are written again first');
+    }
+    const stage = await this.options.outcomes.write(order, outcome);
     this.options.report('move ended', {service, toVersion, stage});
     return stage;
   }
 
+  /** Goes on with a move whose order is the same in a restored store. */
+  private recoverMove(order: MoveOrder): void {
+    const {service, moveId, era} = order;
+    const {state, now, handleNewId, report} = this.options;
+    const move = state.findMove(service);
+    if (!move) return;
+    this.rewriteUntil.set(service, now() + REWRITE_TIME_MS);
+    const {moveId: previousId, stage} = move;
+    if (previousId !== moveId) {
+      const renamed = {...move, moveId};
+      this.setMove(service, renamed);
+      handleNewId(renamed, previousId);
+    }
+    report('move goes on in a restored store', {
+      service,
+      moveId,
+      previousId,
+      stage,
+      era,
+    });
+    void this.writeAgain(order);
+  }
+
+  /** Writes the stage of a move again unless the restored store has it. */
+  private async writeAgain(order: MoveOrder): Promise<void> {
+    const {random, outcomes, state} = this.options;
+    for (let attempts = 0; attempts < MAX_REWRITE_ATTEMPTS; attempts++) {
+      await waitMs(random() * REWRITE_SPREAD_MS);
+      const move = state.findMove(order.service);
+      const current = this.orders.get(order.service);
+      const isCurrent =
+        current?.moveId === order.moveId && current.era === order.era;
+      if (!isCurrent || !move) return;
+      try {
+        this.applyOutcome(order, await outcomes.write(order, move.stage));
+        return;
+      } catch (error) {
+        this.reportUnreadOutcome(order, error);
+      }
+    }
+  }
+
   private startMove(order: MoveOrder): void {
     const {service, toVersion, moveId, durationMs} = order;
     const now = this.options.now();
@@ -187,21 +251,32 @@
   private async readOutcome(order: MoveOrder): Promise<void> {
     try {
       const stage = await this.options.outcomes.read(order);
-      const move = this.options.state.findMove(order.service);
-      if (move?.moveId !== order.moveId || !stage) return;
-      if (STAGE_RANKS[stage] > STAGE_RANKS[move.stage]) {
-        this.setMove(order.service, {...move, stage, number: move.number + 1});
-      }
+      if (stage) this.applyOutcome(order, stage);
     } catch (error) {
-      if (!(error instanceof StoreUnavailableError)) throw error;
-      const {moveId} = order;
-      this.options.report('move outcome not read', {
-        moveId,
-        detail: error.message,
-      });
+      this.reportUnreadOutcome(order, error);
+    }
+  }
+
+  /** Applies a stage that the store holds, if it is beyond the known one. */
+  private applyOutcome({service, moveId}: MoveOrder, stage: MoveStage): void {
+    const move = this.options.state.findMove(service);
+    if (move?.moveId !== moveId) return;
+    const areEnded = ![stage, move.stage].includes('running');
+    if (areEnded && stage !== move.stage) {
+      const {stage: known} = move;
+      this.options.report('move outcome differs', {moveId, known, stage});
+    } else if (STAGE_RANKS[stage] > STAGE_RANKS[move.stage]) {
+      this.setMove(service, {...move, stage, number: move.number + 1});
     }
   }
 
+  /** Reports an unreachable store; any other error is a bug and is thrown. */
+  private reportUnreadOutcome({moveId}: MoveOrder, error: unknown): void {
+    if (!(error instanceof StoreUnavailableError)) throw error;
+    const {message: detail} = error;
+    this.options.report('move outcome not read', {moveId, detail});
+  }
+
   private refreshFromVersion(service: string, move: Move): void {
     const fromVersion = this.findFromVersion(service, move.toVersion);
     if (fromVersion) this.setMove(service, {...move, fromVersion});
@@ -235,3 +310,12 @@
     }
   }
 }
+
+/** Whether a restored store has the same order, perhaps at another offset. */
+function isWrittenAgain(known: MoveOrder, order: MoveOrder): boolean {
+  return (
+    order.era > known.era &&
+    order.toVersion === known.toVersion &&
+    order.durationMs === known.durationMs
+  );
+}
--- a/src/directory-moves.ts
+++ b/src/directory-moves.ts
@@ -43,7 +43,10 @@
       workers,
       outcomes,
       now: readClock,
+      random: Math.random,
       push,
+      handleNewId: (move, previousId) =>
+        this.versions.copyBadVersion(previousId, move.moveId),
       report,
     });
     this.versions = new VersionMoves({
--- a/src/test/stand-ins/peer-fleet.ts
+++ b/src/test/stand-ins/peer-fleet.ts
@@ -59,7 +59,7 @@
   /** Time that a datagram takes, in milliseconds. */
   delayMs = 0;
 
-  add(nodeId: string, dataCentre: string, incarnation = 1): TestNode {
+  add(nodeId: string, dataCentre: string, incarnation = 5): TestNode {
     const workers = new WorkerTable();
     const records = new KeyedRecords();
     const subset = new WorkerSubset(nodeId, dataCentre);
