Reject node entries whose address can't be sent to

Callers saw: no answers. Each node that read a list entry with a port out of range ended, and ended again at each start.

Cause: the schema of a node's description took any text of 3 to 64 characters as an address. Sending a datagram to a port outside 1 to 65535 throws at once, within the read of the list, where any error but an unreachable store counts as a bug and is thrown.

Change: peer and datagram addresses follow the schema of the settings, an IP number and a port, and the port may not be 0. It holds for entries, introductions and updates alike.

Tests: the fleet of peer-directory_test.ts used node ids as addresses, which the schema now rejects; its nodes have addresses instead. The checks and bounds are unchanged.

--- a/src/protocol/peer-messages.ts
+++ b/src/protocol/peer-messages.ts
@@ -4,15 +4,23 @@
  * records that the receiver may lack. The types are derived from the schemas.
  */
 import * as z from 'zod';
+import {parseAddress} from './node-identity.js';
+import {addressSchema} from './settings.js';
 import type {WorkerLoad} from './worker-load.js';
 import {formatWorkerLoad, parseWorkerLoad, WorkerState} from './worker-load.js';
 
 const offsetSchema = z.int().min(0);
 
+/** Sending to port 0, or to none, throws instead of failing later. */
+const peerAddressSchema = addressSchema.refine(
+  text => parseAddress(text).port > 0,
+  'nothing can be sent to port 0',
+);
+
 const peerSchema = z.object({
   nodeId: z.string().min(1).max(128),
   incarnation: z.int().min(0),
-  peerAddress: z.string().min(3).max(64),
+  peerAddress: peerAddressSchema,
 });
 
 /** A worker as the node on its host describes it. */
@@ -26,7 +34,7 @@
 /** A node as it describes itself. */
 export const nodeInfoSchema = peerSchema.extend({
   dataCentre: z.string().min(1).max(64),
-  beaconAddress: z.string().min(3).max(64),
+  beaconAddress: peerAddressSchema,
   /** Increases with each change of the description. */
   revision: z.int().min(0),
   isLeaving: z.boolean(),
--- a/src/test/peer-directory_test.ts
+++ b/src/test/peer-directory_test.ts
@@ -55,12 +55,14 @@
   readonly nodes = new Map<string, TestNode>();
   readonly entries = new Map<string, NodeInfo>();
   calls = 0;
+  private readonly addresses = new Map<string, string>();
+  private readonly nodeIds = new Map<string, string>();
 
   add(nodeId: string, dataCentre: string, incarnation = 1): TestNode {
     const workers = new WorkerTable();
     const records = new KeyedRecords();
     const subset = new WorkerSubset(nodeId, dataCentre);
-    const address = nodeId;
+    const address = this.findAddress(nodeId);
     const directory = new PeerDirectory({
       identity: {
         nodeId,
@@ -98,7 +100,7 @@
       receivedBytes: 0,
       heardFrom: new Set(),
     };
-    this.nodes.set(address, node);
+    this.nodes.set(nodeId, node);
     directory.updateWorkers([
       {service: SERVICE, version: 'v1', slots: 6, state: 'ready'},
     ]);
@@ -114,12 +116,13 @@
 
   /** Adds an entry to the store for a node that does not exist. */
   addStaleEntry(nodeId: string): void {
+    const address = this.findAddress(nodeId);
     this.entries.set(nodeId, {
       nodeId,
       incarnation: 1,
-      peerAddress: nodeId,
+      peerAddress: address,
       dataCentre: DATA_CENTRES[0]!,
-      beaconAddress: nodeId,
+      beaconAddress: address,
       revision: 1,
       isLeaving: false,
       workers: [],
@@ -133,12 +136,26 @@
     );
   }
 
+  /** Returns the address of a node; a new one for a new id. */
+  private findAddress(nodeId: string): string {
+    const known = this.addresses.get(nodeId);
+    if (known) return known;
+    const address = `10.0.0.1:${this.addresses.size + 1}`;
+    this.addresses.set(nodeId, address);
+    this.nodeIds.set(address, nodeId);
+    return address;
+  }
+
+  private findNode(address: string): TestNode | undefined {
+    return this.nodes.get(this.nodeIds.get(address) ?? '');
+  }
+
   private async sendUpdate(
     to: string,
     update: PeerUpdate,
   ): Promise<PeerUpdate> {
     this.calls += 1;
-    const node = this.nodes.get(to);
+    const node = this.findNode(to);
     await new Promise(resolve => setImmediate(resolve));
     if (!node || node.isUnresponsive) throw new Error('node does not reply');
     return structuredClone(
@@ -150,7 +167,7 @@
     const text = formatBeacon(beacon);
     for (const address of to) {
       setImmediate(() => {
-        const node = this.nodes.get(address);
+        const node = this.findNode(address);
         if (!node || node.isUnresponsive) return;
         node.received += 1;
         node.receivedBytes += text.length;
