--- a/src/protocol/configuration.ts
+++ b/src/protocol/configuration.ts
@@ -13,6 +13,12 @@
 const KIB = 1024;
 const MIB = 1024 * KIB;
 
+/** Largest values that a profile or route may have. */
+export const MAX_BODY_BYTES = 1024 * MIB;
+export const MAX_TIME_LIMIT_MS = HOUR_MS;
+export const MAX_RETRY_BURST = 1000;
+export const MAX_TRIAL_PERCENT = 20;
+
 /** Schema of the names of services, profiles, data centres and routes. */
 export const nameSchema = z
   .string()
@@ -43,11 +49,11 @@
   /** Whether a request may run more than once; the method decides if absent. */
   idempotent: z.boolean().optional(),
   /** Overrides the profile's time limit. */
-  timeLimit: buildDurationSchema(1, HOUR_MS).optional(),
+  timeLimit: buildDurationSchema(1, MAX_TIME_LIMIT_MS).optional(),
 });
 
 const limitsSchema = z.strictObject({
-  maxBody: buildSizeSchema(0, 1024 * MIB).prefault('64MiB'),
+  maxBody: buildSizeSchema(0, MAX_BODY_BYTES).prefault('64MiB'),
   /** Maximum pause between two chunks of a caller's body. */
   bodyPause: buildDurationSchema(100, 10 * MINUTE_MS).prefault('10s'),
   /** Maximum number of requests that wait at one gate. */
@@ -68,7 +74,7 @@
   /** Retries as a percentage of the service's calls at one entry. */
   budgetPercent: z.number().min(0).max(100).default(10),
   /** Maximum number of unused retries that an entry accumulates for a burst. */
-  budgetBurst: z.number().min(0).max(1000).default(20),
+  budgetBurst: z.number().min(0).max(MAX_RETRY_BURST).default(20),
   /** Maximum retries of one request that do not draw on the budget. */
   maxRefusals: z.int().min(0).max(100).default(10),
   /** Whether `budgetBurst` is divided among all entries. */
@@ -109,7 +115,7 @@
 
 const movesSchema = z.strictObject({
   /** Percentage of traffic that a new version gets during its trial. */
-  trialPercent: z.number().min(0.1).max(20).default(5),
+  trialPercent: z.number().min(0.1).max(MAX_TRIAL_PERCENT).default(5),
   /** Whether rarely used routes need no evidence. */
   skipsRareRoutes: z.boolean().default(false),
   /** Answers per route that are required before each step. */
@@ -126,8 +132,8 @@
     balancing: z.enum(BALANCING_POLICIES).default('adaptive'),
     /** Latency advantage required of a worker in another data centre. */
     farCost: buildDurationSchema(0, SECOND_MS).prefault('3ms'),
-    timeLimit: buildDurationSchema(1, HOUR_MS).prefault('2s'),
-    maxTimeLimit: buildDurationSchema(1, HOUR_MS).prefault('30s'),
+    timeLimit: buildDurationSchema(1, MAX_TIME_LIMIT_MS).prefault('2s'),
+    maxTimeLimit: buildDurationSchema(1, MAX_TIME_LIMIT_MS).prefault('30s'),
     routes: z.array(routeSchema).default([]),
     limits: limitsSchema.prefault({}),
     retries: retriesSchema.prefault({}),
@@ -174,9 +180,9 @@
   targets: z.array(routeTargetSchema).min(1),
   /** Whether a request may run more than once. */
   idempotent: z.boolean(),
-  timeLimit: buildDurationSchema(1, HOUR_MS),
+  timeLimit: buildDurationSchema(1, MAX_TIME_LIMIT_MS),
   /** Latency target, after which an answer counts as late. */
-  targetLatency: buildDurationSchema(1, HOUR_MS).optional(),
+  targetLatency: buildDurationSchema(1, MAX_TIME_LIMIT_MS).optional(),
   /** Maximum number of workers that one request is sent to. */
   maxAttempts: z.int().min(1).max(100).optional(),
   /** Priority among requests of a service; 0 is the highest. */
