Keep the known worker when a report names an unknown service

Callers saw: nothing served by a worker, once its reports had gone stale, after another writer had reported a process of an unknown service.

Cause: a report whose service isn't configured is held and was stored as the newest one, so that those of the known worker were compared with it.

Evidence: the new case of worker-reports_test.ts failed before the change ('stale' instead of 'taken').

Change: such a report is stored only while no worker of a configured service is known, which is what holding it is for: the start of a node.

--- a/src/coordination/worker-reports.ts
+++ b/src/coordination/worker-reports.ts
@@ -20,7 +20,7 @@
   TAKEN: 'taken',
   /** From an earlier process, or an earlier report of the current one. */
   STALE: 'stale',
-  /** Stored, but its service is not configured yet. */
+  /** Its service is not configured; stored unless a worker is known. */
   HELD: 'held',
 } as const;
 
@@ -44,6 +44,14 @@
   /** Handles a report; announces it to the gate unless stale or held. */
   handleReport(report: WorkerReport): ReportOutcome {
     if (this.isStale(report)) return ReportOutcome.STALE;
+    const {service} = report.announcement;
+    const known = this.newest?.announcement.service;
+    // It may come from another writer and must not outdate the known worker.
+    const isForeign =
+      known !== undefined &&
+      this.isConfigured(known) &&
+      !this.isConfigured(service);
+    if (isForeign) return ReportOutcome.HELD;
     this.newest = report;
     if (report.announcement.state === 'draining') this.addLeaving(report);
     return this.announce(report);
--- a/src/test/worker-reports_test.ts
+++ b/src/test/worker-reports_test.ts
@@ -99,6 +99,24 @@
     expect(announced).toBe(last);
   });
 
+  // Such a report made those of the known worker look stale.
+  it('a report of an unknown service does not replace a known worker', () => {
+    const announced: string[] = [];
+    const reports = new WorkerReports(
+      {announce: ({instanceId}) => void announced.push(instanceId ?? '')},
+      service => service === 'desk',
+    );
+    const foreign = buildReport('b', 9, 1);
+    reports.handleReport(buildReport('a', 1, 1));
+    const outcome = reports.handleReport({
+      ...foreign,
+      announcement: {...foreign.announcement, service: 'other'},
+    });
+    expect(outcome).toBe('held');
+    expect(reports.handleReport(buildReport('a', 1, 2))).toBe('taken');
+    expect(announced).toEqual(['a', 'a']);
+  });
+
   it('holds a report until its service is configured', () => {
     let isConfigured = false;
     const announced: string[] = [];
