Believe a node rather than what others say of its incarnation

Callers saw: for about 20 s no work sent to a sound worker, after an entry in the node list had named its node with a far later incarnation.

Cause: the entry created a peer with that incarnation before anything was heard from it, and the node's own messages then looked like those of an earlier process, until the silent peer was removed.

Evidence: the new case of peer-directory_test.ts failed before the change: five seconds after the start the worker was still unknown to the others.

Change: until a node has described itself, its own description replaces what is known of it. Between two descriptions the later incarnation still wins.

--- a/src/coordination/peer-directory.ts
+++ b/src/coordination/peer-directory.ts
@@ -292,7 +292,8 @@
     const {workers, identity} = this.options;
     if (node.nodeId === identity.nodeId) return undefined;
     let peer = this.peers.get(node.nodeId);
-    if (!peer || peer.name.incarnation < node.incarnation) {
+    // Until a node has described itself, its incarnation is only hearsay.
+    if (!peer?.info || peer.name.incarnation < node.incarnation) {
       peer = this.createPeer(node);
     }
     if (node.incarnation < peer.name.incarnation) return undefined;
--- a/src/test/peer-directory_test.ts
+++ b/src/test/peer-directory_test.ts
@@ -115,11 +115,11 @@
   }
 
   /** Adds an entry to the store for a node that does not exist. */
-  addStaleEntry(nodeId: string): void {
-    const address = this.findAddress(nodeId);
-    this.entries.set(nodeId, {
+  addStaleEntry(nodeId: string, incarnation = 1, key = nodeId): void {
+    const address = this.findAddress(key);
+    this.entries.set(key, {
       nodeId,
-      incarnation: 1,
+      incarnation,
       peerAddress: address,
       dataCentre: DATA_CENTRES[0]!,
       beaconAddress: address,
@@ -257,6 +257,15 @@
     }
   });
 
+  // Such an entry shut the node out: its own messages looked older.
+  it('believe a node rather than a listed entry with a later incarnation', async () => {
+    fleet = new TestFleet();
+    fleet.addStaleEntry('node-3', Number.MAX_SAFE_INTEGER, 'odd');
+    fleet.addAll(6);
+    await runFor(SETTLE_MS);
+    expect(fleet.isComplete()).toBe(true);
+  });
+
   it('receive the load of the workers in their subset', async () => {
     fleet = new TestFleet();
     fleet.addAll(30);
