Tell a repeated refusal on a kept connection from a true one

Callers saw: 'not run' for an idempotent request that a worker was running or had run, when a faulty worker wrote an earlier refusal once more, without an id, on the connection that carried the request.

Cause: a refusal without an id was believed on every connection.

Ruled out: other requests. Each has a connection of its own, so that a repeat of an earlier refusal can't be on it. A refusal with the id of an earlier request was rejected before. One that arrives with the first or on an idle connection ends that connection.

Change: on a kept connection a refusal without an id proves nothing.

--- a/src/transport/upstream-client.ts
+++ b/src/transport/upstream-client.ts
@@ -210,7 +210,8 @@
   response: ExchangeResponse,
 ): Promise<AttemptAnswer> {
   const {headers, status} = response;
-  const fault = protocol.findFault(request, status, headers);
+  const isKeptConnection = request.idempotent;
+  const fault = protocol.findFault(request, status, headers, isKeptConnection);
   if (fault) {
     closeBody(response.body, fault);
     throw new AttemptError(fault.reason, fault.verdict, fault.detail);
--- a/src/transport/upstream-protocol.ts
+++ b/src/transport/upstream-protocol.ts
@@ -24,11 +24,17 @@
   /** Builds the headers of a request to the upstream. */
   buildHeaders(request: ServiceRequest): Headers;
   buildProbeHeaders(): Headers;
-  /** Checks whether a response is a refusal or answers another request. */
+  /**
+   * Checks whether a response is a refusal or answers another request.
+   *
+   * @param isKeptConnection whether the connection may have carried other
+   *     requests, so that a response without an id may belong to one of them.
+   */
   findFault(
     request: ServiceRequest,
     status: number,
     headers: Headers,
+    isKeptConnection: boolean,
   ): AnswerFault | undefined;
   readSignature(headers: Headers): string | undefined;
   /** Reads the load that the upstream reports, if any. */
@@ -46,8 +52,9 @@
     };
   },
   buildProbeHeaders: () => ({[headerNames.PROBE]: '1'}),
-  findFault: (request, status, headers) =>
-    findWrongAnswer(request, headers) ?? findShedRequest(status, headers),
+  findFault: (request, status, headers, isKeptConnection) =>
+    findWrongAnswer(request, headers) ??
+    findShedRequest(status, headers, isKeptConnection),
   readSignature: () => undefined,
   readLoadReport: () => undefined,
   readProbe: status => ({status}),
@@ -71,17 +78,24 @@
   };
 }
 
+/**
+ * Detects a refusal. Without the request's id, one on a kept connection may be
+ * an earlier one that the worker repeats.
+ */
 function findShedRequest(
   status: number,
   headers: Headers,
+  isKeptConnection: boolean,
 ): AnswerFault | undefined {
   const isShed =
     status === SERVICE_UNAVAILABLE &&
     readVerdict(findHeader(headers, headerNames.VERDICT)) === Verdict.NOT_RUN;
   if (!isShed) return undefined;
+  const hasId = findHeader(headers, headerNames.REQUEST_ID) !== undefined;
   return {
     reason: Reason.WORKER_SHED,
-    verdict: Verdict.NOT_RUN,
+    verdict:
+      hasId || !isKeptConnection ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN,
     detail: 'worker shed the request',
   };
 }
