Reset a failed answer that the end of its connection would complete

Callers saw: the start of an answer as a whole one, over HTTP/1.0, when its worker or its node broke off after the first 64 KiB.

Cause: such an answer has neither chunks nor, if its worker gave none, a length. The connection of a failed answer was destroyed, which sends the same end as that of a complete one.

Evidence: src/test/cut-answer_test.ts. Before the change the case of the connection's end failed; chunks and a length showed the cut before too.

Change: the connection is reset in that case, as the upstream side expects of workers. Framed answers end as before.

--- a/src/transport/answer-writer.ts
+++ b/src/transport/answer-writer.ts
@@ -32,6 +32,11 @@
   }
   response.writeHead(answer.status, headers);
   response.write(held);
+  const isFramed =
+    response.chunkedEncoding || headers['content-length'] !== undefined;
+  if (!isFramed) {
+    rest.once('error', () => response.socket?.resetAndDestroy());
+  }
   try {
     await pipeline(rest, response);
   } catch (error) {
