Answer a whole request though the bytes behind it can't be parsed

Callers saw: 400 for a proper request whose caller sent something that is no request behind it on the same connection; or, where the answer was under way, the bytes of that 400 in the midst of its body.

Cause: the handler of parser errors always wrote a refusal on the connection and ended it, whether or not an answer was pending there.

Change: a whole request keeps its connection until its answer has ended. A broken request whose answer has begun is cut, since that answer can't be completed. Only where nothing was sent is the refusal written, as before.

--- a/src/transport/caller-listener.ts
+++ b/src/transport/caller-listener.ts
@@ -101,8 +101,13 @@
       void serveRequest(handlers, message, response);
     },
   });
-  server.on('clientError', (error, socket) => {
-    refuseMalformed(handlers, error, socket as Socket);
+  const pending = new WeakMap<Socket, ServerResponse>();
+  server.prependListener('request', (message, response) => {
+    pending.set(message.socket, response);
+  });
+  server.on('clientError', (error, duplex) => {
+    const socket = duplex as Socket;
+    handleParseError(handlers, error, socket, pending.get(socket));
   });
   for (const route of handlers.nodeRoutes) {
     service[route.method](route.path, (message, response) => {
@@ -120,16 +125,35 @@
 };
 const DEFAULT_PARSE_ERROR_STATUS = '400 Bad Request';
 
+function handleParseError(
+  handlers: CallerHandlers,
+  error: NodeJS.ErrnoException,
+  socket: Socket,
+  response: ServerResponse | undefined,
+): void {
+  const isAnswering = response?.closed === false;
+  if (error.code === 'ECONNRESET' || !socket.writable) socket.destroy();
+  else if (isAnswering && response.req.complete)
+    closeAfterAnswer(response, socket);
+  else if (isAnswering && response.headersSent) socket.destroy();
+  else refuseMalformed(handlers, error, socket);
+}
+
+/**
+ * Closes a connection after the answer to a whole request, behind which the
+ * parser failed. A refusal would be read as that answer or as a part of it.
+ */
+function closeAfterAnswer(response: ServerResponse, socket: Socket): void {
+  response.shouldKeepAlive = false;
+  response.once('close', () => socket.end());
+}
+
 /** Answers and counts a message that the HTTP parser rejected; nothing ran. */
 function refuseMalformed(
   handlers: CallerHandlers,
   error: NodeJS.ErrnoException,
   socket: Socket,
 ): void {
-  if (error.code === 'ECONNRESET' || !socket.writable) {
-    socket.destroy();
-    return;
-  }
   const detail = error.code ?? error.message;
   const refusal = new RefusalError(Reason.MALFORMED_REQUEST, 'not-run', detail);
   handlers.handleRefusal(refusal, '');
