Serve requests with an expectation that the node doesn't know

Callers saw: 417 for a proper request with an Expect header other than 100-continue.

Cause: the HTTP server answers such a request by itself unless the node handles it.

Evidence: the new case of caller-listener_test.ts failed before the change with 417.

Change: the request is served like any other; the header concerns one connection and was never forwarded.

--- a/src/test/caller-listener_test.ts
+++ b/src/test/caller-listener_test.ts
@@ -1,6 +1,6 @@
 /**
- * Bytes of a caller that the HTTP parser rejects: a proper request on the same
- * connection still gets its answer.
+ * Bytes of a caller that the HTTP parser rejects, and headers that it knows
+ * nothing of: a proper request on the same connection still gets its answer.
  */
 import type {Server} from 'node:http';
 import {connect} from 'node:net';
@@ -115,3 +115,11 @@
     expect(text).not.toMatch(/0\r\n\r\n$/);
   });
 });
+
+// A proper request was answered 417.
+it('an expectation that the node does not know is ignored', async () => {
+  const port = await startServer('later');
+  const request = `${GET}expect: patience\r\nconnection: close\r\n\r\n`;
+  const text = await sendParts(port, [request, '']);
+  expect(text).toMatch(/^HTTP\/1.1 200 [^]*whole$/);
+});
--- a/src/transport/caller-listener.ts
+++ b/src/transport/caller-listener.ts
@@ -105,6 +105,10 @@
   server.prependListener('request', (message, response) => {
     pending.set(message.socket, response);
   });
+  // An expectation that a server doesn't know may be ignored, see RFC 9110.
+  server.on('checkExpectation', (message, response) => {
+    server.emit('request', message, response);
+  });
   server.on('clientError', (error, duplex) => {
     const socket = duplex as Socket;
     handleParseError(handlers, error, socket, pending.get(socket));
