Don't answer 404 when a service is removed under its request

Callers saw: 404 for a proper request whose body was still arriving when a configuration moved its route to another service and removed the old one.

Cause: the route is looked up when the head arrives, the profile again when the body has, and a missing profile counted as an unknown route.

Evidence: src/test/entry_test.ts failed before the change with unknown-service.

Change: the refusal says that no worker is left, 503 and not run, so that the caller comes back and finds the new route. An unknown route is still refused with 404 where it is looked up.

Result: entry_test passes.

--- a/src/coordination/entry.ts
+++ b/src/coordination/entry.ts
@@ -79,7 +79,8 @@
   ): Promise<ServiceAnswer> {
     const request = this.markNested(received);
     const profile = this.options.state.findProfile(request.service);
-    if (!profile) throw new RefusalError(Reason.UNKNOWN_SERVICE);
+    // Its route was found when its head arrived, and leads elsewhere now.
+    if (!profile) throw new RefusalError(Reason.NO_WORKER);
     if (this.options.isQuarantined(request.fingerprint)) {
       throw new RefusalError(Reason.QUARANTINED);
     }
