Apply the configured limit on callers' headers

Callers saw: 431 for a proper request with headers above 16 KiB, where the operator's limit is larger; and above it where the limit is smaller, no refusal.

Cause: the limit was decoded and kept but never applied. The listener had a fixed one, and so had the listener for other nodes, at 32 KiB.

Evidence: the new cases of caller-listener_test.ts. Before the change two of four failed: 60,000 bytes within 64 KiB got 431, 8,000 above 4 KiB got 200.

Change: the HTTP parser accepts the largest limit that a configuration may set, and each request is measured against the one in force, as the parser measures. The listener for other nodes accepts as much and what an entry adds. Without a configuration a request gets its 503 instead of a 431.

--- a/src/directory-node.ts
+++ b/src/directory-node.ts
@@ -299,6 +299,7 @@
       handleRequest: (request, signal) => this.handleRequest(request, signal),
       handleRefusal: (refusal, requestId) =>
         this.recordRefusal(refusal, requestId),
+      findLimits: () => this.state.callerLimits,
       isStopping: () => this.plannedStop.isStopping,
     });
   }
--- a/src/node-process.ts
+++ b/src/node-process.ts
@@ -212,6 +212,7 @@
           verdict: refusal.verdict,
         });
       },
+      findLimits: () => this.state.callerLimits,
       isStopping: () => this.plannedStop.isStopping,
     });
     this.peerServer = createPeerServer({
--- a/src/protocol/configuration.ts
+++ b/src/protocol/configuration.ts
@@ -16,6 +16,7 @@
 /** Largest values that a profile or route may have. */
 export const MAX_BODY_BYTES = 1024 * MIB;
 export const MAX_TIME_LIMIT_MS = HOUR_MS;
+export const MAX_HEADER_BYTES = MIB;
 export const MAX_RETRY_BURST = 1000;
 export const MAX_TRIAL_PERCENT = 20;
 
@@ -191,7 +192,7 @@
 
 /** Limits on callers' headers and on their idle connections. */
 const callerLimitsSchema = z.strictObject({
-  maxHeader: buildSizeSchema(1024, MIB).prefault('16KiB'),
+  maxHeader: buildSizeSchema(1024, MAX_HEADER_BYTES).prefault('16KiB'),
   headerTimeout: buildDurationSchema(100, 10 * MINUTE_MS).prefault('10s'),
   idleTimeout: buildDurationSchema(100, HOUR_MS).prefault('75s'),
 });
--- a/src/test/caller-listener_test.ts
+++ b/src/test/caller-listener_test.ts
@@ -48,7 +48,10 @@
     'in parts': async () => createSlowBody(),
   };
 
-async function startServer(answer: string): Promise<number> {
+async function startServer(
+  answer: string,
+  maxHeader = 16 * 1024,
+): Promise<number> {
   const profile = profileSchema.parse({});
   server = createCallerServer({
     nodeRoutes: [],
@@ -63,6 +66,7 @@
       body: await ANSWERS[answer]!(),
     }),
     handleRefusal: () => {},
+    findLimits: () => ({maxHeader, headerTimeout: 10_000, idleTimeout: 10_000}),
     isStopping: () => false,
   } satisfies CallerHandlers);
   await new Promise<void>(resolve => server!.listen(0, '127.0.0.1', resolve));
@@ -123,3 +127,19 @@
   const text = await sendParts(port, [request, '']);
   expect(text).toMatch(/^HTTP\/1.1 200 [^]*whole$/);
 });
+
+// The limit of the configuration was not applied, so that headers within a
+// larger one were answered 431.
+describe('the limit on headers', () => {
+  it.each([
+    {name: 'within the usual limit', size: 8000, limit: 16_384, status: 200},
+    {name: 'above the usual limit', size: 20_000, limit: 16_384, status: 431},
+    {name: 'within a larger limit', size: 60_000, limit: 65_536, status: 200},
+    {name: 'above a smaller limit', size: 8000, limit: 4096, status: 431},
+  ])('$name: $status', async ({size, limit, status}) => {
+    const port = await startServer('later', limit);
+    const request = `${GET}x-large: ${'x'.repeat(size)}\r\nconnection: close\r\n\r\n`;
+    const text = await sendParts(port, [request, '']);
+    expect(text).toMatch(new RegExp(`^HTTP/1.1 ${status} `));
+  });
+});
--- a/src/transport/caller-listener.ts
+++ b/src/transport/caller-listener.ts
@@ -2,10 +2,12 @@
  * Listener for callers, the upstream on this host and operators. The node
  * itself serves paths below `/-/`; requests to other paths go to services.
  */
-import {createServer} from 'node:http';
+import {createServer, STATUS_CODES} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import restana from 'restana';
+import type {CallerLimits} from '../protocol/configuration.js';
+import {MAX_HEADER_BYTES} from '../protocol/configuration.js';
 import {
   createProblem,
   Reason,
@@ -20,7 +22,6 @@
 import {writeAnswer, writeRefusal} from './answer-writer.js';
 import {readWholeBody} from './message-body.js';
 
-const MAX_HEADER_BYTES = 16 * 1024;
 /** Maximum time in which a caller must have sent its request's headers. */
 const HEADERS_TIMEOUT_MS = 10_000;
 const KEEP_ALIVE_TIMEOUT_MS = 75_000;
@@ -80,6 +81,8 @@
   ): Promise<ServiceAnswer>;
   /** Called for each refusal, for counters and logs. */
   handleRefusal(refusal: RefusalError, requestId: string): void;
+  /** Returns the limits on callers; undefined without a configuration. */
+  findLimits(): CallerLimits | undefined;
   /** Returns whether connections should close after their current answer. */
   isStopping(): boolean;
 }
@@ -87,6 +90,7 @@
 /** Creates the server without starting to listen. */
 export function createCallerServer(handlers: CallerHandlers): Server {
   const server = createServer({
+    // The limit in force is checked for each request.
     maxHeaderSize: MAX_HEADER_BYTES,
     headersTimeout: HEADERS_TIMEOUT_MS,
     requestTimeout: 0,
@@ -98,7 +102,13 @@
     server,
     prioRequestsProcessing: false,
     defaultRoute: (message, response) => {
-      void serveRequest(handlers, message, response);
+      const {maxHeader = MAX_HEADER_BYTES} = handlers.findLimits() ?? {};
+      if (measureHeaders(message) > maxHeader) {
+        const {status, headers, body} = buildRefusal(handlers, HEADER_OVERFLOW);
+        response.writeHead(status, headers).end(body);
+      } else {
+        void serveRequest(handlers, message, response);
+      }
     },
   });
   const pending = new WeakMap<Socket, ServerResponse>();
@@ -122,12 +132,34 @@
   return server;
 }
 
-/** HTTP status line for each error code of the HTTP parser. */
-const STATUS_BY_PARSE_ERROR: Readonly<Record<string, string>> = {
-  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
-  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+/** Error code of the HTTP parser for a head above its fixed limit. */
+const HEADER_OVERFLOW = 'HPE_HEADER_OVERFLOW';
+
+/** HTTP status for each error code of the HTTP parser. */
+const STATUS_BY_PARSE_ERROR: Readonly<Record<string, number>> = {
+  [HEADER_OVERFLOW]: 431,
+  ERR_HTTP_REQUEST_TIMEOUT: 408,
 };
-const DEFAULT_PARSE_ERROR_STATUS = '400 Bad Request';
+const DEFAULT_PARSE_ERROR_STATUS = 400;
+
+/** Builds and counts the refusal of a message that was not read whole. */
+function buildRefusal(
+  handlers: CallerHandlers,
+  detail: string,
+): {status: number; headers: Record<string, string>; body: string} {
+  const refusal = new RefusalError(Reason.MALFORMED_REQUEST, 'not-run', detail);
+  handlers.handleRefusal(refusal, '');
+  const body = JSON.stringify(createProblem(refusal, undefined));
+  return {
+    status: STATUS_BY_PARSE_ERROR[detail] ?? DEFAULT_PARSE_ERROR_STATUS,
+    headers: {
+      connection: 'close',
+      'content-type': 'application/problem+json',
+      'content-length': String(Buffer.byteLength(body)),
+    },
+    body,
+  };
+}
 
 function handleParseError(
   handlers: CallerHandlers,
@@ -158,20 +190,22 @@
   error: NodeJS.ErrnoException,
   socket: Socket,
 ): void {
-  const detail = error.code ?? error.message;
-  const refusal = new RefusalError(Reason.MALFORMED_REQUEST, 'not-run', detail);
-  handlers.handleRefusal(refusal, '');
-  const body = JSON.stringify(createProblem(refusal, undefined));
-  const status = STATUS_BY_PARSE_ERROR[detail] ?? DEFAULT_PARSE_ERROR_STATUS;
+  const {status, headers, body} = buildRefusal(
+    handlers,
+    error.code ?? error.message,
+  );
   const lines = [
-    `HTTP/1.1 ${status}`,
-    'connection: close',
-    'content-type: application/problem+json',
-    `content-length: ${Buffer.byteLength(body)}`,
+    `HTTP/1.1 ${status} ${STATUS_CODES[status]}`,
+    ...Object.entries(headers).map(([name, value]) => `${name}: ${value}`),
   ];
   socket.end(`${lines.join('\r\n')}\r\n\r\n${body}`);
 }
 
+/** Measures a request's target and headers, as the HTTP parser does. */
+function measureHeaders({url = '', rawHeaders}: IncomingMessage): number {
+  return rawHeaders.reduce((sum, text) => sum + text.length, url.length);
+}
+
 async function serveRequest(
   handlers: CallerHandlers,
   message: IncomingMessage,
--- a/src/transport/peer-listener.ts
+++ b/src/transport/peer-listener.ts
@@ -8,6 +8,7 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {AttemptAnswer} from '../protocol/attempt.js';
 import {AttemptError} from '../protocol/attempt.js';
+import {MAX_HEADER_BYTES} from '../protocol/configuration.js';
 import * as headerNames from '../protocol/headers.js';
 import {Reason, RefusalError, toRefusal} from '../protocol/reasons.js';
 import type {Headers, ServiceRequest} from '../protocol/service-request.js';
@@ -20,7 +21,8 @@
 import {copyEndToEndHeaders, findHeader} from './message-headers.js';
 import {parseTarget} from './request-reader.js';
 
-const MAX_HEADER_BYTES = 32 * 1024;
+/** The largest headers of a caller, and those that the entry adds. */
+const MAX_PEER_HEADER_BYTES = MAX_HEADER_BYTES + 32 * 1024;
 const KEEP_ALIVE_TIMEOUT_MS = 120_000;
 /** An attempt answered within this time gets no separate acknowledgement. */
 const ACKNOWLEDGE_DELAY_MS = 5;
@@ -57,7 +59,7 @@
 export function createPeerServer(handlers: PeerHandlers): Server {
   return createServer(
     {
-      maxHeaderSize: MAX_HEADER_BYTES,
+      maxHeaderSize: MAX_PEER_HEADER_BYTES,
       keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
       requestTimeout: 0,
       noDelay: true,
