--- a/src/test/peer-refusal_test.ts
+++ b/src/test/peer-refusal_test.ts
@@ -4,6 +4,7 @@
  * gate's own retry delay on to the caller.
  */
 import type {Server} from 'node:http';
+import {createServer} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {afterEach, expect, it} from 'vitest';
 import type {Attempt, AttemptError} from '../protocol/attempt.js';
@@ -25,15 +26,20 @@
   server?.close();
 });
 
-async function sendRefused(refusal: RefusalError): Promise<AttemptError> {
-  server = createPeerServer({
+function sendRefused(refusal: RefusalError): Promise<AttemptError> {
+  const peerServer = createPeerServer({
     handleAttempt: async () => {
       throw refusal;
     },
     handleCall: (message, response) => void response.end(),
     acknowledgeIntervalMs: LONG_TIMEOUT_MS,
   });
-  const listening = server;
+  return sendTo(peerServer);
+}
+
+/** Sends an attempt to a server and resolves with its failure. */
+async function sendTo(listening: Server): Promise<AttemptError> {
+  server = listening;
   await new Promise<void>(resolve => listening.listen(0, '127.0.0.1', resolve));
   const {port} = listening.address() as AddressInfo;
   client = new GateClient('desk-0', {
@@ -85,3 +91,16 @@
     retryAfterMs: expected,
   });
 });
+
+it.each([400, 408, 413, 417, 421, 429, 431, 503])(
+  'a %i of the HTTP layer of another node is not for the caller',
+  async status => {
+    const failing = createServer((message, response) => {
+      response.writeHead(status, {connection: 'close'}).end();
+    });
+    expect(await sendTo(failing)).toMatchObject({
+      reason: 'wrong-answer',
+      verdict: 'may-have-run',
+    });
+  },
+);
