--- a/src/coordination/peer-directory.ts
+++ b/src/coordination/peer-directory.ts
@@ -293,7 +293,9 @@
     if (node.nodeId === identity.nodeId) return undefined;
     let peer = this.peers.get(node.nodeId);
     // Until a node has described itself, its incarnation is only hearsay.
-    if (!peer?.info || peer.name.incarnation < node.incarnation) {
+    const isHearsay =
+      !peer?.info && peer?.name.incarnation !== node.incarnation;
+    if (!peer || isHearsay || peer.name.incarnation < node.incarnation) {
       peer = this.createPeer(node);
     }
     if (node.incarnation < peer.name.incarnation) return undefined;
