--- a/src/test/peer-directory_test.ts
+++ b/src/test/peer-directory_test.ts
@@ -164,6 +164,15 @@
     }
   });
 
+  // Such an entry shut the node out: its own messages looked older.
+  it('believe a node rather than a listed entry with a later incarnation', async () => {
+    fleet = new TestFleet();
+    fleet.addStaleEntry('node-3', Number.MAX_SAFE_INTEGER, 'odd');
+    fleet.addAll(6);
+    await runFor(SETTLE_MS);
+    expect(fleet.isComplete()).toBe(true);
+  });
+
   it('receive the load of the workers in their subset', async () => {
     fleet = new TestFleet();
     fleet.addAll(30);
--- a/src/test/stand-ins/peer-fleet.ts
+++ b/src/test/stand-ins/peer-fleet.ts
@@ -58,6 +58,8 @@
   readonly answeredAt = new Map<number, number>();
   /** Time that a datagram takes, in milliseconds. */
   delayMs = 0;
+  private readonly addresses = new Map<string, string>();
+  private readonly nodeIds = new Map<string, string>();
 
   add(nodeId: string, dataCentre: string, incarnation = 5): TestNode {
     const workers = new WorkerTable();
@@ -72,7 +74,7 @@
       const firstAt = this.answeredAt.get(number) ?? performance.now();
       this.answeredAt.set(number, firstAt);
     });
-    const address = nodeId;
+    const address = this.findAddress(nodeId);
     const directory = new PeerDirectory({
       identity: {
         nodeId,
@@ -121,7 +123,7 @@
       receivedBytes: 0,
       heardFrom: new Set(),
     };
-    this.nodes.set(address, node);
+    this.nodes.set(nodeId, node);
     directory.updateWorkers([
       {service: SERVICE, version: 'v1', slots: 6, state: 'ready'},
     ]);
@@ -143,13 +145,14 @@
   }
 
   /** Adds an entry to the store for a node that does not exist. */
-  addStaleEntry(nodeId: string): void {
-    this.entries.set(nodeId, {
+  addStaleEntry(nodeId: string, incarnation = 1, key = nodeId): void {
+    const address = this.findAddress(key);
+    this.entries.set(key, {
       nodeId,
-      incarnation: 1,
-      peerAddress: nodeId,
+      incarnation,
+      peerAddress: address,
       dataCentre: DATA_CENTRES[0]!,
-      beaconAddress: nodeId,
+      beaconAddress: address,
       revision: 1,
       isLeaving: false,
       workers: [],
@@ -163,12 +166,26 @@
     );
   }
 
+  /** Returns the address of a node; a new one for a new id. */
+  private findAddress(nodeId: string): string {
+    const known = this.addresses.get(nodeId);
+    if (known) return known;
+    const address = `10.0.0.1:${this.addresses.size + 1}`;
+    this.addresses.set(nodeId, address);
+    this.nodeIds.set(address, nodeId);
+    return address;
+  }
+
+  private findNode(address: string): TestNode | undefined {
+    return this.nodes.get(this.nodeIds.get(address) ?? '');
+  }
+
   private async sendUpdate(
     to: string,
     update: PeerUpdate,
   ): Promise<PeerUpdate> {
     this.calls += 1;
-    const node = this.nodes.get(to);
+    const node = this.findNode(to);
     await new Promise(resolve => setImmediate(resolve));
     if (!node || node.isUnresponsive) throw new Error('node does not reply');
     return structuredClone(
@@ -180,7 +197,7 @@
     const text = formatBeacon(beacon);
     for (const address of to) {
       const deliver = (): void => {
-        const node = this.nodes.get(address);
+        const node = this.findNode(address);
         if (!node || node.isUnresponsive) return;
         node.received += 1;
         node.receivedBytes += text.length;
