--- a/src/coordination/peer-directory.ts
+++ b/src/coordination/peer-directory.ts
@@ -310,7 +310,7 @@
   private isReplacement(peer: Peer, process: ProcessName): boolean {
     if (this.isNewer(process)) return true;
     const {incarnation} = process;
-    // Until a node has described itself, its incarnation is only hearsay.
+    // Until a node has described itself, its incarnation is what others say.
     if (!peer.info) return incarnation !== peer.name.incarnation;
     const isKnown =
       incarnation === peer.name.incarnation ||
