--- a/src/coordination/peer-directory.ts
+++ b/src/coordination/peer-directory.ts
@@ -292,8 +292,9 @@
     const {workers, identity} = this.options;
     if (node.nodeId === identity.nodeId) return undefined;
     let peer = this.peers.get(node.nodeId);
-    // Until a node has described itself, its incarnation is only hearsay.
-    if (!peer?.info || peer.name.incarnation < node.incarnation) {
+    // Until a node has described itself, its incarnation is only a rumour.
+    const isRumour = !peer?.info && peer?.name.incarnation !== node.incarnation;
+    if (!peer || isRumour || peer.name.incarnation < node.incarnation) {
       peer = this.createPeer(node);
     }
     if (node.incarnation < peer.name.incarnation) return undefined;
