--- a/src/coordination/keyed-follower.ts
+++ b/src/coordination/keyed-follower.ts
@@ -2,9 +2,11 @@
  * Follows a keyed topic in the platform's store: reads the newest record of
  * each key first, then the records appended after them. It reads the newest
  * records again when the store no longer has the next ones, or has lost records
- * that this node has read. A known record is never replaced by an older one.
+ * that this node has read. Offsets are valid only in the era of the store in
+ * which they were read. A known record is never replaced by an older one.
  * While the store is unavailable, other nodes may have newer records: a node
- * that learns of a later end offset checks the store at once.
+ * that learns of a later end offset checks the store at once. A poll whose
+ * connection went silent is found by a read beside it.
  */
 import {Backoff, waitMs} from '../protocol/backoff.js';
 import type {
@@ -12,14 +14,16 @@
   KeyedRecords,
   KeyedSnapshot,
 } from '../state/keyed-records.js';
+import type {RecordPosition} from '../protocol/record-position.js';
+import {comparePositions} from '../protocol/record-position.js';
 
 /** Result of one read of a topic. */
 export interface KeyedPage {
   readonly records: readonly KeyedRecord[];
-  /** Offset from which to read next. */
-  readonly next: number;
-  /** Offset that the next record will get. */
-  readonly end: number;
+  /** Position from which to read next. */
+  readonly next: RecordPosition;
+  /** Position that the next record will get. */
+  readonly end: RecordPosition;
 }
 
 /**
@@ -65,8 +69,17 @@
   /** Maximum time that one read waits for a new record, in milliseconds. */
   readonly pollWaitMs: number;
   readonly random: () => number;
+  /** Called after each answer that shows what the store holds. */
+  readonly handleAnswer: () => void;
+  /** Called when a check found records that the poll had not delivered. */
+  readonly handleSilentPoll: () => void;
   /** Called when the store becomes available or unavailable. */
   readonly handleAvailability: (isAvailable: boolean, detail: string) => void;
+  /** Writes a log line with its context. */
+  readonly report: (
+    text: string,
+    context: Readonly<Record<string, string | number>>,
+  ) => void;
 }
 
 const MIN_BACKOFF_MS = 100;
@@ -76,7 +89,7 @@
 export class KeyedFollower {
   private readonly abort = new AbortController();
   private readonly backoff: Backoff;
-  private next: number | undefined;
+  private next: RecordPosition | undefined;
   private pollAbort: AbortController | undefined;
   private isAvailable = true;
 
@@ -95,11 +108,40 @@
   }
 
   /**
-   * Reads the newest records at once. A read on a stalled connection would
-   * otherwise delay records that other nodes already have.
+   * Ends the poll and reads the newest records at once. A read on a stalled
+   * connection would otherwise delay records that other nodes already have. A
+   * read of the newest records in progress goes on.
    */
   checkNow(): void {
-    this.pollAbort?.abort();
+    if (this.next !== undefined) this.pollAbort?.abort();
+  }
+
+  /**
+   * Reads the topic beside the poll in progress. If the store has other records
+   * than the poll has delivered, the poll's connection is silent; the records
+   * are then read again at once.
+   */
+  async checkPoll(): Promise<void> {
+    const {topic, records, handleAnswer, handleSilentPoll} = this.options;
+    const {next, pollAbort} = this;
+    // While the store is unavailable, reads do not wait and need no check.
+    if (next === undefined || !this.isAvailable) return;
+    try {
+      const page = await topic.read(next.offset, 0, this.abort.signal);
+      if (this.next !== next) return;
+      const isCurrent = page && comparePositions(page.end, next) === 0;
+      if (isCurrent) {
+        handleAnswer();
+        return;
+      }
+      if (page?.end.era === next.era && page.end.offset > next.offset) {
+        records.applyRecords(page.records, page.next);
+      }
+      pollAbort?.abort();
+      handleSilentPoll();
+    } catch (error) {
+      if (!(error instanceof StoreUnavailableError)) throw error;
+    }
   }
 
   private async run(): Promise<void> {
@@ -125,21 +167,41 @@
     const {topic, records, pollWaitMs} = this.options;
     if (this.next === undefined) {
       const snapshot = await topic.readNewest(signal);
+      if (snapshot.end.era < records.end.era) {
+        throw new StoreUnavailableError('store answered from an earlier era');
+      }
       records.applySnapshot(snapshot);
+      records.expireLost();
       this.next = snapshot.end;
+      this.options.handleAnswer();
       return;
     }
-    const page = await topic.read(this.next, pollWaitMs, signal);
+    const {next} = this;
+    // After an outage a read that waits would hide a restore, or be silent.
+    const longestWaitMs = this.isAvailable ? pollWaitMs : 0;
+    const page = await topic.read(next.offset, longestWaitMs, signal);
     if (!page) {
+      this.options.report('store no longer has the next records', {
+        from: next.offset,
+      });
       this.next = undefined;
       await waitMs(MIN_BACKOFF_MS, signal);
       return;
     }
-    // The store has lost records or lags behind if its end is before `next`.
-    if (page.end < this.next) this.next = undefined;
-    else {
+    // The store was restored, or lags behind if its end is before `next`.
+    if (page.end.era !== next.era || page.end.offset < next.offset) {
+      const {era, offset: end} = page.end;
+      this.options.report('store lacks the next record', {
+        from: next.offset,
+        era,
+        end,
+      });
+      this.next = undefined;
+    } else {
       records.applyRecords(page.records, page.next);
+      records.expireLost();
       this.next = page.next;
+      this.options.handleAnswer();
     }
   }
 
--- a/src/coordination/peer-beacons.ts
+++ b/src/coordination/peer-beacons.ts
@@ -11,7 +11,9 @@
   LoadBeacon,
   NodeInfo,
   ServiceLoad,
+  StoreAnswer,
 } from '../protocol/peer-messages.js';
+import type {RecordPosition} from '../protocol/record-position.js';
 import type {WorkerRow} from '../state/worker-table.js';
 
 /** Minimum interval between two load datagrams. */
@@ -55,7 +57,9 @@
   /** Returns the workers in the current subset of this node's entry. */
   readonly listSubset: () => readonly WorkerRow[];
   readonly listLoads: () => readonly ServiceLoad[];
-  readonly findRecordsEnd: () => number;
+  readonly findRecordsEnd: () => RecordPosition;
+  /** Returns the last answer of the store. */
+  readonly findStoreAnswer: () => StoreAnswer;
   readonly send: (addresses: readonly string[], beacon: LoadBeacon) => void;
 }
 
@@ -185,12 +189,13 @@
   }
 
   private buildBeacon({nodeId, incarnation, revision}: NodeInfo): LoadBeacon {
-    const {listLoads, findRecordsEnd} = this.options;
+    const {listLoads, findRecordsEnd, findStoreAnswer} = this.options;
     return {
       nodeId,
       incarnation,
       revision,
       recordsEnd: findRecordsEnd(),
+      storeAnswer: findStoreAnswer(),
       loads: listLoads(),
     };
   }
--- a/src/coordination/peer-directory-options.ts
+++ b/src/coordination/peer-directory-options.ts
@@ -12,21 +12,29 @@
 } from '../protocol/peer-messages.js';
 import type {KeyedRecords} from '../state/keyed-records.js';
 import type {WorkerRow, WorkerTable} from '../state/worker-table.js';
+import type {StoreFreshness} from './store-freshness.js';
 
 /** The list of nodes in the platform's store. */
 export interface NodeDirectory {
   /**
    * Writes this node's entry, replacing an earlier one of the same id.
    *
+   * @returns the era of the store in which it was written.
    * @throws StoreUnavailableError
    */
-  announce(entry: NodeInfo): Promise<void>;
+  announce(entry: NodeInfo): Promise<number>;
   /**
    * Lists the entries of all nodes.
    *
    * @throws StoreUnavailableError
    */
-  list(): Promise<NodeInfo[]>;
+  list(): Promise<NodeList>;
+}
+
+/** Entries of all nodes and the era of the store in which they were read. */
+export interface NodeList {
+  readonly era: number;
+  readonly entries: readonly NodeInfo[];
 }
 
 /** Calls to other nodes. */
@@ -48,6 +56,7 @@
   readonly directory: NodeDirectory;
   readonly calls: PeerCalls;
   readonly records: KeyedRecords;
+  readonly freshness: StoreFreshness;
   /** Returns the workers in the current subset of this node's entry. */
   readonly listSubset: () => readonly WorkerRow[];
   readonly random: () => number;
--- a/src/coordination/peer-directory.ts
+++ b/src/coordination/peer-directory.ts
@@ -9,7 +9,7 @@
  * routing only, not safety: a gate that gets an attempt by mistake refuses it
  * or does not reply.
  */
-import {Backoff} from '../protocol/backoff.js';
+import {findRecordsEnd} from '../protocol/peer-messages.js';
 import type {
   Introduction,
   LoadBeacon,
@@ -18,12 +18,15 @@
   PeerUpdate,
   ServiceLoad,
 } from '../protocol/peer-messages.js';
+import type {RecordPosition} from '../protocol/record-position.js';
+import {comparePositions} from '../protocol/record-position.js';
 import type {WorkerDescription} from '../state/worker-table.js';
 import {recordLoad} from '../state/worker-table.js';
-import {StoreUnavailableError} from './keyed-follower.js';
 import {pickRandom} from './member-order.js';
+import {NodeListing} from './node-listing.js';
 import type {BeaconPeer} from './peer-beacons.js';
 import type {PeerDirectoryOptions} from './peer-directory-options.js';
+import {RecordCatchUp} from './record-catch-up.js';
 import {
   CHECK_INTERVAL_MS,
   computeDatagramInterval,
@@ -31,8 +34,12 @@
   SUBSCRIPTION_LIFETIME_MS,
 } from './peer-beacons.js';
 
+type ProcessName = Pick<PeerIdentity, 'nodeId' | 'incarnation'>;
+
 interface Peer extends BeaconPeer {
   name: PeerIdentity;
+  /** Incarnation of the process that this one replaced. */
+  readonly endedIncarnation: number | undefined;
   info: NodeInfo | undefined;
   /** Time of the last message from it, in milliseconds. */
   lastHeardAt: number;
@@ -43,6 +50,11 @@
   failures: number;
 }
 
+/**
+ * Silence of a process after which one with a lower incarnation replaces it:
+ * incarnations follow the time of day, which may be set back before a restart.
+ */
+const REPLACEMENT_SILENCE_MS = 1000;
 /** Intervals without a datagram after which a node is contacted by a call. */
 const MAX_SILENT_INTERVALS = 2.8;
 /** Exchanges with new nodes at the start; more would return the same peers. */
@@ -50,8 +62,6 @@
 /** Maximum backoff between two exchanges with a node that does not reply. */
 const MAX_EXCHANGE_PAUSE_MS = 2000;
 const MIN_EXCHANGE_PAUSE_MS = 250;
-/** Time within which the store usually delivers a new record to all nodes. */
-const STORE_PROPAGATION_MS = 250;
 /** Minimum silence after which a node is removed; the store still lists it. */
 const MIN_REMOVAL_MS = 20_000;
 /** The same in datagram intervals, for large clusters. */
@@ -60,8 +70,6 @@
 const LEAVING_REMOVAL_MS = 3000;
 /** Minimum interval between two reads of the list while no node answers. */
 const RELIST_INTERVAL_MS = 1000;
-const MIN_BACKOFF_MS = 200;
-const MAX_BACKOFF_MS = 1000;
 
 /** Maximum silence of the nodes that are named to others. */
 const MAX_SHARED_SILENCE_MS = 1400;
@@ -71,46 +79,57 @@
 /** Directory of the other nodes, as known to one node. */
 export class PeerDirectory {
   private readonly peers = new Map<string, Peer>();
-  private readonly abort = new AbortController();
   private localWorkers: readonly WorkerDescription[] = [];
   private revision = 1;
   private isLeaving = false;
-  private hasListed = false;
   private checkTimer: NodeJS.Timeout | undefined;
-  private catchUpTimer: NodeJS.Timeout | undefined;
-  private isCatchingUp = false;
   private exchanges = 0;
-  private listedAt = -Infinity;
 
+  private readonly listing: NodeListing;
   private readonly beacons: PeerBeacons;
+  private readonly catchUp: RecordCatchUp;
 
   constructor(private readonly options: PeerDirectoryOptions) {
+    this.catchUp = new RecordCatchUp(options);
+    options.freshness.handleAnswer = () => this.beacons.schedule();
+    this.listing = new NodeListing({
+      directory: options.directory,
+      describe: () => this.describe(),
+      handleEntries: entries => {
+        for (const entry of entries) this.addListedNode(entry);
+      },
+      findEra: () => options.records.end.era,
+      random: options.random,
+      report: options.report,
+    });
     this.beacons = new PeerBeacons({
       describe: () => this.describe(),
       listPeers: () => [...this.peers.values()],
       listSubset: options.listSubset,
       listLoads: options.listLoads,
       findRecordsEnd: () => options.records.end,
+      findStoreAnswer: () => options.freshness.answer,
       send: (addresses, beacon) => options.calls.sendBeacon(addresses, beacon),
     });
   }
 
   /** Whether the store's list was read or another node described itself. */
   get hasJoined(): boolean {
-    return this.hasListed || [...this.peers.values()].some(peer => peer.info);
+    const {hasListed} = this.listing;
+    return hasListed || [...this.peers.values()].some(peer => peer.info);
   }
 
   /** Registers in the store and contacts the nodes that it lists. */
   start(): void {
-    void this.register();
+    void this.listing.register();
     this.checkTimer = setInterval(() => this.checkPeers(), CHECK_INTERVAL_MS);
   }
 
   stop(): void {
-    this.abort.abort();
+    this.listing.stop();
     clearInterval(this.checkTimer);
     this.beacons.stop();
-    clearTimeout(this.catchUpTimer);
+    this.catchUp.stop();
   }
 
   /** Announces to all nodes that this one accepts no more attempts. */
@@ -144,11 +163,16 @@
     this.beacons.schedule();
   }
 
+  /** Announces records that the polls of other nodes may not deliver. */
+  announceRecords(): void {
+    this.beacons.sendChangedDescription();
+  }
+
   /** Applies another node's update and returns this node's own. */
   handleUpdate(update: PeerUpdate): PeerUpdate {
     this.applyUpdate(update);
     return this.buildUpdate(
-      update.wantsRecords ? update.recordsEnd : undefined,
+      update.wantsRecords ? findRecordsEnd(update) : undefined,
     );
   }
 
@@ -160,9 +184,16 @@
     const isKnown =
       peer?.info?.incarnation === beacon.incarnation &&
       peer.info.revision >= beacon.revision;
-    if (!peer || peer.name.incarnation > beacon.incarnation) return;
+    if (!peer) return;
+    if (beacon.incarnation < peer.name.incarnation) {
+      if (this.isReplacement(peer, beacon)) void this.sendUpdateTo(peer);
+      return;
+    }
     this.recordContact(peer);
     this.checkRecords(peer, beacon.recordsEnd);
+    if (comparePositions(beacon.recordsEnd, this.options.records.end) === 0) {
+      this.options.freshness.recordHeardAnswer(beacon.storeAnswer);
+    }
     if (!isKnown) {
       void this.sendUpdateTo(peer);
       return;
@@ -183,39 +214,6 @@
       void this.sendUpdateTo(peer);
   }
 
-  private async register(): Promise<void> {
-    const backoff = new Backoff(
-      MIN_BACKOFF_MS,
-      MAX_BACKOFF_MS,
-      this.options.random,
-    );
-    const {directory} = this.options;
-    // Retries without limit: without the list this node finds no others.
-    while (!this.abort.signal.aborted) {
-      try {
-        await directory.announce(this.describe());
-        await this.readStoreList();
-        return;
-      } catch (error) {
-        this.reportUnreachableStore(error);
-        await backoff.wait(this.abort.signal);
-      }
-    }
-  }
-
-  /** Reports an unreachable store; any other error is a bug and is thrown. */
-  private reportUnreachableStore(error: unknown): void {
-    if (!(error instanceof StoreUnavailableError)) throw error;
-    this.options.report('directory not reached', {detail: error.message});
-  }
-
-  private async readStoreList(): Promise<void> {
-    this.listedAt = performance.now();
-    const entries = await this.options.directory.list();
-    this.hasListed = true;
-    for (const entry of entries) this.addListedNode(entry);
-  }
-
   /** Introduces this node to one in the store's list, which may be stale. */
   private addListedNode(entry: NodeInfo): void {
     if (!this.isNewer(entry)) return;
@@ -228,15 +226,18 @@
     if (this.isNewer(name)) void this.sendUpdateTo(this.createPeer(name));
   }
 
-  private isNewer({nodeId, incarnation}: PeerIdentity): boolean {
+  private isNewer({nodeId, incarnation}: ProcessName): boolean {
     if (nodeId === this.options.identity.nodeId) return false;
     const known = this.peers.get(nodeId);
-    return !known || known.name.incarnation < incarnation;
+    if (!known) return true;
+    const isEnded = known.endedIncarnation === incarnation;
+    return known.name.incarnation < incarnation && !isEnded;
   }
 
   private createPeer({nodeId, incarnation, peerAddress}: PeerIdentity): Peer {
     const peer: Peer = {
       name: {nodeId, incarnation, peerAddress},
+      endedIncarnation: this.peers.get(nodeId)?.name.incarnation,
       info: undefined,
       lastHeardAt: performance.now(),
       isExchanging: false,
@@ -280,11 +281,12 @@
     const peer = this.recordNodeInfo(update.node);
     if (!peer) return;
     for (const name of update.peers) this.addPeer(name);
+    const recordsEnd = findRecordsEnd(update);
     if (update.records.length > 0) {
-      records.applyRecords(update.records, update.recordsEnd);
+      records.applyRecords(update.records, recordsEnd);
     }
     if (update.moves.length > 0) handleMoves(update.moves);
-    this.checkRecords(peer, update.recordsEnd);
+    this.checkRecords(peer, recordsEnd);
   }
 
   /** Records a node's description; returns undefined for an older process. */
@@ -292,10 +294,8 @@
     const {workers, identity} = this.options;
     if (node.nodeId === identity.nodeId) return undefined;
     let peer = this.peers.get(node.nodeId);
-    if (!peer || peer.name.incarnation < node.incarnation) {
-      peer = this.createPeer(node);
-    }
-    if (node.incarnation < peer.name.incarnation) return undefined;
+    if (!peer || this.isReplacement(peer, node)) peer = this.createPeer(node);
+    if (node.incarnation !== peer.name.incarnation) return undefined;
     const isNewer = !peer.info || node.revision > peer.info.revision;
     this.recordContact(peer);
     if (isNewer) {
@@ -306,6 +306,19 @@
     return peer;
   }
 
+  /** Whether a node's message is from a process after the known one. */
+  private isReplacement(peer: Peer, process: ProcessName): boolean {
+    if (this.isNewer(process)) return true;
+    const {incarnation} = process;
+    // Until a node has described itself, its incarnation is what others say.
+    if (!peer.info) return incarnation !== peer.name.incarnation;
+    const isKnown =
+      incarnation === peer.name.incarnation ||
+      incarnation === peer.endedIncarnation;
+    const silentMs = performance.now() - peer.lastHeardAt;
+    return !isKnown && silentMs > REPLACEMENT_SILENCE_MS;
+  }
+
   private recordContact(peer: Peer): void {
     peer.lastHeardAt = performance.now();
     peer.failures = 0;
@@ -324,20 +337,10 @@
     }
   }
 
-  /**
-   * Checks whether another node has later records. The store usually delivers
-   * them shortly; only after that are they requested from the node.
-   */
-  private checkRecords(peer: Peer, recordsEnd: number): void {
-    const {records} = this.options;
-    if (recordsEnd <= records.end || this.catchUpTimer) return;
-    this.catchUpTimer = setTimeout(() => {
-      this.catchUpTimer = undefined;
-      if (recordsEnd <= records.end) return;
-      this.options.handleLaterRecords();
-      this.isCatchingUp = true;
-      void this.sendUpdateTo(peer).then(() => (this.isCatchingUp = false));
-    }, STORE_PROPAGATION_MS);
+  private checkRecords(peer: Peer, recordsEnd: RecordPosition): void {
+    this.catchUp.schedule(peer.name.nodeId, recordsEnd, () =>
+      this.sendUpdateTo(peer),
+    );
   }
 
   private recordLoads(nodeId: string, loads: readonly ServiceLoad[]): void {
@@ -350,7 +353,7 @@
   private checkPeers(): void {
     const now = performance.now();
     const subsetNodeIds = this.beacons.listSubsetNodeIds();
-    let answering = 0;
+    const answering: string[] = [];
     for (const peer of this.peers.values()) {
       const isInSubset = subsetNodeIds.has(peer.name.nodeId);
       const intervalMs = computeDatagramInterval(
@@ -360,15 +363,18 @@
       );
       const silentMs = now - peer.lastHeardAt;
       if (silentMs < MAX_SILENT_INTERVALS * intervalMs && peer.info) {
-        answering += 1;
+        answering.push(peer.name.nodeId);
         continue;
       }
       this.checkSilent(peer, silentMs, intervalMs);
     }
+    this.options.freshness.setLiveNodes(answering);
     this.beacons.sendDue(subsetNodeIds);
-    const isIsolated =
-      answering === 0 && now - this.listedAt > RELIST_INTERVAL_MS;
-    if (isIsolated && this.hasListed) void this.refreshList();
+    const {hasListed, listedAt} = this.listing;
+    const isIsolated = answering.length === 0 && hasListed;
+    if (isIsolated && now - listedAt > RELIST_INTERVAL_MS)
+      void this.listing.refresh();
+    void this.listing.checkEntry();
   }
 
   private checkSilent(peer: Peer, silentMs: number, intervalMs: number): void {
@@ -388,15 +394,6 @@
     this.options.workers.remove(peer.name.nodeId);
   }
 
-  /** Reads the list again to find nodes that started during a partition. */
-  private async refreshList(): Promise<void> {
-    try {
-      await this.readStoreList();
-    } catch (error) {
-      this.reportUnreachableStore(error);
-    }
-  }
-
   private describe(): NodeInfo {
     const {identity, beaconAddress} = this.options;
     const {nodeId, incarnation, peerAddress, dataCentre} = identity;
@@ -412,8 +409,8 @@
     };
   }
 
-  /** Builds an update; it carries the records from an offset on, if given. */
-  private buildUpdate(recordsFrom = Infinity): PeerUpdate {
+  /** Builds an update; it carries the records from a position on, if given. */
+  private buildUpdate(recordsFrom?: RecordPosition): PeerUpdate {
     const {records, listMoves, random} = this.options;
     const now = performance.now();
     // Without the silence limit, nodes would name a dead node forever.
@@ -426,9 +423,10 @@
     return {
       node: this.describe(),
       peers: pickRandom(names, MAX_SHARED_PEERS, random),
-      recordsEnd: records.end,
-      wantsRecords: this.isCatchingUp,
-      records: records.list().filter(({offset}) => offset >= recordsFrom),
+      recordsEnd: records.end.offset,
+      recordsEra: records.end.era,
+      wantsRecords: this.catchUp.wantsRecords,
+      records: recordsFrom ? records.listSince(recordsFrom) : [],
       moves: listMoves(),
     };
   }
--- a/src/protocol/peer-messages.ts
+++ b/src/protocol/peer-messages.ts
@@ -4,15 +4,26 @@
  * records that the receiver may lack. The types are derived from the schemas.
  */
 import * as z from 'zod';
+import {parseAddress} from './node-identity.js';
+import type {RecordPosition} from './record-position.js';
+import {addressSchema} from './settings.js';
 import type {WorkerLoad} from './worker-load.js';
 import {formatWorkerLoad, parseWorkerLoad, WorkerState} from './worker-load.js';
 
 const offsetSchema = z.int().min(0);
+/** Era of the store; absent in messages of nodes that know of none. */
+const eraSchema = z.int().min(0).default(0);
+
+/** Sending to port 0, or to none, throws instead of failing later. */
+const peerAddressSchema = addressSchema.refine(
+  text => parseAddress(text).port > 0,
+  'nothing can be sent to port 0',
+);
 
 const peerSchema = z.object({
   nodeId: z.string().min(1).max(128),
   incarnation: z.int().min(0),
-  peerAddress: z.string().min(3).max(64),
+  peerAddress: peerAddressSchema,
 });
 
 /** A worker as the node on its host describes it. */
@@ -26,7 +37,7 @@
 /** A node as it describes itself. */
 export const nodeInfoSchema = peerSchema.extend({
   dataCentre: z.string().min(1).max(64),
-  beaconAddress: z.string().min(3).max(64),
+  beaconAddress: peerAddressSchema,
   /** Increases with each change of the description. */
   revision: z.int().min(0),
   isLeaving: z.boolean(),
@@ -55,12 +66,15 @@
   peers: z.array(peerSchema),
   /** Offset after the last of the operators' records that the sender has. */
   recordsEnd: offsetSchema,
+  /** Era of the store in which `recordsEnd` is valid. */
+  recordsEra: eraSchema,
   /** Whether the reply is to contain the records from `recordsEnd` on. */
   wantsRecords: z.boolean(),
   /** Records that the receiver requested. */
   records: z.array(
     z.object({
       key: z.string(),
+      era: eraSchema,
       offset: offsetSchema,
       value: z.string().optional(),
     }),
@@ -73,12 +87,28 @@
 export type MoveUpdate = z.output<typeof moveUpdateSchema>;
 export type PeerUpdate = z.output<typeof peerUpdateSchema>;
 
+/** Returns the position after the last record that an update's sender has. */
+export function findRecordsEnd({
+  recordsEra: era,
+  recordsEnd: offset,
+}: PeerUpdate): RecordPosition {
+  return {era, offset};
+}
+
 /** Load of the worker of a service. */
 export interface ServiceLoad {
   readonly service: string;
   readonly load: WorkerLoad;
 }
 
+/** An answer of the store to any node, as known to one of them. */
+export interface StoreAnswer {
+  /** Higher than the numbers of the answers that its receiver knew of. */
+  readonly number: number;
+  /** Milliseconds since the answer; infinite if there was none. */
+  readonly ageMs: number;
+}
+
 /** A load datagram: a node's identity and the load of its workers. */
 export interface LoadBeacon {
   readonly nodeId: string;
@@ -88,8 +118,10 @@
    * requests the description.
    */
   readonly revision: number;
-  /** Offset after the last of the operators' records that the sender has. */
-  readonly recordsEnd: number;
+  /** Position after the last of the operators' records that the sender has. */
+  readonly recordsEnd: RecordPosition;
+  /** The last answer of the store, which showed no later records. */
+  readonly storeAnswer: StoreAnswer;
   readonly loads: readonly ServiceLoad[];
   /** Present in periodic datagrams, absent in those that report load only. */
   readonly introduction?: Introduction;
@@ -109,11 +141,14 @@
 const LOAD_SEPARATOR = '=';
 const INTRODUCTION_PREFIX = '@';
 const WORKER_PREFIX = '+';
+const ERA_PREFIX = '~';
+const ANSWER_PREFIX = '!';
 const FLAG_SET = '1';
 
 /** Formats a load datagram as a line of fields, which is cheaper than JSON. */
 export function formatBeacon(beacon: LoadBeacon): string {
-  const {nodeId, incarnation, revision, recordsEnd, loads} = beacon;
+  const {nodeId, incarnation, revision, recordsEnd, storeAnswer, loads} =
+    beacon;
   const fields = loads.map(
     ({service, load}) =>
       `${encodeURIComponent(service)}${LOAD_SEPARATOR}${formatWorkerLoad(load)}`,
@@ -122,12 +157,22 @@
     encodeURIComponent(nodeId),
     incarnation,
     revision,
-    recordsEnd,
+    recordsEnd.offset,
+    ...formatEra(recordsEnd),
+    formatList(ANSWER_PREFIX, [
+      String(storeAnswer.number),
+      String(storeAnswer.ageMs),
+    ]),
     ...fields,
     ...formatIntroduction(beacon.introduction),
   ].join(FIELD_SEPARATOR);
 }
 
+/** Formats an era; the first one has no field. */
+function formatEra({era}: RecordPosition): string[] {
+  return era === 0 ? [] : [`${ERA_PREFIX}${era}`];
+}
+
 function formatIntroduction(introduction: Introduction | undefined): string[] {
   if (!introduction) return [];
   const {node, wantsLoad, wantsReply} = introduction;
@@ -160,11 +205,7 @@
   const isReadable =
     name && rest.length >= 3 && numbers.every(Number.isSafeInteger);
   if (!isReadable) return undefined;
-  const [incarnation, revision, recordsEnd] = numbers as [
-    number,
-    number,
-    number,
-  ];
+  const [incarnation, revision, offset] = numbers as [number, number, number];
   try {
     const fields = rest.slice(3);
     const nodeId = decodeURIComponent(name);
@@ -177,7 +218,8 @@
       nodeId,
       incarnation,
       revision,
-      recordsEnd,
+      recordsEnd: {era: parseEra(fields), offset},
+      storeAnswer: parseStoreAnswer(fields),
       loads: fields.flatMap(parseServiceLoad),
       ...(introduction ? {introduction} : {}),
     };
@@ -187,6 +229,22 @@
   }
 }
 
+/** Parses the store's last answer; a malformed one counts as none. */
+function parseStoreAnswer(fields: readonly string[]): StoreAnswer {
+  const field = fields.find(one => one.startsWith(ANSWER_PREFIX));
+  const [number, ageMs] = field ? parseList(field).map(Number) : [];
+  const isReadable = Number.isSafeInteger(number) && Number(ageMs) >= 0;
+  return isReadable
+    ? {number: number!, ageMs: ageMs!}
+    : {number: 0, ageMs: Infinity};
+}
+
+/** @throws when the field is malformed. */
+function parseEra(fields: readonly string[]): number {
+  const field = fields.find(one => one.startsWith(ERA_PREFIX));
+  return eraSchema.parse(field && Number(field.slice(ERA_PREFIX.length)));
+}
+
 function parseServiceLoad(field: string): ServiceLoad[] {
   const at = field.indexOf(LOAD_SEPARATOR);
   if (at <= 0) return [];
--- a/src/test/peer-directory_test.ts
+++ b/src/test/peer-directory_test.ts
@@ -6,29 +6,15 @@
  * a busy machine would run late, suspect each other and make extra calls.
  */
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
-import {PeerDirectory} from '../coordination/peer-directory.js';
 import {WorkerSubset} from '../coordination/worker-subset.js';
-import type {
-  LoadBeacon,
-  NodeInfo,
-  PeerUpdate,
-} from '../protocol/peer-messages.js';
-import {formatBeacon, parseBeacon} from '../protocol/peer-messages.js';
-import type {WorkerLoad} from '../protocol/worker-load.js';
-import {KeyedRecords} from '../state/keyed-records.js';
 import {WorkerTable} from '../state/worker-table.js';
+import {
+  DATA_CENTRES,
+  IDLE,
+  SERVICE,
+  TestFleet,
+} from './stand-ins/peer-fleet.js';
 
-const SERVICE = 'kona-desk';
-const DATA_CENTRES = ['dsm', 'aru', 'mwz'];
-const IDLE: WorkerLoad = {
-  state: 'ready',
-  inFlight: 0,
-  queued: 0,
-  limit: 4,
-  serviceTimeUs: 0,
-  failureShare: 0,
-  pace: 1,
-};
 /** Well above the introductions and load datagrams that a node receives. */
 const MAX_DATAGRAMS_PER_SECOND = 200;
 /** Budget of a node for control traffic, see docs/CAPACITY.md. */
@@ -37,135 +23,25 @@
 const MEASUREMENT_MS = 12_000;
 /** Exceeds the lifetime of load subscriptions to gates of an initial subset. */
 const SETTLE_MS = 5000;
+/** Leaves time for the records to reach the other nodes within 2 s. */
+const MAX_STORE_AGE_MS = 1700;
+/** Reads of the whole cluster: a few hundred in a day of 45 s at most. */
+const MAX_STORE_READS_PER_SECOND = 5;
 /** Initial exchanges of a node, and those that other nodes start with it. */
 const MAX_CALLS_PER_NODE = 12;
 
-interface TestNode {
-  readonly directory: PeerDirectory;
-  readonly workers: WorkerTable;
-  readonly records: KeyedRecords;
-  load: WorkerLoad;
-  isUnresponsive: boolean;
-  received: number;
-  receivedBytes: number;
-  readonly heardFrom: Set<string>;
-}
-
-class TestFleet {
-  readonly nodes = new Map<string, TestNode>();
-  readonly entries = new Map<string, NodeInfo>();
-  calls = 0;
-
-  add(nodeId: string, dataCentre: string, incarnation = 1): TestNode {
-    const workers = new WorkerTable();
-    const records = new KeyedRecords();
-    const subset = new WorkerSubset(nodeId, dataCentre);
-    const address = nodeId;
-    const directory = new PeerDirectory({
-      identity: {
-        nodeId,
-        incarnation,
-        dataCentre,
-        callerAddress: address,
-        peerAddress: address,
-      },
-      beaconAddress: address,
-      workers,
-      directory: {
-        announce: async entry => void this.entries.set(nodeId, entry),
-        list: async () => [...this.entries.values()],
-      },
-      calls: {
-        sendUpdate: (to, update) => this.sendUpdate(to, update),
-        sendBeacon: (to, beacon) => this.sendBeacon(to, beacon),
-      },
-      records,
-      listSubset: () => subset.select(workers.listWorkers(SERVICE)),
-      random: Math.random,
-      listLoads: () => [{service: SERVICE, load: node.load}],
-      listMoves: () => [],
-      handleMoves: () => {},
-      handleLaterRecords: () => {},
-      report: () => {},
-    });
-    const node: TestNode = {
-      directory,
-      workers,
-      records,
-      load: IDLE,
-      isUnresponsive: false,
-      received: 0,
-      receivedBytes: 0,
-      heardFrom: new Set(),
-    };
-    this.nodes.set(address, node);
-    directory.updateWorkers([
-      {service: SERVICE, version: 'v1', slots: 6, state: 'ready'},
-    ]);
-    directory.start();
-    return node;
-  }
-
-  addAll(count: number): void {
-    for (let index = 0; index < count; index++) {
-      this.add(`node-${index}`, DATA_CENTRES[index % DATA_CENTRES.length]!);
-    }
-  }
-
-  /** Adds an entry to the store for a node that does not exist. */
-  addStaleEntry(nodeId: string): void {
-    this.entries.set(nodeId, {
-      nodeId,
-      incarnation: 1,
-      peerAddress: nodeId,
-      dataCentre: DATA_CENTRES[0]!,
-      beaconAddress: nodeId,
-      revision: 1,
-      isLeaving: false,
-      workers: [],
-    });
-  }
-
-  isComplete(): boolean {
-    const live = [...this.nodes.values()].filter(node => !node.isUnresponsive);
-    return live.every(
-      ({workers}) => workers.listWorkers(SERVICE).length === this.nodes.size,
-    );
-  }
-
-  private async sendUpdate(
-    to: string,
-    update: PeerUpdate,
-  ): Promise<PeerUpdate> {
-    this.calls += 1;
-    const node = this.nodes.get(to);
-    await new Promise(resolve => setImmediate(resolve));
-    if (!node || node.isUnresponsive) throw new Error('node does not reply');
-    return structuredClone(
-      node.directory.handleUpdate(structuredClone(update)),
-    );
-  }
-
-  private sendBeacon(to: readonly string[], beacon: LoadBeacon): void {
-    const text = formatBeacon(beacon);
-    for (const address of to) {
-      setImmediate(() => {
-        const node = this.nodes.get(address);
-        if (!node || node.isUnresponsive) return;
-        node.received += 1;
-        node.receivedBytes += text.length;
-        node.heardFrom.add(beacon.nodeId);
-        node.directory.handleBeacon(parseBeacon(text)!);
-      });
-    }
-  }
-}
-
 /** Exceeds the number of introductions that a node sends per check. */
 const STALE_ENTRY_COUNT = 20;
+/**
+ * Time for all nodes of a large cluster to discover a new process: two intervals
+ * between introductions, as the first may come before the silence is over.
+ */
+const DISCOVERY_MS = 8000;
 /** Longest emulated time until a condition holds. */
 const TIMEOUT_MS = 30_000;
 const STEP_MS = 20;
+/** Exceeds the time over which nodes look for their entries. */
+const ENTRY_CHECK_MS = 6000;
 
 let fleet: TestFleet;
 
@@ -182,7 +58,10 @@
 });
 
 afterEach(() => {
-  for (const {directory} of fleet.nodes.values()) directory.stop();
+  for (const {directory, freshness} of fleet.nodes.values()) {
+    directory.stop();
+    freshness.stop();
+  }
   vi.useRealTimers();
 });
 
@@ -226,6 +105,51 @@
     },
   );
 
+  // Guards against nodes that all wait on polls gone silent: one reads the store
+  // for the others, and the next takes its place when it is not served.
+  it.each([
+    {size: 11, refused: 0, delayMs: 0, isBusy: false},
+    {size: 11, refused: 0, delayMs: 2, isBusy: true},
+    {size: 11, refused: 0, delayMs: 50, isBusy: true},
+    {size: 11, refused: 0, delayMs: 100, isBusy: true},
+    {size: 11, refused: 3, delayMs: 2, isBusy: true},
+    {size: 73, refused: 0, delayMs: 2, isBusy: false},
+    {size: 73, refused: 3, delayMs: 50, isBusy: false},
+  ])(
+    '$size know the state of the store: $refused refused, delay $delayMs ms, busy $isBusy',
+    async ({size, refused, delayMs, isBusy}) => {
+      fleet = new TestFleet();
+      fleet.addAll(size);
+      await waitFor('all nodes to know all workers', () => fleet.isComplete());
+      fleet.delayMs = delayMs;
+      await runFor(SETTLE_MS);
+      // Those that have read most are refused from now on.
+      const readers = [...fleet.nodes.values()].sort(
+        (one, other) => other.pollChecks - one.pollChecks,
+      );
+      for (const node of readers.slice(0, refused))
+        node.isServedByStore = false;
+      await runFor(SETTLE_MS);
+      fleet.pollChecks = 0;
+      const nodes = [...fleet.nodes.values()];
+      const served = nodes.filter(node => node.isServedByStore);
+      let maxAgeMs = 0;
+      for (
+        let elapsedMs = 0;
+        elapsedMs < MEASUREMENT_MS;
+        elapsedMs += STEP_MS
+      ) {
+        if (isBusy) for (const {directory} of nodes) directory.scheduleBeacon();
+        await runFor(STEP_MS);
+        const ages = served.map(node => fleet.computeAnswerAge(node));
+        maxAgeMs = Math.max(maxAgeMs, ...ages);
+      }
+      expect(maxAgeMs).toBeLessThan(MAX_STORE_AGE_MS);
+      const readsPerSecond = (fleet.pollChecks * 1000) / MEASUREMENT_MS;
+      expect(readsPerSecond).toBeLessThan(MAX_STORE_READS_PER_SECOND);
+    },
+  );
+
   it('keep introducing themselves while the store has stale entries', async () => {
     fleet = new TestFleet();
     for (let index = 0; index < STALE_ENTRY_COUNT; index++)
@@ -240,6 +164,15 @@
     }
   });
 
+  // Such an entry shut the node out: its own messages looked older.
+  it('believe a node rather than a listed entry with a later incarnation', async () => {
+    fleet = new TestFleet();
+    fleet.addStaleEntry('node-3', Number.MAX_SAFE_INTEGER, 'odd');
+    fleet.addAll(6);
+    await runFor(SETTLE_MS);
+    expect(fleet.isComplete()).toBe(true);
+  });
+
   it('receive the load of the workers in their subset', async () => {
     fleet = new TestFleet();
     fleet.addAll(30);
@@ -256,17 +189,53 @@
     });
   });
 
-  it('discover a new process of a restarted node', async () => {
+  const restarts = [
+    {name: 'whose clock goes on', size: 12, incarnation: 7},
+    // Guards against a worker without requests from other nodes until they
+    // forget its previous process, after 20 s.
+    {name: 'whose clock was set back', size: 12, incarnation: 3},
+    {
+      name: 'of a large cluster with its clock set back',
+      size: 73,
+      incarnation: 3,
+    },
+  ];
+  it.each(restarts)('discover a restarted node $name', async row => {
+    const {size, incarnation} = row;
     fleet = new TestFleet();
-    fleet.addAll(12);
+    fleet.addAll(size);
     await waitFor('all nodes to know all workers', () => fleet.isComplete());
     fleet.nodes.get('node-3')!.directory.stop();
-    fleet.add('node-3', 'dsm', 2);
-    await waitFor('all nodes to know the new process', () =>
-      [...fleet.nodes.values()].every(({workers}) =>
-        workers.findRows('node-3').every(row => row.target.incarnation === 2),
-      ),
-    );
+    fleet.add('node-3', 'dsm', incarnation);
+    await runFor(DISCOVERY_MS);
+    for (const {workers} of fleet.nodes.values()) {
+      const [worker] = workers.findRows('node-3');
+      expect(worker?.target.incarnation).toBe(incarnation);
+    }
+  });
+
+  it('ignore messages of the ended process of a restarted node', async () => {
+    fleet = new TestFleet();
+    fleet.addAll(3);
+    await waitFor('all nodes to know all workers', () => fleet.isComplete());
+    const [node] = fleet.nodes.values();
+    fleet.nodes.get('node-1')!.directory.stop();
+    const ended = fleet.entries.get('node-1')!;
+    fleet.add('node-1', 'aru', 3);
+    await runFor(DISCOVERY_MS);
+    fleet.nodes.get('node-1')!.directory.stop();
+    await runFor(DISCOVERY_MS);
+    node!.directory.handleUpdate({
+      node: ended,
+      peers: [],
+      recordsEnd: 0,
+      recordsEra: 0,
+      wantsRecords: false,
+      records: [],
+      moves: [],
+    });
+    const [worker] = node!.workers.findRows('node-1');
+    expect(worker?.target.incarnation).toBe(3);
   });
 
   it('suspect a node that stopped responding', async () => {
@@ -286,6 +255,74 @@
   });
 });
 
+describe('operator records after the store was restored', () => {
+  // Guards against a node that holds the records of an earlier era for newer
+  // ones, because their offsets are higher.
+  it('reach a node that the store does not answer from the others', async () => {
+    fleet = new TestFleet();
+    fleet.addAll(3);
+    await waitFor('all nodes to know all workers', () => fleet.isComplete());
+    const [first, ...others] = [...fleet.nodes.values()];
+    const key = 'config';
+    for (const {records} of fleet.nodes.values()) {
+      const end = {era: 0, offset: 9};
+      records.applyRecords([{key, era: 0, offset: 8, value: 'lost'}], end);
+    }
+    const end = {era: 1, offset: 4};
+    first!.records.applyRecords([{key, era: 1, offset: 3, value: 'new'}], end);
+    await waitFor('the others to have the new record', () =>
+      others.every(({records}) => records.find(key)?.value === 'new'),
+    );
+    expect(first!.records.end).toEqual(end);
+    for (const {records} of others) expect(records.end).toEqual(end);
+  });
+});
+
+describe('the node list of a restored store', () => {
+  const cases = [
+    {name: 'lost no entry', restores: 1, lostCount: 0},
+    {name: 'lost some entries', restores: 1, lostCount: 3},
+    {name: 'lost entries twice', restores: 2, lostCount: 3},
+    {name: 'lost all entries', restores: 1, lostCount: 73},
+  ];
+  // Guards against a node that new nodes can't find, because its entry was
+  // written in the seconds that the store has lost.
+  it.each(cases)('that $name gets them again', async row => {
+    const {restores, lostCount} = row;
+    fleet = new TestFleet();
+    fleet.addAll(73);
+    await waitFor('all nodes to know all workers', () => fleet.isComplete());
+    const nodes = [...fleet.nodes.values()];
+    for (let restore = 0; restore < restores; restore++) {
+      fleet.era += 1;
+      fleet.announcements = 0;
+      fleet.listReads = 0;
+      for (const nodeId of [...fleet.nodes.keys()].slice(0, lostCount)) {
+        fleet.entries.delete(nodeId);
+      }
+      for (const {records} of nodes) {
+        records.applyRecords([], {era: fleet.era, offset: 1});
+      }
+      await runFor(ENTRY_CHECK_MS);
+      expect(fleet.entries.size).toBe(nodes.length);
+      expect(fleet.announcements).toBe(lostCount);
+      expect(fleet.listReads).toBe(nodes.length);
+    }
+  });
+
+  it('gets the entry of a node that registered just before', async () => {
+    fleet = new TestFleet();
+    const {records} = fleet.add('node-0', DATA_CENTRES[0]!);
+    await runFor(STEP_MS);
+    fleet.era = 1;
+    fleet.entries.clear();
+    // The first records that the node reads are of the later era.
+    records.applyRecords([], {era: 1, offset: 1});
+    await runFor(ENTRY_CHECK_MS);
+    expect([...fleet.entries.keys()]).toEqual(['node-0']);
+  });
+});
+
 describe('the worker subset of an entry', () => {
   const cases = [
     {name: 'all workers of a small cluster', size: 10, inSubset: 10, near: 4},
