Tell steps of moves apart by their move

Cause: steps were compared by their number alone, and each move begins at 1: the class of the restored store, a count that another starts anew. Evidence: the case 'the first step of another move' of move-steps_test fails on the code before (1 clearing of the evidence in place of 2). Change: the last seen step holds the move's id, which follows a rename.

--- a/src/coordination/version-moves.ts
+++ b/src/coordination/version-moves.ts
@@ -104,7 +104,10 @@
 export class VersionMoves {
   /** Moves whose new version was found bad, by move id. */
   private readonly badMoves = new Map<string, BadVersionReport>();
-  private readonly lastSeenNumbers = new Map<string, number>();
+  private readonly lastSeenSteps = new Map<
+    string,
+    Pick<Move, 'moveId' | 'number'>
+  >();
   private readonly stepStartedAt = new Map<string, number>();
   private timer: NodeJS.Timeout | undefined;
   private isStopped = false;
@@ -174,6 +177,10 @@
   copyBadVersion(previousId: string, moveId: string): void {
     const bad = this.badMoves.get(previousId);
     if (bad) this.badMoves.set(moveId, {...bad, moveId});
+    for (const [service, step] of this.lastSeenSteps) {
+      if (step.moveId !== previousId) continue;
+      this.lastSeenSteps.set(service, {...step, moveId});
+    }
   }
 
   private chooseVersion(service: string, move: Move): string {
@@ -249,8 +256,10 @@
    * the move, since towards the end the version gets no traffic.
    */
   private recordStep(service: string, move: Move): void {
-    if (this.lastSeenNumbers.get(service) === move.number) return;
-    this.lastSeenNumbers.set(service, move.number);
+    const {moveId, number} = move;
+    const seen = this.lastSeenSteps.get(service);
+    if (seen?.moveId === moveId && seen.number === number) return;
+    this.lastSeenSteps.set(service, {moveId, number});
     this.stepStartedAt.set(service, this.readClock());
     const isStart = move.sharePercent === 0;
     const isNew = this.options.findLocalVersion(service) === move.toVersion;
