--- a/src/protocol/peer-messages.ts
+++ b/src/protocol/peer-messages.ts
@@ -159,15 +159,16 @@
     revision,
     recordsEnd.offset,
     ...formatEra(recordsEnd),
-    formatList(ANSWER_PREFIX, [
-      String(storeAnswer.number),
-      String(storeAnswer.ageMs),
-    ]),
+    formatStoreAnswer(storeAnswer),
     ...fields,
     ...formatIntroduction(beacon.introduction),
   ].join(FIELD_SEPARATOR);
 }
 
+function formatStoreAnswer({number, ageMs}: StoreAnswer): string {
+  return `${ANSWER_PREFIX}${number}${LIST_SEPARATOR}${ageMs}`;
+}
+
 /** Formats an era; the first one has no field. */
 function formatEra({era}: RecordPosition): string[] {
   return era === 0 ? [] : [`${ERA_PREFIX}${era}`];
@@ -232,7 +233,8 @@
 /** Parses the store's last answer; a malformed one counts as none. */
 function parseStoreAnswer(fields: readonly string[]): StoreAnswer {
   const field = fields.find(one => one.startsWith(ANSWER_PREFIX));
-  const [number, ageMs] = field ? parseList(field).map(Number) : [];
+  const [number, ageMs] =
+    field?.slice(ANSWER_PREFIX.length).split(LIST_SEPARATOR).map(Number) ?? [];
   const isReadable = Number.isSafeInteger(number) && Number(ageMs) >= 0;
   return isReadable
     ? {number: number!, ageMs: ageMs!}
