Answer all pipelined requests that run before a connection closes

Cause: a planned stop marked each unanswered response of a connection to close it, so that the answer to the first of several pipelined requests cut off the others, at which workers were at work. A caller that left cancelled only the first of its requests. The number of running requests per connection had no bound. Change: CallerConnection runs up to 8 requests of a connection, keeps 32 waiting and leaves the rest unread; only the last one that runs closes the connection, and nothing behind its answer begins. A refusal of unreadable bytes waits for the answers before it.

--- /dev/null
+++ b/src/transport/caller-connection.ts
@@ -0,0 +1,103 @@
+/**
+ * Order of the requests that one caller sends on one connection, some of them
+ * before earlier ones are answered (pipelining). Several run at a time, and
+ * their answers are sent in the order of the requests. A caller sends again
+ * what it sent behind an answer that closes the connection, as if that had not
+ * been read, so nothing behind such an answer may run.
+ */
+import type {ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+import {Reason, RefusalError} from '../protocol/reasons.js';
+
+/** Requests of a connection that run, or whose answers wait for earlier ones. */
+const MAX_RUNNING = 8;
+/**
+ * Requests that wait behind them. What comes after these is left unread, so that
+ * a caller can't fill the memory of the node. As long as a connection is read,
+ * the node notices at once that its caller has left.
+ */
+const MAX_WAITING = 32;
+
+/** Runs one request; the signal aborts when its caller has left. */
+export type RunRequest = (abort: AbortController) => void;
+
+interface PipelinedRequest {
+  readonly response: ServerResponse;
+  readonly run: RunRequest;
+  abort: AbortController | undefined;
+}
+
+/** One connection of a caller. */
+export class CallerConnection {
+  /** Unanswered requests in the order in which they were sent. */
+  private readonly requests: PipelinedRequest[] = [];
+  private isPaused = false;
+
+  constructor(private readonly socket: Socket) {
+    socket.once('close', () => this.cancelAll());
+  }
+
+  /** Runs a request now, once earlier ones are answered, or never. */
+  accept(response: ServerResponse, run: RunRequest): void {
+    const request: PipelinedRequest = {response, run, abort: undefined};
+    this.requests.push(request);
+    response.once('close', () => this.remove(request));
+    this.runNext();
+    if (!this.isFull()) return;
+    this.isPaused = true;
+    this.socket.pause();
+  }
+
+  /**
+   * Calls a function once all requests sent before a response's request have
+   * been answered.
+   */
+  runAfterEarlier(response: ServerResponse, handle: () => void): void {
+    const index = this.requests.findIndex(
+      request => request.response === response,
+    );
+    const earlier = this.requests[index - 1];
+    if (earlier) earlier.response.once('close', handle);
+    else handle();
+  }
+
+  private isFull(): boolean {
+    return this.requests.length >= MAX_RUNNING + MAX_WAITING;
+  }
+
+  private runNext(): void {
+    for (const request of this.requests.slice(0, MAX_RUNNING)) {
+      if (request.abort !== undefined) {
+        if (isClosing(request.response)) return;
+        continue;
+      }
+      request.abort = new AbortController();
+      request.run(request.abort);
+    }
+  }
+
+  private remove(request: PipelinedRequest): void {
+    const index = this.requests.indexOf(request);
+    if (index < 0) return;
+    this.requests.splice(index, 1);
+    if (!request.response.writableFinished) cancel(request);
+    if (this.socket.destroyed || isClosing(request.response)) return;
+    this.runNext();
+    if (!this.isPaused || this.isFull()) return;
+    this.isPaused = false;
+    this.socket.resume();
+  }
+
+  private cancelAll(): void {
+    for (const request of this.requests.splice(0)) cancel(request);
+  }
+}
+
+function cancel({abort}: PipelinedRequest): void {
+  abort?.abort(new RefusalError(Reason.CALLER_GONE));
+}
+
+/** Whether an answer whose head is written closes its connection. */
+function isClosing(response: ServerResponse): boolean {
+  return response.headersSent && !response.shouldKeepAlive;
+}
--- a/src/transport/caller-listener.ts
+++ b/src/transport/caller-listener.ts
@@ -20,6 +20,7 @@
   ServiceRequest,
 } from '../protocol/service-request.js';
 import {writeAnswer, writeRefusal} from './answer-writer.js';
+import {CallerConnection} from './caller-connection.js';
 import {readWholeBody} from './message-body.js';
 
 /** Maximum time in which a caller must have sent its request's headers. */
@@ -103,14 +104,21 @@
     prioRequestsProcessing: false,
     defaultRoute: (message, response) => {
       const {maxHeader = MAX_HEADER_BYTES} = handlers.findLimits() ?? {};
-      if (measureHeaders(message) > maxHeader) {
-        const {status, headers, body} = buildRefusal(handlers, HEADER_OVERFLOW);
-        response.writeHead(status, headers).end(body);
-      } else {
-        void serveRequest(handlers, message, response);
-      }
+      const isTooLarge = measureHeaders(message) > maxHeader;
+      findConnection(message.socket).accept(response, abort => {
+        if (isTooLarge) refuseLargeHead(handlers, response);
+        else void serveRequest(handlers, message, response, abort);
+      });
     },
   });
+  const connections = new WeakMap<Socket, CallerConnection>();
+  const findConnection = (socket: Socket): CallerConnection => {
+    const known = connections.get(socket);
+    if (known) return known;
+    const connection = new CallerConnection(socket);
+    connections.set(socket, connection);
+    return connection;
+  };
   const pending = new WeakMap<Socket, ServerResponse>();
   server.prependListener('request', (message, response) => {
     pending.set(message.socket, response);
@@ -121,12 +129,19 @@
   });
   server.on('clientError', (error, duplex) => {
     const socket = duplex as Socket;
-    handleParseError(handlers, error, socket, pending.get(socket));
+    const response = pending.get(socket);
+    const handle = (): void =>
+      handleParseError(handlers, error, socket, response);
+    // Bytes of a refusal would be read as the answer to an earlier request.
+    if (response) findConnection(socket).runAfterEarlier(response, handle);
+    else handle();
   });
   for (const route of handlers.nodeRoutes) {
     service[route.method](route.path, (message, response) => {
       const {params} = message as {params?: Record<string, string>};
-      void serveNodeRoute(route, message, response, params ?? {});
+      findConnection(message.socket).accept(response, () => {
+        void serveNodeRoute(route, message, response, params ?? {});
+      });
     });
   }
   return server;
@@ -161,6 +176,16 @@
   };
 }
 
+/** Refuses a request whose head is above the limit of the configuration. */
+function refuseLargeHead(
+  handlers: CallerHandlers,
+  response: ServerResponse,
+): void {
+  const {status, headers, body} = buildRefusal(handlers, HEADER_OVERFLOW);
+  response.shouldKeepAlive = false;
+  response.writeHead(status, headers).end(body);
+}
+
 function handleParseError(
   handlers: CallerHandlers,
   error: NodeJS.ErrnoException,
@@ -210,30 +235,25 @@
   handlers: CallerHandlers,
   message: IncomingMessage,
   response: ServerResponse,
+  abort: AbortController,
 ): Promise<void> {
   const {protocol} = handlers;
   const id = protocol.readId(message);
   const extra: Headers = {};
-  if (handlers.isStopping()) extra['connection'] = 'close';
-  const abort = new AbortController();
-  response.once('close', () => {
-    if (!response.writableFinished) {
-      abort.abort(new RefusalError(Reason.CALLER_GONE));
-    }
-  });
+  if (handlers.isStopping()) response.shouldKeepAlive = false;
   response.on('error', () => {});
   try {
     const request = await protocol.readRequest(message, id);
     const answer = await handlers.handleRequest(request, abort.signal);
     Object.assign(extra, protocol.buildAnswerHeaders(id, answer));
     // The answer came before the whole body was read; the rest stays unread.
-    if (!message.complete) extra['connection'] = 'close';
+    if (!message.complete) response.shouldKeepAlive = false;
     await writeAnswer(response, answer, extra);
   } catch (error) {
     const refusal = toRefusal(error);
     handlers.handleRefusal(refusal, id);
     // On a kept connection, unread body bytes would be parsed as a request.
-    if (!message.complete) extra['connection'] = 'close';
+    if (!message.complete) response.shouldKeepAlive = false;
     protocol.writeRefusal(response, refusal, id, extra);
   }
 }
--- a/src/transport/connection-closer.ts
+++ b/src/transport/connection-closer.ts
@@ -5,6 +5,7 @@
  * is closed while a request is on its way.
  */
 import type {Server, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 import {waitMs} from '../protocol/backoff.js';
 
 const MS_PER_SECOND = 1000;
@@ -13,6 +14,8 @@
 /** Controls keep-alive of the connections of one server. */
 export class ConnectionCloser {
   private readonly activeResponses = new Set<ServerResponse>();
+  /** The latest request of each connection; earlier ones may be unanswered. */
+  private readonly lastResponses = new WeakMap<Socket, ServerResponse>();
   private readonly keepAliveHeader: string | undefined;
   private isClosing = false;
 
@@ -26,14 +29,17 @@
     const seconds = Math.floor(idleTimeMs / MS_PER_SECOND);
     if (seconds > 0) this.keepAliveHeader = `timeout=${seconds}`;
     server.prependListener('request', (message, response) =>
-      this.handleResponse(response),
+      this.handleResponse(message.socket, response),
     );
   }
 
-  /** Starts to close each connection after its current answer. */
+  /** Starts to close each connection after the last answer it waits for. */
   start(): void {
     this.isClosing = true;
-    for (const response of this.activeResponses) endAfterAnswer(response);
+    for (const response of this.activeResponses) {
+      const {socket} = response.req;
+      if (this.lastResponses.get(socket) === response) endAfterAnswer(response);
+    }
   }
 
   /**
@@ -57,11 +63,16 @@
     }
   }
 
-  private handleResponse(response: ServerResponse): void {
+  private handleResponse(socket: Socket, response: ServerResponse): void {
     this.activeResponses.add(response);
     response.once('close', () => this.activeResponses.delete(response));
-    if (this.isClosing) endAfterAnswer(response);
-    else if (this.keepAliveHeader)
+    const previous = this.lastResponses.get(socket);
+    this.lastResponses.set(socket, response);
+    if (this.isClosing) {
+      // Closing after an earlier answer would cut off this one.
+      if (previous && !previous.headersSent) previous.shouldKeepAlive = true;
+      endAfterAnswer(response);
+    } else if (this.keepAliveHeader)
       response.setHeader('keep-alive', this.keepAliveHeader);
   }
 }
