Wake large fleets less often, and let few nodes poll the store

Change: an answer of the store and a later record spread by four datagrams per node. Three nodes poll, the others get records from node to node and read the store when its last answer that they know of is older than about 1.3 s, as before.

--- a/src/coordination/peer-beacons.ts
+++ b/src/coordination/peer-beacons.ts
@@ -1,8 +1,8 @@
 /**
  * Datagrams by which a node publishes its load and its description. Load goes
- * to subscribed nodes at each change and at least twice a second, which also
+ * to subscribed nodes at each change and at least once a second, which also
  * serves as a heartbeat. An introduction carries the full description and is
- * several times as long. It goes at least once a second to the gates in the
+ * several times as long. It goes at least every two seconds to the gates in the
  * subset of the local entry, and to all others at an interval that grows with
  * the number of nodes, so that the traffic per node is about the same in a
  * cluster of any size. Any datagram may be lost; the next one replaces it.
@@ -15,25 +15,35 @@
 } from '../protocol/peer-messages.js';
 import type {RecordPosition} from '../protocol/record-position.js';
 import type {WorkerRow} from '../state/worker-table.js';
+import {pickRandom} from './member-order.js';
 
 /** Minimum interval between two load datagrams. */
 export const MIN_LOAD_INTERVAL_MS = 60;
 /** Maximum interval between two datagrams to a load subscriber. */
-const MAX_LOAD_INTERVAL_MS = 500;
+const MAX_LOAD_INTERVAL_MS = 1000;
 /** Maximum interval between introductions that renew a load subscription. */
-const SUBSCRIPTION_RENEWAL_MS = 1000;
+const SUBSCRIPTION_RENEWAL_MS = 2000;
 /** Lifetime of a load subscription, which survives two lost introductions. */
 export const SUBSCRIPTION_LIFETIME_MS = 3.5 * SUBSCRIPTION_RENEWAL_MS;
 /** Minimum interval between two introductions to a node outside the subset. */
 const MIN_INTRODUCTION_INTERVAL_MS = 500;
-/** The same interval per known node, for a total of 20 a second. */
-const INTRODUCTION_INTERVAL_PER_NODE_MS = 50;
+/** The same interval per known node, for a total of 10 a second. */
+const INTRODUCTION_INTERVAL_PER_NODE_MS = 100;
 /**
  * Interval between two checks for due datagrams. Each check sends an equal part
  * of the introductions; otherwise nodes that started together would send them
  * all at once.
  */
 export const CHECK_INTERVAL_MS = 250;
+/**
+ * Nodes to which a node passes on what it has learnt of the store: enough for
+ * an epidemic to reach nearly all nodes in a few steps, at a cost per node that
+ * does not grow with the cluster. Regular datagrams reach the others.
+ */
+const NEAR_SPREAD_COUNT = 3;
+const FAR_SPREAD_COUNT = 1;
+/** Time over which answers of the store are passed on together. */
+const SPREAD_DELAY_MS = 25;
 /** Delay before the introductions after a change are repeated. */
 const REPEAT_DELAY_MS = 120;
 
@@ -61,11 +71,14 @@
   /** Returns the last answer of the store. */
   readonly findStoreAnswer: () => StoreAnswer;
   readonly send: (addresses: readonly string[], beacon: LoadBeacon) => void;
+  readonly dataCentre: string;
+  readonly random: () => number;
 }
 
 /** Sends the datagrams of one node. */
 export class PeerBeacons {
   private loadTimer: NodeJS.Timeout | undefined;
+  private spreadTimer: NodeJS.Timeout | undefined;
   private repeatTimer: NodeJS.Timeout | undefined;
   private lastLoadAt = -Infinity;
   private isStopped = false;
@@ -75,9 +88,19 @@
   stop(): void {
     this.isStopped = true;
     clearTimeout(this.loadTimer);
+    clearTimeout(this.spreadTimer);
     clearTimeout(this.repeatTimer);
   }
 
+  /**
+   * Schedules a datagram to a few random nodes, most of them in the same data
+   * centre, so that an answer of the store or a later record spreads.
+   */
+  scheduleSpread(): void {
+    if (this.spreadTimer || this.isStopped) return;
+    this.spreadTimer = setTimeout(() => this.spread(), SPREAD_DELAY_MS);
+  }
+
   /** Schedules a load datagram to the subscribers. */
   schedule(): void {
     if (this.loadTimer || this.isStopped) return;
@@ -86,14 +109,19 @@
     this.loadTimer = setTimeout(() => this.sendLoad(), pauseMs);
   }
 
-  /** Introduces the changed node to all others, twice in case of loss. */
+  /**
+   * Introduces the changed node to all others, and once more to those that send
+   * it requests, in case of loss. A regular datagram tells the rest later.
+   */
   sendChangedDescription(): void {
     this.sendIntroductions(this.options.listPeers());
-    clearTimeout(this.repeatTimer);
-    this.repeatTimer = setTimeout(
-      () => this.sendIntroductions(this.options.listPeers()),
-      REPEAT_DELAY_MS,
-    );
+    this.scheduleRepeat(() => this.listLoadSubscribers(performance.now()));
+  }
+
+  /** Sends all nodes what this one knows of the store, twice in case of loss. */
+  sendRecordsEnd(): void {
+    this.sendIntroductions(this.options.listPeers());
+    this.scheduleRepeat(() => this.options.listPeers());
   }
 
   /** Sends introductions; each starts, renews or ends a load subscription. */
@@ -159,6 +187,31 @@
     this.sendLoadTo(this.listLoadSubscribers(now));
   }
 
+  private scheduleRepeat(listReceivers: () => readonly BeaconPeer[]): void {
+    clearTimeout(this.repeatTimer);
+    this.repeatTimer = setTimeout(
+      () => this.sendIntroductions(listReceivers()),
+      REPEAT_DELAY_MS,
+    );
+  }
+
+  private spread(): void {
+    this.spreadTimer = undefined;
+    const {listPeers, dataCentre, random} = this.options;
+    const known = listPeers().filter(({info: node}) => node);
+    const near = known.filter(({info}) => info!.dataCentre === dataCentre);
+    const far = known.filter(({info}) => info!.dataCentre !== dataCentre);
+    const picked = [
+      ...pickRandom(near, NEAR_SPREAD_COUNT, random),
+      ...pickRandom(far, FAR_SPREAD_COUNT, random),
+    ];
+    const beacon = this.buildBeacon(this.options.describe());
+    this.options.send(
+      picked.map(({info}) => info!.beaconAddress),
+      beacon,
+    );
+  }
+
   private listLoadSubscribers(now: number): BeaconPeer[] {
     return this.options
       .listPeers()
--- a/src/coordination/peer-directory.ts
+++ b/src/coordination/peer-directory.ts
@@ -11,6 +11,7 @@
  */
 import {findRecordsEnd} from '../protocol/peer-messages.js';
 import type {
+  FindDescription,
   Introduction,
   LoadBeacon,
   NodeInfo,
@@ -23,8 +24,15 @@
 import type {WorkerDescription} from '../state/worker-table.js';
 import {recordLoad} from '../state/worker-table.js';
 import {pickRandom} from './member-order.js';
+import type {Peer, ProcessName} from './known-peer.js';
+import {
+  createPeer,
+  isNewerProcess,
+  isReplacement,
+  isSilent,
+  REPLACEMENT_SILENCE_MS,
+} from './known-peer.js';
 import {NodeListing} from './node-listing.js';
-import type {BeaconPeer} from './peer-beacons.js';
 import type {PeerDirectoryOptions} from './peer-directory-options.js';
 import {RecordCatchUp} from './record-catch-up.js';
 import {
@@ -34,29 +42,6 @@
   SUBSCRIPTION_LIFETIME_MS,
 } from './peer-beacons.js';
 
-type ProcessName = Pick<PeerIdentity, 'nodeId' | 'incarnation'>;
-
-interface Peer extends BeaconPeer {
-  name: PeerIdentity;
-  /** Incarnation of the process that this one replaced. */
-  readonly endedIncarnation: number | undefined;
-  info: NodeInfo | undefined;
-  /** Time of the last message from it, in milliseconds. */
-  lastHeardAt: number;
-  isExchanging: boolean;
-  /** Time of the last call or introduction request to it, in milliseconds. */
-  lastRequestAt: number;
-  /** Number of failed exchanges since the last message from it. */
-  failures: number;
-}
-
-/**
- * Silence of a process after which one with a lower incarnation replaces it:
- * incarnations follow the time of day, which may be set back before a restart.
- */
-const REPLACEMENT_SILENCE_MS = 1000;
-/** Intervals without a datagram after which a node is contacted by a call. */
-const MAX_SILENT_INTERVALS = 2.8;
 /** Exchanges with new nodes at the start; more would return the same peers. */
 const INITIAL_EXCHANGE_COUNT = 3;
 /** Maximum backoff between two exchanges with a node that does not reply. */
@@ -91,12 +76,14 @@
 
   constructor(private readonly options: PeerDirectoryOptions) {
     this.catchUp = new RecordCatchUp(options);
-    options.freshness.handleAnswer = () => this.beacons.schedule();
+    options.freshness.handleAnswer = () => this.beacons.scheduleSpread();
+    options.records.events.on('changed', () => this.beacons.scheduleSpread());
     this.listing = new NodeListing({
       directory: options.directory,
       describe: () => this.describe(),
       handleEntries: entries => {
         for (const entry of entries) this.addListedNode(entry);
+        this.updateLiveNodes();
       },
       findEra: () => options.records.end.era,
       random: options.random,
@@ -110,6 +97,8 @@
       findRecordsEnd: () => options.records.end,
       findStoreAnswer: () => options.freshness.answer,
       send: (addresses, beacon) => options.calls.sendBeacon(addresses, beacon),
+      dataCentre: options.identity.dataCentre,
+      random: options.random,
     });
   }
 
@@ -165,7 +154,7 @@
 
   /** Announces records that the polls of other nodes may not deliver. */
   announceRecords(): void {
-    this.beacons.sendChangedDescription();
+    this.beacons.sendRecordsEnd();
   }
 
   /** Applies another node's update and returns this node's own. */
@@ -186,7 +175,9 @@
       peer.info.revision >= beacon.revision;
     if (!peer) return;
     if (beacon.incarnation < peer.name.incarnation) {
-      if (this.isReplacement(peer, beacon)) void this.sendUpdateTo(peer);
+      const isEnded = beacon.incarnation === peer.endedIncarnation;
+      if (isReplacement(peer, beacon)) void this.sendUpdateTo(peer);
+      else peer.hasOtherProcess ||= !isEnded;
       return;
     }
     this.recordContact(peer);
@@ -201,6 +192,18 @@
     this.recordLoads(beacon.nodeId, beacon.loads);
   }
 
+  /** Returns another node's description in a revision, if it is the known one. */
+  findDescription({
+    nodeId,
+    incarnation,
+    revision,
+  }: Parameters<FindDescription>[0]): NodeInfo | undefined {
+    const info = this.peers.get(nodeId)?.info;
+    const isSame =
+      info?.incarnation === incarnation && info.revision === revision;
+    return isSame ? info : undefined;
+  }
+
   private recordIntroduction(introduction: Introduction): void {
     const {node, wantsLoad, wantsReply} = introduction;
     const isNew = !this.peers.get(node.nodeId)?.info;
@@ -226,28 +229,14 @@
     if (this.isNewer(name)) void this.sendUpdateTo(this.createPeer(name));
   }
 
-  private isNewer({nodeId, incarnation}: ProcessName): boolean {
-    if (nodeId === this.options.identity.nodeId) return false;
-    const known = this.peers.get(nodeId);
-    if (!known) return true;
-    const isEnded = known.endedIncarnation === incarnation;
-    return known.name.incarnation < incarnation && !isEnded;
-  }
-
-  private createPeer({nodeId, incarnation, peerAddress}: PeerIdentity): Peer {
-    const peer: Peer = {
-      name: {nodeId, incarnation, peerAddress},
-      endedIncarnation: this.peers.get(nodeId)?.name.incarnation,
-      info: undefined,
-      lastHeardAt: performance.now(),
-      isExchanging: false,
-      lastRequestAt: -Infinity,
-      failures: 0,
-      lastIntroductionAt: -Infinity,
-      lastSentAt: -Infinity,
-      subscribedUntil: -Infinity,
-    };
-    this.peers.set(nodeId, peer);
+  private isNewer(name: ProcessName): boolean {
+    if (name.nodeId === this.options.identity.nodeId) return false;
+    return isNewerProcess(this.peers.get(name.nodeId), name);
+  }
+
+  private createPeer(name: PeerIdentity): Peer {
+    const peer = createPeer(name, this.peers.get(name.nodeId));
+    this.peers.set(name.nodeId, peer);
     return peer;
   }
 
@@ -294,7 +283,7 @@
     const {workers, identity} = this.options;
     if (node.nodeId === identity.nodeId) return undefined;
     let peer = this.peers.get(node.nodeId);
-    if (!peer || this.isReplacement(peer, node)) peer = this.createPeer(node);
+    if (!peer || isReplacement(peer, node)) peer = this.createPeer(node);
     if (node.incarnation !== peer.name.incarnation) return undefined;
     const isNewer = !peer.info || node.revision > peer.info.revision;
     this.recordContact(peer);
@@ -306,19 +295,6 @@
     return peer;
   }
 
-  /** Whether a node's message is from a process after the known one. */
-  private isReplacement(peer: Peer, process: ProcessName): boolean {
-    if (this.isNewer(process)) return true;
-    const {incarnation} = process;
-    // Until a node has described itself, its incarnation is what others say.
-    if (!peer.info) return incarnation !== peer.name.incarnation;
-    const isKnown =
-      incarnation === peer.name.incarnation ||
-      incarnation === peer.endedIncarnation;
-    const silentMs = performance.now() - peer.lastHeardAt;
-    return !isKnown && silentMs > REPLACEMENT_SILENCE_MS;
-  }
-
   private recordContact(peer: Peer): void {
     peer.lastHeardAt = performance.now();
     peer.failures = 0;
@@ -353,30 +329,46 @@
   private checkPeers(): void {
     const now = performance.now();
     const subsetNodeIds = this.beacons.listSubsetNodeIds();
-    const answering: string[] = [];
+    let isIsolated = true;
     for (const peer of this.peers.values()) {
-      const isInSubset = subsetNodeIds.has(peer.name.nodeId);
-      const intervalMs = computeDatagramInterval(
-        peer,
-        isInSubset,
-        this.peers.size,
-      );
       const silentMs = now - peer.lastHeardAt;
-      if (silentMs < MAX_SILENT_INTERVALS * intervalMs && peer.info) {
-        answering.push(peer.name.nodeId);
-        continue;
+      if (peer.hasOtherProcess && silentMs > REPLACEMENT_SILENCE_MS) {
+        peer.hasOtherProcess = false;
+        void this.sendUpdateTo(peer);
       }
-      this.checkSilent(peer, silentMs, intervalMs);
+      const intervalMs = this.computeInterval(peer, subsetNodeIds);
+      if (peer.info && !isSilent(peer, intervalMs, now)) isIsolated = false;
+      else this.checkSilent(peer, silentMs, intervalMs);
     }
-    this.options.freshness.setLiveNodes(answering);
-    this.beacons.sendDue(subsetNodeIds);
     const {hasListed, listedAt} = this.listing;
-    const isIsolated = answering.length === 0 && hasListed;
-    if (isIsolated && now - listedAt > RELIST_INTERVAL_MS)
+    if (hasListed || !isIsolated) this.updateLiveNodes(subsetNodeIds);
+    this.beacons.sendDue(subsetNodeIds);
+    if (isIsolated && hasListed && now - listedAt > RELIST_INTERVAL_MS)
       void this.listing.refresh();
     void this.listing.checkEntry();
   }
 
+  private computeInterval(
+    peer: Peer,
+    subsetNodeIds: ReadonlySet<string>,
+  ): number {
+    const isInSubset = subsetNodeIds.has(peer.name.nodeId);
+    return computeDatagramInterval(peer, isInSubset, this.peers.size);
+  }
+
+  /** Updates which nodes may read the store for this one. */
+  private updateLiveNodes(
+    subsetNodeIds: ReadonlySet<string> = this.beacons.listSubsetNodeIds(),
+  ): void {
+    const now = performance.now();
+    const live = [...this.peers.values()].filter(
+      peer =>
+        !peer.info?.isLeaving &&
+        !isSilent(peer, this.computeInterval(peer, subsetNodeIds), now),
+    );
+    this.options.freshness.setLiveNodes(live.map(({name}) => name.nodeId));
+  }
+
   private checkSilent(peer: Peer, silentMs: number, intervalMs: number): void {
     const now = performance.now();
     const pauseMs = Math.min(
--- a/src/coordination/prober.ts
+++ b/src/coordination/prober.ts
@@ -13,6 +13,8 @@
 import {TokenBucket} from './token-bucket.js';
 
 const CHECK_INTERVAL_MS = 250;
+/** The same while the worker is idle; its next request is then some time off. */
+const IDLE_CHECK_INTERVAL_MS = 250;
 /** Age of the newest outcome after which a worker's state is unknown. */
 const MAX_OUTCOME_AGE_MS = 1000;
 
@@ -45,6 +47,7 @@
   private lastProbeAt = -Infinity;
   private running: Promise<void> | undefined;
   private timer: NodeJS.Timeout | undefined;
+  private isStopped = false;
 
   constructor(private readonly options: ProberOptions) {
     this.now = options.now ?? (() => performance.now());
@@ -53,14 +56,14 @@
 
   /** Starts to check periodically whether a probe is needed. */
   start(): void {
-    const {checkIntervalMs = CHECK_INTERVAL_MS} = this.options;
-    this.timer = setInterval(() => void this.run(), checkIntervalMs);
-    this.timer.unref();
+    this.isStopped = false;
+    this.scheduleCheck();
   }
 
   /** Stops the periodic checks. */
   stop(): void {
-    clearInterval(this.timer);
+    this.isStopped = true;
+    clearTimeout(this.timer);
   }
 
   /** Sends a probe when one is needed and the budget allows it. */
@@ -100,6 +103,21 @@
     }
   }
 
+  private scheduleCheck(): void {
+    if (this.isStopped) return;
+    const {admission, checkIntervalMs = CHECK_INTERVAL_MS} = this.options;
+    const {inFlight, queued} = admission.load;
+    const isIdle = inFlight === 0 && queued === 0;
+    const intervalMs = isIdle
+      ? Math.max(checkIntervalMs, IDLE_CHECK_INTERVAL_MS)
+      : checkIntervalMs;
+    this.timer = setTimeout(() => {
+      void this.run();
+      this.scheduleCheck();
+    }, intervalMs);
+    this.timer.unref();
+  }
+
   private isProbing(): boolean {
     return this.running !== undefined;
   }
--- a/src/coordination/record-catch-up.ts
+++ b/src/coordination/record-catch-up.ts
@@ -1,18 +1,23 @@
 /**
  * Requests operators' records from another node that has later ones. The store
- * usually delivers them to all nodes at about the same time, so a node waits
- * for it before it asks.
+ * usually delivers them to all nodes that poll it at about the same time, so
+ * such a node waits for it before it asks.
  */
 import type {RecordPosition} from '../protocol/record-position.js';
 import {comparePositions} from '../protocol/record-position.js';
 import type {KeyedRecords} from '../state/keyed-records.js';
 
-/** Time within which the store usually delivers a new record to all nodes. */
+/** Time within which the store usually delivers a new record to all polls. */
 const STORE_PROPAGATION_MS = 250;
+/** Time over which nodes that don't poll spread their requests. */
+const REQUEST_SPREAD_MS = 60;
 
 /** Dependencies of the catch-up of a node. */
 export interface RecordCatchUpOptions {
   readonly records: KeyedRecords;
+  /** Whether this node polls the store itself. */
+  readonly freshness: {readonly isPolling: boolean};
+  readonly random: () => number;
   /** Called when another node has later records. */
   readonly handleLaterRecords: () => void;
   /** Writes a log line with its context. */
@@ -49,10 +54,14 @@
     recordsEnd: RecordPosition,
     request: () => Promise<void>,
   ): void {
-    const {records, handleLaterRecords, report} = this.options;
+    const {records, freshness, random, handleLaterRecords, report} =
+      this.options;
     const isLater = (): boolean =>
       comparePositions(recordsEnd, records.end) > 0;
     if (!isLater() || this.timer) return;
+    const delayMs = freshness.isPolling
+      ? STORE_PROPAGATION_MS
+      : random() * REQUEST_SPREAD_MS;
     this.timer = setTimeout(() => {
       this.timer = undefined;
       if (!isLater()) return;
@@ -66,6 +75,6 @@
       handleLaterRecords();
       this.isRequesting = true;
       void request().then(() => (this.isRequesting = false));
-    }, STORE_PROPAGATION_MS);
+    }, delayMs);
   }
 }
--- a/src/coordination/store-freshness.ts
+++ b/src/coordination/store-freshness.ts
@@ -17,27 +17,46 @@
 /** Added per preceding node. */
 const AGE_STEP_MS = 200;
 /**
- * Limits the age to 1.3 s when all preceding nodes fail to read, which leaves
- * time for the records to reach all nodes within 2 s.
+ * Limits the age to about 1.3 s when all preceding nodes fail to read, which
+ * leaves time for the records to reach all nodes within 2 s.
  */
 const MAX_STEPS = 4;
+/**
+ * Time over which the nodes after these steps are spread, so that the first of
+ * them reads for the others here too.
+ */
+const LATE_SPREAD_MS = 150;
+const MAX_BYTE = 255;
+/**
+ * Nodes that follow the store by polls; one is enough, the others cover its
+ * loss or its being refused by the store until that is noticed.
+ */
+const POLLING_NODES = 3;
 
 /** The last answer of the store, as known to one node. */
 export class StoreFreshness {
   /** Called when a later answer is known; set by the user of this object. */
   handleAnswer: () => void = () => {};
+  /** Called when this node becomes one that polls the store. */
+  handlePolling: () => void = () => {};
   private number = 0;
   private answeredAt = -Infinity;
+  private startedAt = -Infinity;
   private timer: NodeJS.Timeout | undefined;
   private isStopped = false;
-  private precedingCount = 0;
+  /** Infinite until other nodes, or the lack of them, are known. */
+  private precedingCount = Infinity;
   private readonly orders = new Map<string, string>();
+  private readonly spreadMs: number;
 
   /** @param check reads the store on a new connection; it records answers. */
   constructor(
     private readonly nodeId: string,
     private readonly check: () => Promise<void>,
-  ) {}
+  ) {
+    const byte = createHash('sha1').update(nodeId).digest()[0]!;
+    this.spreadMs = Math.round((byte / MAX_BYTE) * LATE_SPREAD_MS);
+  }
 
   /** Returns the last answer; its age is infinite if there was none. */
   get answer(): StoreAnswer {
@@ -60,16 +79,24 @@
     this.handleAnswer();
   }
 
+  /** Whether this node is one of those that poll the store for all. */
+  get isPolling(): boolean {
+    return this.precedingCount < POLLING_NODES;
+  }
+
   /** Sets the other nodes that may read the store for this one. */
   setLiveNodes(nodeIds: readonly string[]): void {
+    const wasPolling = this.isPolling;
     const order = this.computeOrder(this.nodeId);
     this.precedingCount = nodeIds.filter(
       nodeId => this.computeOrder(nodeId) < order,
     ).length;
+    if (this.isPolling && !wasPolling) this.handlePolling();
   }
 
   start(): void {
-    this.schedule(this.computeMaxAge());
+    this.startedAt = performance.now();
+    this.schedule(MAX_AGE_MS);
   }
 
   stop(): void {
@@ -83,7 +110,9 @@
   }
 
   private async checkAge(): Promise<void> {
-    const remainingMs = this.computeMaxAge() - this.answer.ageMs;
+    const knownAt = Math.max(this.answeredAt, this.startedAt);
+    const ageMs = Math.floor(performance.now() - knownAt);
+    const remainingMs = this.computeMaxAge() - ageMs;
     if (remainingMs > 0) {
       this.schedule(remainingMs);
       return;
@@ -95,7 +124,8 @@
 
   private computeMaxAge(): number {
     const steps = Math.min(this.precedingCount, MAX_STEPS);
-    return MAX_AGE_MS + steps * AGE_STEP_MS;
+    const spreadMs = this.precedingCount > MAX_STEPS ? this.spreadMs : 0;
+    return MAX_AGE_MS + steps * AGE_STEP_MS + spreadMs;
   }
 
   private computeOrder(nodeId: string): string {
--- a/src/coordination/worker-subset.ts
+++ b/src/coordination/worker-subset.ts
@@ -9,10 +9,15 @@
 import {createHash} from 'node:crypto';
 import type {WorkerRow} from '../state/worker-table.js';
 
-/** Workers of a version in a subset; the best of ten is good enough. */
-const SUBSET_SIZE = 10;
+/** Number of workers of a version up to which an entry uses all of them. */
+const MAX_UNREDUCED = 10;
+/**
+ * Workers of a version in a subset. Each change of a worker's load costs a
+ * datagram per entry that has it in its subset.
+ */
+const SUBSET_SIZE = 8;
 /** Workers in the local data centre; the others cover its outages. */
-const NEAR_SUBSET_SIZE = 7;
+const NEAR_SUBSET_SIZE = 6;
 
 /** Selects the subsets of one entry. */
 export class WorkerSubset {
@@ -25,19 +30,41 @@
 
   /** Returns the entry's subset, or all workers when there are few. */
   select(rows: readonly WorkerRow[]): WorkerRow[] {
-    if (rows.length <= SUBSET_SIZE) return [...rows];
-    const sorted = rows
-      .map(row => ({row, affinity: this.findAffinity(row)}))
-      .sort((one, other) => one.affinity - other.affinity)
-      .map(({row}) => row);
-    const near = sorted.filter(row => row.dataCentre === this.dataCentre);
-    const far = sorted.filter(row => row.dataCentre !== this.dataCentre);
-    const wantedFar = SUBSET_SIZE - Math.min(near.length, NEAR_SUBSET_SIZE);
-    const farCount = Math.min(far.length, wantedFar);
-    return [
-      ...near.slice(0, SUBSET_SIZE - farCount),
-      ...far.slice(0, farCount),
-    ];
+    if (rows.length <= MAX_UNREDUCED) return [...rows];
+    const near = this.selectClosest(rows, NEAR_SUBSET_SIZE, true);
+    const wantedFar = SUBSET_SIZE - near.length;
+    const far = this.selectClosest(rows, wantedFar, false);
+    const wantedNear = SUBSET_SIZE - far.length;
+    return wantedNear > near.length
+      ? [...this.selectClosest(rows, wantedNear, true), ...far]
+      : [...near, ...far];
+  }
+
+  /**
+   * Returns the rows with the lowest affinity values, in their order. The
+   * selection is short, so inserting into it costs less than sorting all rows.
+   */
+  private selectClosest(
+    rows: readonly WorkerRow[],
+    count: number,
+    isNear: boolean,
+  ): WorkerRow[] {
+    const selected: WorkerRow[] = [];
+    const values: number[] = [];
+    for (const row of rows) {
+      if ((row.dataCentre === this.dataCentre) !== isNear) continue;
+      const value = this.findAffinity(row);
+      if (selected.length === count && value >= values[count - 1]!) continue;
+      let index = selected.length;
+      while (index > 0 && values[index - 1]! > value) index -= 1;
+      selected.splice(index, 0, row);
+      values.splice(index, 0, value);
+      if (selected.length > count) {
+        selected.pop();
+        values.pop();
+      }
+    }
+    return selected;
   }
 
   private findAffinity(row: WorkerRow): number {
--- a/src/directory-records.ts
+++ b/src/directory-records.ts
@@ -48,6 +48,7 @@
       records: this.records,
       pollWaitMs,
       random: Math.random,
+      isPolling: () => this.freshness.isPolling,
       handleAnswer: () => this.freshness.recordAnswer(),
       handleSilentPoll: () => {
         options.count('store.silent-polls');
@@ -61,8 +62,9 @@
       report,
     });
     this.freshness = new StoreFreshness(options.nodeId, () =>
-      this.follower.checkPoll(),
+      this.follower.checkTopic(),
     );
+    this.freshness.handlePolling = () => this.follower.startPolling();
     this.records.events.on('changed', () => this.applyRecords());
     this.records.events.on('restored', ({from, to}) => {
       options.count('store.restored');
--- a/src/protocol/peer-messages.ts
+++ b/src/protocol/peer-messages.ts
@@ -199,8 +199,21 @@
   return isSet ? FLAG_SET : '';
 }
 
-/** Parses a load datagram; returns undefined if it is malformed. */
-export function parseBeacon(text: string): LoadBeacon | undefined {
+/** Finds the description of a node in one of its revisions, if it is known. */
+export type FindDescription = (
+  name: Pick<NodeInfo, 'nodeId' | 'incarnation' | 'revision'>,
+) => NodeInfo | undefined;
+
+/**
+ * Parses a load datagram; returns undefined if it is malformed.
+ *
+ * @param findDescription finds descriptions that need not be parsed again, as
+ *     most introductions repeat one.
+ */
+export function parseBeacon(
+  text: string,
+  findDescription: FindDescription = () => undefined,
+): LoadBeacon | undefined {
   const [name, ...rest] = text.split(FIELD_SEPARATOR);
   const numbers = rest.slice(0, 3).map(Number);
   const isReadable =
@@ -210,11 +223,11 @@
   try {
     const fields = rest.slice(3);
     const nodeId = decodeURIComponent(name);
-    const introduction = parseIntroduction(fields, {
-      nodeId,
-      incarnation,
-      revision,
-    });
+    const introduction = parseIntroduction(
+      fields,
+      {nodeId, incarnation, revision},
+      findDescription,
+    );
     return {
       nodeId,
       incarnation,
@@ -244,7 +257,9 @@
 /** @throws when the field is malformed. */
 function parseEra(fields: readonly string[]): number {
   const field = fields.find(one => one.startsWith(ERA_PREFIX));
-  return eraSchema.parse(field && Number(field.slice(ERA_PREFIX.length)));
+  const era = field === undefined ? 0 : Number(field.slice(ERA_PREFIX.length));
+  if (!Number.isSafeInteger(era) || era < 0) throw new RangeError('bad era');
+  return era;
 }
 
 function parseServiceLoad(field: string): ServiceLoad[] {
@@ -257,11 +272,8 @@
 /** @throws when a field is malformed. */
 function parseIntroduction(
   fields: readonly string[],
-  {
-    nodeId,
-    incarnation,
-    revision,
-  }: Pick<NodeInfo, 'nodeId' | 'incarnation' | 'revision'>,
+  name: Pick<NodeInfo, 'nodeId' | 'incarnation' | 'revision'>,
+  findDescription: FindDescription,
 ): Introduction | undefined {
   const introductionField = fields.find(field =>
     field.startsWith(INTRODUCTION_PREFIX),
@@ -272,25 +284,25 @@
   const [isLeaving, wantsLoad, wantsReply] = flags.map(
     flag => flag === FLAG_SET,
   );
-  const workers = fields
-    .filter(field => field.startsWith(WORKER_PREFIX))
-    .map(field => {
-      const [service, version, slots, state] = parseList(field);
-      return {service, version, slots: Number(slots), state};
+  const node =
+    findDescription(name) ??
+    nodeInfoSchema.parse({
+      ...name,
+      peerAddress,
+      dataCentre,
+      beaconAddress,
+      isLeaving,
+      workers: fields.flatMap(parseWorker),
     });
-  const node = nodeInfoSchema.parse({
-    nodeId,
-    incarnation,
-    peerAddress,
-    dataCentre,
-    beaconAddress,
-    revision,
-    isLeaving,
-    workers,
-  });
   return {node, wantsLoad: wantsLoad!, wantsReply: wantsReply!};
 }
 
+function parseWorker(field: string): object[] {
+  if (!field.startsWith(WORKER_PREFIX)) return [];
+  const [service, version, slots, state] = parseList(field);
+  return [{service, version, slots: Number(slots), state}];
+}
+
 function parseList(field: string): string[] {
   return field.slice(1).split(LIST_SEPARATOR).map(decodeURIComponent);
 }
--- a/src/test/stand-ins/peer-fleet.ts
+++ b/src/test/stand-ins/peer-fleet.ts
@@ -12,6 +12,7 @@
 } from '../../protocol/peer-messages.js';
 import {formatBeacon, parseBeacon} from '../../protocol/peer-messages.js';
 import type {WorkerLoad} from '../../protocol/worker-load.js';
+import type {EmulatedTopic} from './emulated-topic.js';
 import {KeyedRecords} from '../../state/keyed-records.js';
 import {WorkerTable} from '../../state/worker-table.js';
 
@@ -58,6 +59,8 @@
   readonly answeredAt = new Map<number, number>();
   /** Time that a datagram takes, in milliseconds. */
   delayMs = 0;
+  /** The topic that the nodes follow; without one, reads always succeed. */
+  topic: EmulatedTopic | undefined;
   private readonly addresses = new Map<string, string>();
   private readonly nodeIds = new Map<string, string>();
 
@@ -66,6 +69,10 @@
     const records = new KeyedRecords();
     const subset = new WorkerSubset(nodeId, dataCentre);
     const freshness = new StoreFreshness(nodeId, async () => {
+      if (follower) {
+        await follower.checkTopic();
+        return;
+      }
       this.pollChecks += 1;
       node.pollChecks += 1;
       if (!node.isServedByStore) return;
@@ -124,6 +131,16 @@
       heardFrom: new Set(),
     };
     this.nodes.set(nodeId, node);
+    const follower = this.topic?.createFollower({
+      nodeId,
+      records,
+      freshness,
+      announceRecords: () => directory.announceRecords(),
+    });
+    if (follower) {
+      freshness.handlePolling = () => follower.startPolling();
+      follower.start();
+    }
     directory.updateWorkers([
       {service: SERVICE, version: 'v1', slots: 6, state: 'ready'},
     ]);
--- a/src/transport/gate-client.ts
+++ b/src/transport/gate-client.ts
@@ -1,9 +1,9 @@
 /**
  * Sends attempts to the gates of other nodes. Each connection carries one
  * attempt at a time and is closed when that attempt is cancelled, so that a
- * late answer can't reach another request. A gate acknowledges an attempt at
- * once and repeatedly while it runs, so a missing acknowledgement points to a
- * failed connection or gate, however long the service takes.
+ * late answer can't reach another request. A gate acknowledges an attempt
+ * repeatedly while it runs, so a missing acknowledgement points to a failed
+ * connection or gate, however long the service takes.
  */
 import {Pool} from 'undici';
 import type {Attempt, AttemptAnswer} from '../protocol/attempt.js';
--- a/src/transport/line-writer.ts
+++ b/src/transport/line-writer.ts
@@ -3,10 +3,12 @@
  * reader is slow or stopped, lines are dropped instead of delaying requests;
  * their number is written once the reader accepts data again.
  */
-import {write} from 'node:fs';
+import {write, writeSync} from 'node:fs';
 
 /** Maximum size of the lines buffered for a slow reader. */
 const MAX_PENDING_BYTES = 256 * 1024;
+/** Time over which lines are gathered into one write. */
+const GATHER_MS = 50;
 
 /** Writes lines to one descriptor. */
 export class LineWriter {
@@ -14,6 +16,7 @@
   private pendingBytes = 0;
   private isWriting = false;
   private droppedCount = 0;
+  private timer: NodeJS.Timeout | undefined;
 
   constructor(private readonly descriptor: number) {}
 
@@ -25,19 +28,40 @@
     }
     this.pendingLines.push(line);
     this.pendingBytes += line.length + 1;
-    if (!this.isWriting) this.flush();
+    if (!this.isWriting) this.scheduleFlush();
   }
 
-  private flush(): void {
-    if (this.pendingLines.length === 0) return;
+  /** Writes the gathered lines before the process exits. */
+  close(): void {
+    clearTimeout(this.timer);
+    if (this.isWriting || this.pendingLines.length === 0) return;
+    const text = this.takePending();
+    try {
+      writeSync(this.descriptor, text);
+    } catch {
+      // Without a reader there is nobody to write for.
+    }
+  }
+
+  private scheduleFlush(): void {
+    this.timer ??= setTimeout(() => this.flush(), GATHER_MS);
+  }
+
+  private takePending(): Buffer {
     if (this.droppedCount > 0) {
       this.pendingLines.push(`{"droppedLines":${this.droppedCount}}`);
       this.droppedCount = 0;
     }
     const text = Buffer.from(`${this.pendingLines.join('\n')}\n`);
     this.pendingLines = [];
+    return text;
+  }
+
+  private flush(): void {
+    this.timer = undefined;
+    if (this.pendingLines.length === 0) return;
     this.isWriting = true;
-    this.writeRest(text, 0);
+    this.writeRest(this.takePending(), 0);
   }
 
   private writeRest(text: Buffer, offset: number): void {
@@ -63,7 +87,7 @@
           (sum, line) => sum + line.length + 1,
           0,
         );
-        this.flush();
+        if (this.pendingLines.length > 0) this.scheduleFlush();
       },
     );
   }
--- a/src/transport/metrics.ts
+++ b/src/transport/metrics.ts
@@ -29,6 +29,8 @@
     help: 'Decisions and events by name',
     labelNames: ['name'],
     registers: [this.registry],
+    // Counting happens for each request, collecting every few seconds at most.
+    collect: () => this.updateEvents(),
   });
   private readonly latency = new Histogram({
     name: 'sequoiaspool_request_seconds',
@@ -50,7 +52,6 @@
   /** Adds to a counter, such as `refusals.queue-full`. */
   count(name: string, amount = 1): void {
     this.totals.set(name, (this.totals.get(name) ?? 0) + amount);
-    this.events.inc({name}, amount);
     this.sender?.increment(name, amount);
   }
 
@@ -81,6 +82,11 @@
     return this.registry.metrics();
   }
 
+  private updateEvents(): void {
+    this.events.reset();
+    for (const [name, total] of this.totals) this.events.inc({name}, total);
+  }
+
   /** Flushes and closes the sender. */
   async close(): Promise<void> {
     await this.sender?.close();
--- a/src/transport/peer-exchange.ts
+++ b/src/transport/peer-exchange.ts
@@ -12,7 +12,11 @@
 import {SealError} from '../protocol/seal.js';
 import type {Attempt, AttemptAnswer} from '../protocol/attempt.js';
 import {parseAddress} from '../protocol/node-identity.js';
-import type {LoadBeacon, PeerUpdate} from '../protocol/peer-messages.js';
+import type {
+  FindDescription,
+  LoadBeacon,
+  PeerUpdate,
+} from '../protocol/peer-messages.js';
 import {
   formatBeacon,
   parseBeacon,
@@ -201,13 +205,14 @@
   start(
     beaconAddress: string,
     handleBeacon: (beacon: LoadBeacon) => void,
+    findDescription: FindDescription,
   ): Promise<void> {
     const {host, port} = parseAddress(beaconAddress);
     const socket = createSocket('udp4');
     // A datagram that can't be sent is treated as lost.
     socket.on('error', () => {});
     socket.on('message', text => {
-      const beacon = parseBeacon(text.toString());
+      const beacon = parseBeacon(text.toString(), findDescription);
       if (beacon) handleBeacon(beacon);
     });
     return new Promise((resolve, reject) => {
--- a/src/transport/peer-listener.ts
+++ b/src/transport/peer-listener.ts
@@ -1,8 +1,8 @@
 /**
  * Listener for other nodes. It serves attempts over plain HTTP and passes all
  * other messages to a handler of the node, such as one for Connect calls. An
- * attempt is acknowledged at once and repeatedly while it runs, so that its
- * sender can tell a silent connection from a slow worker.
+ * attempt is acknowledged repeatedly while it runs, so that its sender can tell a
+ * silent connection from a slow worker.
  */
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
@@ -24,8 +24,6 @@
 /** The largest headers of a caller, and those that the entry adds. */
 const MAX_PEER_HEADER_BYTES = MAX_HEADER_BYTES + 32 * 1024;
 const KEEP_ALIVE_TIMEOUT_MS = 120_000;
-/** An attempt answered within this time gets no separate acknowledgement. */
-const ACKNOWLEDGE_DELAY_MS = 5;
 
 /** An attempt as a gate receives it. */
 export interface ReceivedAttempt {
@@ -124,13 +122,8 @@
   response: ServerResponse,
   intervalMs: number,
 ): () => void {
-  let timer: NodeJS.Timeout;
-  const run = (): void => {
-    sendAcknowledgement(response);
-    timer = setTimeout(run, intervalMs);
-  };
-  timer = setTimeout(run, ACKNOWLEDGE_DELAY_MS);
-  return () => clearTimeout(timer);
+  const timer = setInterval(() => sendAcknowledgement(response), intervalMs);
+  return () => clearInterval(timer);
 }
 
 function sendAcknowledgement(response: ServerResponse): void {
