Give up a pipelined request in time for the answers behind it

Change: CallerConnection gives up a running request 40 ms before its caller does if others were sent behind it, so that its refusal comes before the connection is closed. The last request of a connection keeps all of its time.

--- a/src/transport/caller-connection.ts
+++ b/src/transport/caller-connection.ts
@@ -18,6 +18,12 @@
  */
 const MAX_WAITING = 32;
 
+/**
+ * Time before a caller's time limit at which a request is given up that others
+ * wait behind: enough for its refusal to reach the caller in time.
+ */
+const GIVE_UP_MARGIN_MS = 40;
+
 /** Runs one request; the signal aborts when its caller has left. */
 export type RunRequest = (abort: AbortController) => void;
 
@@ -48,6 +54,29 @@
     this.socket.pause();
   }
 
+  /**
+   * Gives up a running request shortly before its caller does if others were
+   * sent behind it. A caller that gives up the first request closes the
+   * connection, and the answers to all others are lost.
+   *
+   * @param awaitedUntil time at which the caller gives up, in milliseconds on
+   *     the clock of `performance.now()`.
+   */
+  watchTimeLimit(response: ServerResponse, awaitedUntil: number): void {
+    const giveUp = (): void => {
+      const index = this.requests.findIndex(
+        request => request.response === response,
+      );
+      const isLast = index === this.requests.length - 1;
+      if (index < 0 || isLast || response.headersSent) return;
+      const reason = new RefusalError(Reason.DEADLINE_EXCEEDED);
+      this.requests[index]!.abort?.abort(reason);
+    };
+    const delayMs = awaitedUntil - GIVE_UP_MARGIN_MS - performance.now();
+    const timer = setTimeout(giveUp, Math.max(0, delayMs));
+    response.once('close', () => clearTimeout(timer));
+  }
+
   /**
    * Calls a function once all requests sent before a response's request have
    * been answered.
--- a/src/transport/caller-listener.ts
+++ b/src/transport/caller-listener.ts
@@ -105,9 +105,11 @@
     defaultRoute: (message, response) => {
       const {maxHeader = MAX_HEADER_BYTES} = handlers.findLimits() ?? {};
       const isTooLarge = measureHeaders(message) > maxHeader;
-      findConnection(message.socket).accept(response, abort => {
+      const connection = findConnection(message.socket);
+      connection.accept(response, abort => {
         if (isTooLarge) refuseLargeHead(handlers, response);
-        else void serveRequest(handlers, message, response, abort);
+        else
+          void serveRequest(handlers, {message, response, connection, abort});
       });
     },
   });
@@ -231,11 +233,17 @@
   return rawHeaders.reduce((sum, text) => sum + text.length, url.length);
 }
 
+/** A request on its connection. */
+interface Exchange {
+  readonly message: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly connection: CallerConnection;
+  readonly abort: AbortController;
+}
+
 async function serveRequest(
   handlers: CallerHandlers,
-  message: IncomingMessage,
-  response: ServerResponse,
-  abort: AbortController,
+  {message, response, connection, abort}: Exchange,
 ): Promise<void> {
   const {protocol} = handlers;
   const id = protocol.readId(message);
@@ -244,6 +252,10 @@
   response.on('error', () => {});
   try {
     const request = await protocol.readRequest(message, id);
+    connection.watchTimeLimit(
+      response,
+      request.awaitedUntil ?? request.deadline,
+    );
     const answer = await handlers.handleRequest(request, abort.signal);
     Object.assign(extra, protocol.buildAnswerHeaders(id, answer));
     // The answer came before the whole body was read; the rest stays unread.
