Bound the load datagrams of a node by its number of subscribers

Its archive has 34 workers, so each of them reported every change to about 46 entries; peers were checked four times a second over all of 195 nodes, and each worker was probed four times a second. Change: at least 5 ms per subscriber between two load datagrams, peers checked every 500 ms, load reports up to 200 ms old before a probe.

--- a/src/coordination/peer-beacons.ts
+++ b/src/coordination/peer-beacons.ts
@@ -19,6 +19,11 @@
 
 /** Minimum interval between two load datagrams. */
 export const MIN_LOAD_INTERVAL_MS = 60;
+/**
+ * The same interval per subscriber, for a total of 200 datagrams a second at
+ * most: a service with few workers has many entries for each of them.
+ */
+const LOAD_INTERVAL_PER_SUBSCRIBER_MS = 5;
 /** Maximum interval between two datagrams to a load subscriber. */
 const MAX_LOAD_INTERVAL_MS = 1000;
 /** Maximum interval between introductions that renew a load subscription. */
@@ -34,7 +39,7 @@
  * of the introductions; otherwise nodes that started together would send them
  * all at once.
  */
-export const CHECK_INTERVAL_MS = 250;
+export const CHECK_INTERVAL_MS = 500;
 /**
  * Nodes to which a node passes on what it has learnt of the store: enough for
  * an epidemic to reach nearly all nodes in a few steps, at a cost per node that
@@ -81,6 +86,7 @@
   private spreadTimer: NodeJS.Timeout | undefined;
   private repeatTimer: NodeJS.Timeout | undefined;
   private lastLoadAt = -Infinity;
+  private lastSubscriberCount = 0;
   private isStopped = false;
 
   constructor(private readonly options: PeerBeaconsOptions) {}
@@ -104,7 +110,11 @@
   /** Schedules a load datagram to the subscribers. */
   schedule(): void {
     if (this.loadTimer || this.isStopped) return;
-    const dueAt = this.lastLoadAt + MIN_LOAD_INTERVAL_MS;
+    const intervalMs = Math.max(
+      MIN_LOAD_INTERVAL_MS,
+      this.lastSubscriberCount * LOAD_INTERVAL_PER_SUBSCRIBER_MS,
+    );
+    const dueAt = this.lastLoadAt + intervalMs;
     const pauseMs = Math.max(0, dueAt - performance.now());
     this.loadTimer = setTimeout(() => this.sendLoad(), pauseMs);
   }
@@ -184,7 +194,9 @@
     this.loadTimer = undefined;
     const now = performance.now();
     this.lastLoadAt = now;
-    this.sendLoadTo(this.listLoadSubscribers(now));
+    const subscribers = this.listLoadSubscribers(now);
+    this.lastSubscriberCount = subscribers.length;
+    this.sendLoadTo(subscribers);
   }
 
   private scheduleRepeat(listReceivers: () => readonly BeaconPeer[]): void {
--- a/src/coordination/slot-admission.ts
+++ b/src/coordination/slot-admission.ts
@@ -51,7 +51,7 @@
  * Age after which reported load is stale while requests are sent, and the
  * shortest time between probes then.
  */
-const MAX_FIGURES_AGE_MS = 150;
+const MAX_FIGURES_AGE_MS = 200;
 /** Time after a probe until the next one while no requests are sent. */
 const IDLE_PROBE_INTERVAL_MS = 1000;
 /** Time after a request for which the worker counts as active. */
