--- a/src/test/peer-directory_test.ts
+++ b/src/test/peer-directory_test.ts
@@ -8,6 +8,7 @@
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
 import {WorkerSubset} from '../coordination/worker-subset.js';
 import {WorkerTable} from '../state/worker-table.js';
+import {runFor, startEmulatedTime} from './stand-ins/emulated-time.js';
 import {
   DATA_CENTRES,
   IDLE,
@@ -54,15 +55,7 @@
 let fleet: TestFleet;
 
 beforeEach(() => {
-  vi.useFakeTimers({
-    toFake: [
-      'setTimeout',
-      'clearTimeout',
-      'setInterval',
-      'clearInterval',
-      'performance',
-    ],
-  });
+  startEmulatedTime();
 });
 
 afterEach(() => {
@@ -73,15 +66,6 @@
   vi.useRealTimers();
 });
 
-/** Advances the time; messages arrive at the time at which they are sent. */
-async function runFor(durationMs: number): Promise<void> {
-  for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += STEP_MS) {
-    await vi.advanceTimersByTimeAsync(STEP_MS);
-    await new Promise(resolve => setImmediate(resolve));
-    await new Promise(resolve => setImmediate(resolve));
-  }
-}
-
 async function waitFor(condition: string, check: () => boolean): Promise<void> {
   for (let elapsedMs = 0; elapsedMs < TIMEOUT_MS; elapsedMs += STEP_MS) {
     if (check()) return;
--- a/src/test/store-readers_test.ts
+++ b/src/test/store-readers_test.ts
@@ -3,6 +3,7 @@
  * a network. Timers are faked, as in peer-directory_test.
  */
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
+import {runFor, startEmulatedTime} from './stand-ins/emulated-time.js';
 import {EmulatedTopic, Service} from './stand-ins/emulated-topic.js';
 import type {TestNode} from './stand-ins/peer-fleet.js';
 import {DATA_CENTRES, TestFleet} from './stand-ins/peer-fleet.js';
@@ -18,15 +19,7 @@
 let topic: EmulatedTopic;
 
 beforeEach(() => {
-  vi.useFakeTimers({
-    toFake: [
-      'setTimeout',
-      'clearTimeout',
-      'setInterval',
-      'clearInterval',
-      'performance',
-    ],
-  });
+  startEmulatedTime();
 });
 
 afterEach(() => {
@@ -38,14 +31,6 @@
   vi.useRealTimers();
 });
 
-async function runFor(durationMs: number): Promise<void> {
-  for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += STEP_MS) {
-    await vi.advanceTimersByTimeAsync(STEP_MS);
-    await new Promise(resolve => setImmediate(resolve));
-    await new Promise(resolve => setImmediate(resolve));
-  }
-}
-
 async function startFleet(size: number): Promise<void> {
   fleet = new TestFleet();
   topic = new EmulatedTopic();
