Expire lost records also at nodes that don't poll the store

Cause: only a node's own read of the store dropped what nobody had written again within 20 s of a restore; since most nodes don't read any more, they would have kept it for good. Change: an answer of the store that another node reports for the same records counts like an own read. Evidence: store-readers_test, 'drops at every node ...', fails without the change in src/coordination.

--- a/src/coordination/keyed-follower.ts
+++ b/src/coordination/keyed-follower.ts
@@ -156,6 +156,7 @@
       this.recordAvailability(true, '');
       const isCurrent = page && comparePositions(page.end, next) === 0;
       if (isCurrent) {
+        records.expireLost();
         handleAnswer();
         return;
       }
--- a/src/coordination/peer-directory.ts
+++ b/src/coordination/peer-directory.ts
@@ -182,9 +182,7 @@
     }
     this.recordContact(peer);
     this.checkRecords(peer, beacon.recordsEnd);
-    if (comparePositions(beacon.recordsEnd, this.options.records.end) === 0) {
-      this.options.freshness.recordHeardAnswer(beacon.storeAnswer);
-    }
+    this.recordStoreAnswer(beacon);
     if (!isKnown) {
       void this.sendUpdateTo(peer);
       return;
@@ -192,6 +190,13 @@
     this.recordLoads(beacon.nodeId, beacon.loads);
   }
 
+  /** Records an answer of the store that showed no later records than ours. */
+  private recordStoreAnswer({recordsEnd, storeAnswer}: LoadBeacon): void {
+    const {records, freshness} = this.options;
+    if (comparePositions(recordsEnd, records.end) !== 0) return;
+    if (freshness.recordHeardAnswer(storeAnswer)) records.expireLost();
+  }
+
   /** Returns another node's description in a revision, if it is the known one. */
   findDescription({
     nodeId,
--- a/src/coordination/store-freshness.ts
+++ b/src/coordination/store-freshness.ts
@@ -71,12 +71,16 @@
     this.handleAnswer();
   }
 
-  /** Records an answer that another node has got or heard of. */
-  recordHeardAnswer({number, ageMs}: StoreAnswer): void {
-    if (number <= this.number) return;
+  /**
+   * Records an answer that another node has got or heard of. Returns whether it
+   * is later than the known one.
+   */
+  recordHeardAnswer({number, ageMs}: StoreAnswer): boolean {
+    if (number <= this.number) return false;
     this.number = number;
     this.answeredAt = Math.max(this.answeredAt, performance.now() - ageMs);
     this.handleAnswer();
+    return true;
   }
 
   /** Whether this node is one of those that poll the store for all. */
--- a/src/state/keyed-records.ts
+++ b/src/state/keyed-records.ts
@@ -110,7 +110,7 @@
 
   /**
    * Drops what writers have not written again since the store was restored.
-   * Called after a read that found no further records.
+   * Called when the store is known to have no further records.
    */
   expireLost(): void {
     if (this.now() - this.restoredAt < REWRITE_TIME_MS) return;
--- a/src/test/stand-ins/emulated-topic.ts
+++ b/src/test/stand-ins/emulated-topic.ts
@@ -44,12 +44,22 @@
   calls = 0;
   readonly services = new Map<string, Service>();
   private readonly followers: KeyedFollower[] = [];
-  private readonly records: KeyedRecord[] = [];
+  private records: KeyedRecord[] = [];
+  private era = 0;
   private waiting: Array<() => void> = [];
 
   append(key: string, value: string): void {
     const offset = this.records.length;
-    this.records.push({key, era: 0, offset, value});
+    this.records.push({key, era: this.era, offset, value});
+    const {waiting} = this;
+    this.waiting = [];
+    for (const wake of waiting) wake();
+  }
+
+  /** Begins an era, back from a copy without any record. */
+  startEra(): void {
+    this.era += 1;
+    this.records = [];
     const {waiting} = this;
     this.waiting = [];
     for (const wake of waiting) wake();
@@ -85,7 +95,7 @@
   ): Promise<KeyedSnapshot> {
     await this.startCall(nodeId, signal);
     const newest = new Map(this.records.map(record => [record.key, record]));
-    const end = {era: 0, offset: this.records.length};
+    const end = {era: this.era, offset: this.records.length};
     return {records: [...newest.values()], end};
   }
 
@@ -101,7 +111,7 @@
       await Promise.race([appended, waitMs(longestWaitMs, signal)]);
       await this.checkServed(nodeId, signal);
     }
-    const end = {era: 0, offset: this.records.length};
+    const end = {era: this.era, offset: this.records.length};
     return {records: this.records.slice(from), next: end, end};
   }
 
--- a/src/test/store-readers_test.ts
+++ b/src/test/store-readers_test.ts
@@ -13,6 +13,8 @@
 const START_MS = 4000;
 /** Users' bound for a change to be in force, of the strictest deployment. */
 const MAX_APPLY_MS = 2000;
+/** Time for writers to write again what a restored store has lost. */
+const REWRITE_TIME_MS = 20_000;
 const KEY = 'config';
 
 let fleet: TestFleet;
@@ -119,6 +121,21 @@
     },
   );
 
+  // Guards against a node that keeps for good what a restored store has lost,
+  // since only the reads of nodes that poll showed that nobody wrote it again.
+  it('drops at every node what nobody writes again after a restore', async () => {
+    await startFleet(11);
+    topic.append('other', 'lost');
+    await runFor(MAX_APPLY_MS);
+    topic.startEra();
+    topic.append(KEY, 'first');
+    await runFor(REWRITE_TIME_MS + MAX_APPLY_MS);
+    for (const {records} of fleet.nodes.values()) {
+      expect(records.find(KEY)?.value).toBe('first');
+      expect(records.find('other')).toBeUndefined();
+    }
+  });
+
   it('has a node that starts later learn the records without a call', async () => {
     await startFleet(73);
     topic.services.set('later', Service.REFUSED);
