--- a/review/1/case.js
+++ b/review/1/case.js
@@ -1,5 +1,5 @@
 /**
- * A machine is suspended for some seconds while requesters have connections to
+ * A machine stands still for some seconds while requesters have connections to
  * it that they have not used yet, and send bookings on them meanwhile. A booking
  * that is answered 408 must not run.
  */
@@ -19,11 +19,11 @@
 const HOST = 'desk.example';
 const ROUNDS = 5;
 const REQUESTERS = 10;
-/** Requesters connect so long before the machine is suspended. */
+/** Requesters connect so long before the machine stands still. */
 const CONNECTED_BEFORE_MS = 300;
-/** Time from the suspension to the bookings; the head is sent within 3 s. */
+/** Time from the freeze to the bookings; the head is sent within 3 s. */
 const SENT_AFTER_MS = 2000;
-const SUSPENDED_MS = 3500;
+const FROZEN_MS = 3500;
 const DEADLINE_MS = 2000;
 /** Statuses that promise that a request has not run and never will. */
 const PROMISES = [408, 421, 429, 503];
@@ -126,9 +126,9 @@
     if (hasTrouble) machine.signal('SIGSTOP');
     await wait(SENT_AFTER_MS);
     for (const requester of opened) requester.send();
-    await wait(SUSPENDED_MS - SENT_AFTER_MS);
+    await wait(FROZEN_MS - SENT_AFTER_MS);
     if (hasTrouble) machine.signal('SIGCONT');
-    await wait(SENT_AFTER_MS + DEADLINE_MS - SUSPENDED_MS);
+    await wait(SENT_AFTER_MS + DEADLINE_MS - FROZEN_MS);
     for (const requester of opened) requester.finish();
     await wait(BOUNDS.settle_window_ms);
   }
