Run no request that is read after its connection was refused

One who trusts the refusal books twice.

Cause: the refusal ended only the sending side of the socket; a head that the parser completed afterwards was accepted. And the timers of a process that wakes run before it reads its sockets, so the head limit took waiting bytes for silence. The second stands at the idle limit, at pauses within a body and at the idle closes of a stop as well; the first also behind a closing answer.

Change: a connection accepts nothing after its first refusal or closing answer; what is read is discarded, counted and logged. Conclusions from silence are drawn after the next read of the sockets (run-after-reads.ts). A body that breaks off after its request was passed on closes the connection instead of claiming 'not-run'.

--- a/src/directory-node.ts
+++ b/src/directory-node.ts
@@ -6,6 +6,7 @@
 import type {Server} from 'node:http';
 import {randomUUID} from 'node:crypto';
 import {AttemptDispatcher} from './attempt-dispatcher.js';
+import {CallerLog} from './caller-log.js';
 import {Entry} from './coordination/entry.js';
 import type {Gate} from './coordination/gate.js';
 import type {DesiredState} from './coordination/desired-state.js';
@@ -87,6 +88,7 @@
   private readonly splitter = new RouteSplitter();
   private readonly subset: WorkerSubset;
   private readonly explanations = new Explanations();
+  private readonly callerLog: CallerLog;
   private readonly moves: DirectoryMoves;
   private readonly entry: Entry;
   private readonly port: NodePort;
@@ -102,6 +104,11 @@
     this.logger = createLogger(node.id, settings.logging, line =>
       this.writer.write(line),
     );
+    this.callerLog = new CallerLog(
+      this.logger,
+      this.metrics,
+      this.explanations,
+    );
     this.identity = {
       nodeId: node.id,
       incarnation: createIncarnation(Date.now(), Math.random),
@@ -297,7 +304,8 @@
       protocol: this.adapter.createCallerProtocol(this.port),
       handleRequest: (request, signal) => this.handleRequest(request, signal),
       handleRefusal: (refusal, requestId) =>
-        this.recordRefusal(refusal, requestId),
+        this.callerLog.recordRefusal(refusal, requestId),
+      handleDiscarded: requestId => this.callerLog.recordDiscarded(requestId),
       findLimits: () => this.state.callerLimits,
       isStopping: () => this.plannedStop.isStopping,
     });
@@ -332,7 +340,6 @@
     signal: AbortSignal,
   ): Promise<ServiceAnswer> {
     const startedAt = performance.now();
-    const {service, route} = request;
     let verdict: Verdict = Verdict.RAN;
     try {
       // What can't be finished is refused while that is true.
@@ -347,27 +354,10 @@
       throw error;
     } finally {
       const elapsedMs = performance.now() - startedAt;
-      this.metrics.recordLatency({service, route, verdict}, elapsedMs);
-      this.log('request', {
-        requestId: request.id,
-        service,
-        route,
-        rank: request.rank,
-        verdict,
-        elapsedMs: Math.round(elapsedMs),
-        steps: this.explanations.formatSteps(request.id),
-      });
+      this.callerLog.recordEnd(request, verdict, elapsedMs);
     }
   }
 
-  private recordRefusal(refusal: RefusalError, requestId: string): void {
-    const {reason, verdict, detail, retryAfterMs = -1} = refusal;
-    this.metrics.count(`refusals.${reason}`);
-    this.metrics.count(`verdicts.${verdict}`);
-    const context = {requestId, reason, verdict, detail, retryAfterMs};
-    this.logger.write('info', 'refused', context);
-  }
-
   private handleApplied({moveOrders}: DesiredState): void {
     this.moves.orders.applyOrders(moveOrders);
     const {callerLimits} = this.state;
--- a/src/node-process.ts
+++ b/src/node-process.ts
@@ -212,6 +212,10 @@
           verdict: refusal.verdict,
         });
       },
+      handleDiscarded: requestId => {
+        this.metrics.count('requests.discarded');
+        this.logger.write('info', 'request discarded', {requestId});
+      },
       findLimits: () => this.state.callerLimits,
       isStopping: () => this.plannedStop.isStopping,
     });
--- a/src/test/caller-connection_test.ts
+++ b/src/test/caller-connection_test.ts
@@ -39,7 +39,10 @@
   readonly isGivenUp: boolean[];
 } {
   const socket = new TestSocket();
-  const connection = new CallerConnection(socket as unknown as Socket);
+  const connection = new CallerConnection(
+    socket as unknown as Socket,
+    () => {},
+  );
   const endedAt: number[] = serviceTimesMs.map(() => Infinity);
   const isGivenUp: boolean[] = serviceTimesMs.map(() => false);
   const ready = new Map<number, TestResponse>();
--- a/src/test/caller-listener_test.ts
+++ b/src/test/caller-listener_test.ts
@@ -66,6 +66,7 @@
       body: await ANSWERS[answer]!(),
     }),
     handleRefusal: () => {},
+    handleDiscarded: () => {},
     findLimits: () => ({maxHeader, headerTimeout: 10_000, idleTimeout: 10_000}),
     isStopping: () => false,
   } satisfies CallerHandlers);
--- a/src/test/caller-pipeline_test.ts
+++ b/src/test/caller-pipeline_test.ts
@@ -67,6 +67,7 @@
         runs.push(run);
       }),
     handleRefusal: () => {},
+    handleDiscarded: () => {},
     findLimits: () => ({
       maxHeader: SMALL_HEADER_BYTES,
       headerTimeout: 10_000,
--- a/src/transport/body-pause-timer.ts
+++ b/src/transport/body-pause-timer.ts
@@ -4,6 +4,7 @@
  */
 import type {IncomingMessage} from 'node:http';
 import {Reason, RefusalError} from '../protocol/reasons.js';
+import {runAfterReads} from './run-after-reads.js';
 
 /** Limits the pauses within one message's body. */
 export class BodyPauseTimer {
@@ -11,7 +12,11 @@
   readonly failed: Promise<never>;
   private timer: NodeJS.Timeout | undefined;
   private refuse: (error: RefusalError) => void = () => {};
-  private readonly handleChunk = (): void => void this.timer?.refresh();
+  private cancelCheck: () => void = () => {};
+  private readonly handleChunk = (): void => {
+    this.cancelCheck();
+    this.timer?.refresh();
+  };
 
   constructor(
     private readonly message: IncomingMessage,
@@ -20,7 +25,9 @@
     this.failed = new Promise((resolve, reject) => (this.refuse = reject));
     // Avoids an unhandled rejection when nothing awaits it any more.
     this.failed.catch(() => {});
-    this.timer = setTimeout(() => this.check(), maxPauseMs);
+    this.timer = setTimeout(() => {
+      this.cancelCheck = runAfterReads(() => this.check());
+    }, maxPauseMs);
     message.on('data', this.handleChunk);
     message.once('close', () => this.stop());
   }
@@ -28,6 +35,7 @@
   /** Stops the timer. */
   stop(): void {
     clearTimeout(this.timer);
+    this.cancelCheck();
     this.timer = undefined;
     this.message.off('data', this.handleChunk);
   }
--- a/src/transport/caller-connection.ts
+++ b/src/transport/caller-connection.ts
@@ -37,14 +37,34 @@
 export class CallerConnection {
   /** Unanswered requests in the order in which they were sent. */
   private readonly requests: PipelinedRequest[] = [];
+  private readonly started = new WeakSet<ServerResponse>();
   private isPaused = false;
+  private isAccepting = true;
 
-  constructor(private readonly socket: Socket) {
+  constructor(
+    private readonly socket: Socket,
+    /** Called for each request that is read too late to run. */
+    private readonly handleDiscarded: (response: ServerResponse) => void,
+  ) {
     socket.once('close', () => this.cancelAll());
   }
 
-  /** Runs a request now, once earlier ones are answered, or never. */
+  /** Whether the next request that is read may run. */
+  get isOpen(): boolean {
+    return this.isAccepting;
+  }
+
+  /**
+   * Runs a request now, once earlier ones are answered, or never. Once the
+   * connection closes, a request is read and discarded: unread bytes would reset
+   * the connection, and with it the last answer.
+   */
   accept(response: ServerResponse, run: RunRequest): void {
+    if (!this.isAccepting) {
+      response.req.resume();
+      this.handleDiscarded(response);
+      return;
+    }
     const request: PipelinedRequest = {response, run, abort: undefined};
     this.requests.push(request);
     response.once('close', () => this.remove(request));
@@ -54,6 +74,21 @@
     this.socket.pause();
   }
 
+  /** Marks a request as passed on, so that it may have run. */
+  markStarted(response: ServerResponse): void {
+    this.started.add(response);
+  }
+
+  /** Whether a request was passed on, so that it may have run. */
+  hasStarted(response: ServerResponse): boolean {
+    return this.started.has(response);
+  }
+
+  /** Discards what is read from now on; what was accepted goes on. */
+  stopAccepting(): void {
+    this.isAccepting = false;
+  }
+
   /**
    * Gives up a running request shortly before its caller does if others were
    * sent behind it. A caller that gives up the first request closes the
@@ -110,7 +145,8 @@
     if (index < 0) return;
     this.requests.splice(index, 1);
     if (!request.response.writableFinished) cancel(request);
-    if (this.socket.destroyed || isClosing(request.response)) return;
+    if (isClosing(request.response)) this.stopAccepting();
+    if (this.socket.destroyed || !this.isAccepting) return;
     this.runNext();
     if (!this.isPaused || this.isFull()) return;
     this.isPaused = false;
--- a/src/transport/caller-listener.ts
+++ b/src/transport/caller-listener.ts
@@ -22,6 +22,7 @@
 import {writeAnswer, writeRefusal} from './answer-writer.js';
 import {CallerConnection} from './caller-connection.js';
 import {readWholeBody} from './message-body.js';
+import {runAfterReads} from './run-after-reads.js';
 
 /** Maximum time in which a caller must have sent its request's headers. */
 const HEADERS_TIMEOUT_MS = 10_000;
@@ -82,6 +83,8 @@
   ): Promise<ServiceAnswer>;
   /** Called for each refusal, for counters and logs. */
   handleRefusal(refusal: RefusalError, requestId: string): void;
+  /** Called for each request that was read after its connection closed. */
+  handleDiscarded(requestId: string): void;
   /** Returns the limits on callers; undefined without a configuration. */
   findLimits(): CallerLimits | undefined;
   /** Returns whether connections should close after their current answer. */
@@ -117,7 +120,9 @@
   const findConnection = (socket: Socket): CallerConnection => {
     const known = connections.get(socket);
     if (known) return known;
-    const connection = new CallerConnection(socket);
+    const connection = new CallerConnection(socket, ({req}) =>
+      handlers.handleDiscarded(handlers.protocol.readId(req)),
+    );
     connections.set(socket, connection);
     return connection;
   };
@@ -132,11 +137,26 @@
   server.on('clientError', (error, duplex) => {
     const socket = duplex as Socket;
     const response = pending.get(socket);
-    const handle = (): void =>
-      handleParseError(handlers, error, socket, response);
-    // Bytes of a refusal would be read as the answer to an earlier request.
-    if (response) findConnection(socket).runAfterEarlier(response, handle);
-    else handle();
+    const connection = findConnection(socket);
+    const {code} = error as NodeJS.ErrnoException;
+    const handle = (): void => {
+      const hasHead = pending.get(socket) !== response;
+      if (code === HEAD_TIMEOUT && hasHead) return;
+      handleParseError(handlers, error, {socket, response, connection});
+    };
+    const schedule = (): void => {
+      // Bytes of a refusal would be read as the answer to an earlier request.
+      if (response) connection.runAfterEarlier(response, handle);
+      else handle();
+    };
+    if (code === HEAD_TIMEOUT) runAfterReads(schedule);
+    else schedule();
+  });
+  server.on('timeout', socket => {
+    const {bytesRead} = socket;
+    runAfterReads(() => {
+      if (socket.bytesRead === bytesRead) socket.destroy();
+    });
   });
   for (const route of handlers.nodeRoutes) {
     service[route.method](route.path, (message, response) => {
@@ -151,11 +171,15 @@
 
 /** Error code of the HTTP parser for a head above its fixed limit. */
 const HEADER_OVERFLOW = 'HPE_HEADER_OVERFLOW';
+/** Error code of the HTTP server for a head that did not come in time. */
+const HEAD_TIMEOUT = 'ERR_HTTP_REQUEST_TIMEOUT';
+/** Time for a caller to read the last answer before its connection is cut. */
+const LAST_ANSWER_TIMEOUT_MS = 2000;
 
 /** HTTP status for each error code of the HTTP parser. */
 const STATUS_BY_PARSE_ERROR: Readonly<Record<string, number>> = {
   [HEADER_OVERFLOW]: 431,
-  ERR_HTTP_REQUEST_TIMEOUT: 408,
+  [HEAD_TIMEOUT]: 408,
 };
 const DEFAULT_PARSE_ERROR_STATUS = 400;
 
@@ -188,17 +212,29 @@
   response.writeHead(status, headers).end(body);
 }
 
+/** Where the parser failed, and the last request it read before, if any. */
+interface ParseErrorPlace {
+  readonly socket: Socket;
+  readonly connection: CallerConnection;
+  readonly response: ServerResponse | undefined;
+}
+
 function handleParseError(
   handlers: CallerHandlers,
   error: NodeJS.ErrnoException,
-  socket: Socket,
-  response: ServerResponse | undefined,
+  {socket, connection, response}: ParseErrorPlace,
 ): void {
+  if (error.code === 'ECONNRESET' || !socket.writable) {
+    // What follows an error fails too, and must not cut off the last answer.
+    if (connection.isOpen) socket.destroy();
+    return;
+  }
+  connection.stopAccepting();
   const isAnswering = response?.closed === false;
-  if (error.code === 'ECONNRESET' || !socket.writable) socket.destroy();
-  else if (isAnswering && response.req.complete)
-    closeAfterAnswer(response, socket);
-  else if (isAnswering && response.headersSent) socket.destroy();
+  const hasStarted = isAnswering && connection.hasStarted(response);
+  if (isAnswering && response.req.complete) closeAfterAnswer(response, socket);
+  else if (isAnswering && (response.headersSent || hasStarted))
+    socket.destroy();
   else refuseMalformed(handlers, error, socket);
 }
 
@@ -208,7 +244,7 @@
  */
 function closeAfterAnswer(response: ServerResponse, socket: Socket): void {
   response.shouldKeepAlive = false;
-  response.once('close', () => socket.end());
+  response.once('close', () => endSocket(socket));
 }
 
 /** Answers and counts a message that the HTTP parser rejected; nothing ran. */
@@ -225,7 +261,14 @@
     `HTTP/1.1 ${status} ${STATUS_CODES[status]}`,
     ...Object.entries(headers).map(([name, value]) => `${name}: ${value}`),
   ];
-  socket.end(`${lines.join('\r\n')}\r\n\r\n${body}`);
+  endSocket(socket, `${lines.join('\r\n')}\r\n\r\n${body}`);
+}
+
+/** Ends a connection, which its caller may keep half open only for some time. */
+function endSocket(socket: Socket, bytes = ''): void {
+  socket.end(bytes);
+  const timer = setTimeout(() => socket.destroy(), LAST_ANSWER_TIMEOUT_MS);
+  socket.once('close', () => clearTimeout(timer));
 }
 
 /** Measures a request's target and headers, as the HTTP parser does. */
@@ -252,6 +295,7 @@
   response.on('error', () => {});
   try {
     const request = await protocol.readRequest(message, id);
+    connection.markStarted(response);
     connection.watchTimeLimit(
       response,
       request.awaitedUntil ?? request.deadline,
--- a/src/transport/server-drain.ts
+++ b/src/transport/server-drain.ts
@@ -4,6 +4,7 @@
  */
 import type {Server} from 'node:http';
 import {waitMs} from '../protocol/backoff.js';
+import {runAfterReads} from './run-after-reads.js';
 
 const POLL_INTERVAL_MS = 20;
 
@@ -31,7 +32,7 @@
 ): Promise<boolean> {
   await stopListening(server);
   const idleTimer = setInterval(
-    () => server.closeIdleConnections(),
+    () => runAfterReads(() => server.closeIdleConnections()),
     POLL_INTERVAL_MS,
   );
   const hasEnded = await waitForNoConnections(server, timeoutMs);
