Keep a failed assertion from quoting a line of the bundle

Cause: an assertion of the HTTP client without a message; Node.js quotes the failed line by parsing it, and the bundle's lines have hundreds of kilobytes.

Change: node:assert is replaced in both bundles by one that throws only. A status above 599 is a wrong answer and no longer passed on.

--- a/scripts/build-platform.js
+++ b/scripts/build-platform.js
@@ -69,7 +69,7 @@
   format: 'cjs',
   entryPoints: ['platform/main.ts'],
   outfile: BUNDLE,
-  plugins: [slimLibraries],
+  plugins: [...BUNDLE_OPTIONS.plugins, slimLibraries],
 });
 copyFileSync('scripts/load-bundle.cjs', LOADER);
 buildCodeCache();
--- a/src/transport/upstream-client.ts
+++ b/src/transport/upstream-client.ts
@@ -25,6 +25,8 @@
 /** A refusal's connection is kept if its body is within these limits. */
 const MAX_REFUSAL_BODY_BYTES = 16 * 1024;
 const REFUSAL_BODY_TIMEOUT_MS = 500;
+/** Highest status that HTTP assigns a class to. */
+const MAX_STATUS = 599;
 /** Maximum number of informational (1xx) responses to one request. */
 const MAX_INFORMATIONAL_RESPONSES = 20;
 /**
@@ -204,6 +206,16 @@
   };
 }
 
+/** Detects a status of no class, which tells a caller nothing. */
+function findUnknownStatus(status: number): AnswerFault | undefined {
+  if (status <= MAX_STATUS) return undefined;
+  return {
+    reason: Reason.WRONG_ANSWER,
+    verdict: Verdict.MAY_HAVE_RUN,
+    detail: `worker answered with status ${status}`,
+  };
+}
+
 async function readUpstreamAnswer(
   protocol: UpstreamProtocol,
   request: ServiceRequest,
@@ -211,7 +223,9 @@
 ): Promise<AttemptAnswer> {
   const {headers, status} = response;
   const isKeptConnection = request.idempotent;
-  const fault = protocol.findFault(request, status, headers, isKeptConnection);
+  const fault =
+    findUnknownStatus(status) ??
+    protocol.findFault(request, status, headers, isKeptConnection);
   if (fault) {
     closeBody(response.body, fault);
     throw new AttemptError(fault.reason, fault.verdict, fault.detail);
