Keep a confirmed leaving where it outlives its node's process

Cause: the leaving lived in the memory of the process that confirmed it. Without a restart, a notice before a process's first report was not looked at, and a late notice of an ended process drained its successor under the same id.

Change: nodes write a note to the store and push it to up to eight others before they confirm; a new process reads its note, or is told it by a keeper. Notices are matched by id and start.

--- a/src/coordination/known-peer.ts
+++ b/src/coordination/known-peer.ts
@@ -38,6 +38,18 @@
 /** Time for a listed node to answer before it counts as silent. */
 const MAX_UNKNOWN_SILENCE_MS = 1000;
 
+/** Maximum backoff between two exchanges with a node that does not reply. */
+const MAX_EXCHANGE_PAUSE_MS = 2000;
+const MIN_EXCHANGE_PAUSE_MS = 250;
+/** Minimum silence after which a node is removed; the store still lists it. */
+const MIN_REMOVAL_MS = 20_000;
+/** The same in datagram intervals, for large clusters. */
+const REMOVAL_INTERVALS = 12;
+/** Silence after which a leaving node is removed. */
+const LEAVING_REMOVAL_MS = 3000;
+/** Maximum silence of the nodes that are named to others. */
+const MAX_SHARED_SILENCE_MS = 1400;
+
 /** Creates the state of a node's process that replaces a known one. */
 export function createPeer(
   {nodeId, incarnation, peerAddress}: PeerIdentity,
@@ -93,3 +105,20 @@
     : MAX_UNKNOWN_SILENCE_MS;
   return now - peer.lastHeardAt >= maxSilentMs;
 }
+
+/** Whether others are told of a node; dead ones would be named forever. */
+export function isShareable({info, lastHeardAt}: Peer, now: number): boolean {
+  return info !== undefined && now - lastHeardAt < MAX_SHARED_SILENCE_MS;
+}
+
+/** Returns the time between two exchanges with a silent node, in ms. */
+export function computeExchangePause({failures}: Peer): number {
+  const pauseMs = MIN_EXCHANGE_PAUSE_MS * 2 ** Math.min(failures, 4);
+  return Math.min(MAX_EXCHANGE_PAUSE_MS, pauseMs);
+}
+
+/** Returns the silence after which a node is removed, in milliseconds. */
+export function computeRemovalTime({info}: Peer, intervalMs: number): number {
+  if (info?.isLeaving) return LEAVING_REMOVAL_MS;
+  return Math.max(MIN_REMOVAL_MS, REMOVAL_INTERVALS * intervalMs);
+}
--- a/src/coordination/node-listing.ts
+++ b/src/coordination/node-listing.ts
@@ -5,6 +5,7 @@
  * still has its entry, spread over some seconds, and writes it only if not.
  */
 import {Backoff, waitMs} from '../protocol/backoff.js';
+import type {NodeNote} from '../protocol/node-note.js';
 import type {NodeInfo} from '../protocol/peer-messages.js';
 import {StoreUnavailableError} from './keyed-follower.js';
 import type {NodeDirectory} from './peer-directory-options.js';
@@ -15,6 +16,8 @@
   readonly describe: () => NodeInfo;
   /** Called with the entries of all nodes, some of which may be stale. */
   readonly handleEntries: (entries: readonly NodeInfo[]) => void;
+  /** Called with what the store has of this node's earlier processes. */
+  readonly handleNotes: (notes: readonly NodeNote[]) => void;
   /** Returns the latest era of the store that this node knows of. */
   readonly findEra: () => number;
   readonly random: () => number;
@@ -101,8 +104,10 @@
 
   private async readList(): Promise<void> {
     this.readAt = performance.now();
-    const {era, entries} = await this.options.directory.list();
-    const {nodeId, incarnation} = this.options.describe();
+    const {directory, describe, handleNotes} = this.options;
+    const {era, entries, notes} = await directory.list();
+    const {nodeId, incarnation} = describe();
+    handleNotes(notes.filter(note => note.nodeId === nodeId));
     const isListed = entries.some(
       entry => entry.nodeId === nodeId && entry.incarnation === incarnation,
     );
--- /dev/null
+++ b/src/coordination/node-notes.ts
@@ -0,0 +1,160 @@
+/**
+ * Keeps what this node has confirmed where it outlives this process: in the
+ * platform's store, from which the next process reads it, and with other nodes,
+ * which tell the next process when the store is away. A confirmation waits until
+ * one of them has it.
+ */
+import {Backoff, waitMs} from '../protocol/backoff.js';
+import type {LeavingProcess, NodeNote} from '../protocol/node-note.js';
+import {mergeLeaving} from '../protocol/node-note.js';
+
+/** Time for which a note matters: far longer than any report is late. */
+const RETENTION_MS = 60_000;
+/** Maximum time that a confirmation waits; its sender waits for a second. */
+const SAVE_TIMEOUT_MS = 600;
+const MIN_BACKOFF_MS = 100;
+const MAX_BACKOFF_MS = 1000;
+
+/** Dependencies of a node's notes. */
+export interface NodeNotesOptions {
+  readonly nodeId: string;
+  /**
+   * Writes a note to the store, replacing the earlier one of its node.
+   *
+   * @throws StoreUnavailableError
+   */
+  readonly store: (note: NodeNote) => Promise<void>;
+  /** Whether what the store has of an earlier process has been read. */
+  readonly hasRecovered: () => boolean;
+  /** Resolves with the number of other nodes that have confirmed the notes. */
+  readonly push: () => Promise<number>;
+  /** Called with what an earlier process of this node had noted. */
+  readonly recover: (note: NodeNote) => void;
+  readonly random: () => number;
+  /** Returns the time of day in Unix milliseconds. */
+  readonly readClock: () => number;
+  /** Writes a log line with its context. */
+  readonly report: (
+    text: string,
+    context: Readonly<Record<string, string | number>>,
+  ) => void;
+}
+
+/** Notes of this node and of others that it keeps for them. */
+export class NodeNotes {
+  private readonly abort = new AbortController();
+  private readonly notes = new Map<string, NodeNote>();
+  private writing: Promise<void> | undefined;
+  private isOutdated = false;
+  private saving: Promise<void> = Promise.resolve();
+
+  constructor(private readonly options: NodeNotesOptions) {}
+
+  /** Resolves when all that was noted is kept elsewhere, or on a timeout. */
+  get saved(): Promise<void> {
+    return this.saving;
+  }
+
+  stop(): void {
+    this.abort.abort();
+  }
+
+  /** Notes a process that is about to be confirmed as leaving. */
+  addLeaving(process: LeavingProcess): void {
+    const {nodeId} = this.options;
+    this.merge({nodeId, leaving: [process]});
+    this.saving = this.publish();
+  }
+
+  /** Lists the notes that another node is told: this node's and its own. */
+  listFor(nodeId: string): NodeNote[] {
+    return [this.options.nodeId, nodeId].flatMap(id => {
+      const note = this.find(id);
+      return note ? [note] : [];
+    });
+  }
+
+  /** Whether this node keeps notes of another one. */
+  has(nodeId: string): boolean {
+    return this.find(nodeId) !== undefined;
+  }
+
+  /** Adds notes that the store or another node had. */
+  apply(notes: readonly NodeNote[]): void {
+    for (const note of notes) {
+      const isOwn = note.nodeId === this.options.nodeId;
+      const isNew = this.merge(note);
+      if (!isOwn || !isNew) continue;
+      this.options.report('notes recovered', {leaving: note.leaving.length});
+      this.options.recover(note);
+    }
+  }
+
+  private find(nodeId: string): NodeNote | undefined {
+    const note = this.notes.get(nodeId);
+    const earliest = this.options.readClock() - RETENTION_MS;
+    const leaving = note?.leaving.filter(({leftAtMs}) => leftAtMs > earliest);
+    if (leaving && leaving.length > 0) return {nodeId, leaving};
+    this.notes.delete(nodeId);
+    return undefined;
+  }
+
+  /** Merges a note with the known one; returns false if nothing was new. */
+  private merge(note: NodeNote): boolean {
+    const {nodeId} = note;
+    const before = this.find(nodeId)?.leaving ?? [];
+    this.notes.set(nodeId, {
+      nodeId,
+      leaving: mergeLeaving(note.leaving, before),
+    });
+    return (this.find(nodeId)?.leaving.length ?? 0) > before.length;
+  }
+
+  private async publish(): Promise<void> {
+    const startedAt = performance.now();
+    const keeper = await Promise.race([
+      this.write().then(() => 'store'),
+      this.push(),
+      waitMs(SAVE_TIMEOUT_MS).then(() => 'none'),
+    ]);
+    const elapsedMs = Math.round(performance.now() - startedAt);
+    this.options.report('notes saved', {keeper, elapsedMs});
+  }
+
+  /** Resolves when other nodes have the notes; never if none answers. */
+  private async push(): Promise<string> {
+    const count = await this.options.push();
+    if (count === 0) return new Promise(() => {});
+    return `${count} nodes`;
+  }
+
+  /** Resolves when a write that began after this call has succeeded. */
+  private write(): Promise<void> {
+    this.isOutdated = true;
+    this.writing ??= this.writeOften().finally(
+      () => (this.writing = undefined),
+    );
+    return this.writing;
+  }
+
+  private async writeOften(): Promise<void> {
+    const {nodeId, store, hasRecovered, random, report} = this.options;
+    const backoff = new Backoff(MIN_BACKOFF_MS, MAX_BACKOFF_MS, random);
+    while (!this.abort.signal.aborted && this.isOutdated) {
+      const note = this.find(nodeId);
+      if (!note) return;
+      if (!hasRecovered()) {
+        await backoff.wait(this.abort.signal);
+        continue;
+      }
+      this.isOutdated = false;
+      try {
+        await store(note);
+      } catch (error) {
+        this.isOutdated = true;
+        report('notes not stored', {detail: String(error)});
+        await backoff.wait(this.abort.signal);
+      }
+    }
+  }
+}
--- a/src/coordination/peer-directory-options.ts
+++ b/src/coordination/peer-directory-options.ts
@@ -4,6 +4,7 @@
  * implements.
  */
 import type {NodeIdentity} from '../protocol/node-identity.js';
+import type {NodeNote} from '../protocol/node-note.js';
 import type {
   LoadBeacon,
   NodeInfo,
@@ -29,12 +30,26 @@
    * @throws StoreUnavailableError
    */
   list(): Promise<NodeList>;
+  /**
+   * Writes the note of a node, replacing an earlier one.
+   *
+   * @throws StoreUnavailableError
+   */
+  saveNote(note: NodeNote): Promise<void>;
 }
 
-/** Entries of all nodes and the era of the store in which they were read. */
+/** All nodes as the store has them, and the era in which they were read. */
 export interface NodeList {
   readonly era: number;
   readonly entries: readonly NodeInfo[];
+  readonly notes: readonly NodeNote[];
+}
+
+/** Notes that nodes keep for each other, as a peer directory exchanges them. */
+export interface NoteExchange {
+  listFor(nodeId: string): NodeNote[];
+  has(nodeId: string): boolean;
+  apply(notes: readonly NodeNote[]): void;
 }
 
 /** Calls to other nodes. */
@@ -66,6 +81,7 @@
   readonly listMoves: () => PeerUpdate['moves'];
   /** Called with the move updates received from another node. */
   readonly handleMoves: (moves: PeerUpdate['moves']) => void;
+  readonly notes: NoteExchange;
   /** Called when another node has later operator records. */
   readonly handleLaterRecords: () => void;
   /** Writes a log line with its context. */
--- a/src/coordination/peer-directory.ts
+++ b/src/coordination/peer-directory.ts
@@ -17,18 +17,19 @@
   NodeInfo,
   PeerIdentity,
   PeerUpdate,
-  ServiceLoad,
 } from '../protocol/peer-messages.js';
 import type {RecordPosition} from '../protocol/record-position.js';
 import {comparePositions} from '../protocol/record-position.js';
 import type {WorkerDescription} from '../state/worker-table.js';
-import {recordLoad} from '../state/worker-table.js';
 import {pickRandom} from './member-order.js';
 import type {Peer, ProcessName} from './known-peer.js';
 import {
+  computeExchangePause,
+  computeRemovalTime,
   createPeer,
   isNewerProcess,
   isReplacement,
+  isShareable,
   isSilent,
   REPLACEMENT_SILENCE_MS,
 } from './known-peer.js';
@@ -44,22 +45,13 @@
 
 /** Exchanges with new nodes at the start; more would return the same peers. */
 const INITIAL_EXCHANGE_COUNT = 3;
-/** Maximum backoff between two exchanges with a node that does not reply. */
-const MAX_EXCHANGE_PAUSE_MS = 2000;
-const MIN_EXCHANGE_PAUSE_MS = 250;
-/** Minimum silence after which a node is removed; the store still lists it. */
-const MIN_REMOVAL_MS = 20_000;
-/** The same in datagram intervals, for large clusters. */
-const REMOVAL_INTERVALS = 12;
-/** Silence after which a leaving node is removed. */
-const LEAVING_REMOVAL_MS = 3000;
 /** Minimum interval between two reads of the list while no node answers. */
 const RELIST_INTERVAL_MS = 1000;
 
-/** Maximum silence of the nodes that are named to others. */
-const MAX_SHARED_SILENCE_MS = 1400;
 /** Maximum nodes named per message; enough for a new node to find all soon. */
 const MAX_SHARED_PEERS = 8;
+/** Other nodes that are told a note, so that several survive a lost zone. */
+const MAX_NOTE_KEEPERS = 8;
 
 /** Directory of the other nodes, as known to one node. */
 export class PeerDirectory {
@@ -85,6 +77,7 @@
         for (const entry of entries) this.addListedNode(entry);
         this.updateLiveNodes();
       },
+      handleNotes: notes => options.notes.apply(notes),
       findEra: () => options.records.end.era,
       random: options.random,
       report: options.report,
@@ -145,10 +138,31 @@
     await Promise.all(known.map(peer => this.sendUpdateTo(peer)));
   }
 
+  /** Whether the store's list of nodes and their notes has been read. */
+  get hasListed(): boolean {
+    return this.listing.hasListed;
+  }
+
+  /**
+   * Pushes this node's notes to some others, which tell its next process.
+   *
+   * @returns the number of nodes that confirmed.
+   */
+  async pushNotes(): Promise<number> {
+    const live = [...this.peers.values()].filter(
+      ({failures}) => failures === 0,
+    );
+    const picked = pickRandom(live, MAX_NOTE_KEEPERS, this.options.random);
+    const results = await Promise.allSettled(
+      picked.map(peer => this.updateFrom(peer)),
+    );
+    return results.filter(({status}) => status === 'fulfilled').length;
+  }
+
   /** Records the local load and schedules a datagram to its subscribers. */
   scheduleBeacon(): void {
-    const {identity, listLoads} = this.options;
-    this.recordLoads(identity.nodeId, listLoads());
+    const {identity, listLoads, workers} = this.options;
+    workers.recordLoads(identity.nodeId, listLoads());
     this.beacons.schedule();
   }
 
@@ -161,6 +175,7 @@
   handleUpdate(update: PeerUpdate): PeerUpdate {
     this.applyUpdate(update);
     return this.buildUpdate(
+      update.node.nodeId,
       update.wantsRecords ? findRecordsEnd(update) : undefined,
     );
   }
@@ -187,7 +202,7 @@
       void this.sendUpdateTo(peer);
       return;
     }
-    this.recordLoads(beacon.nodeId, beacon.loads);
+    this.options.workers.recordLoads(beacon.nodeId, beacon.loads);
   }
 
   /** Records an answer of the store that showed no later records than ours. */
@@ -211,9 +226,12 @@
 
   private recordIntroduction(introduction: Introduction): void {
     const {node, wantsLoad, wantsReply} = introduction;
-    const isNew = !this.peers.get(node.nodeId)?.info;
+    const known = this.peers.get(node.nodeId);
+    const isNew = !known?.info;
     const peer = this.recordNodeInfo(node);
     if (!peer) return;
+    if (peer !== known && this.options.notes.has(node.nodeId))
+      void this.sendUpdateTo(peer);
     peer.subscribedUntil = wantsLoad
       ? performance.now() + SUBSCRIPTION_LIFETIME_MS
       : -Infinity;
@@ -253,11 +271,7 @@
     const {revision} = this;
     this.exchanges += 1;
     try {
-      const update = this.buildUpdate();
-      const {peerAddress} = peer.name;
-      this.applyUpdate(
-        await this.options.calls.sendUpdate(peerAddress, update),
-      );
+      await this.updateFrom(peer);
       peer.failures = 0;
     } catch (error) {
       this.exchanges -= 1;
@@ -270,8 +284,15 @@
     if (isCurrent && hasOlderRevision) void this.sendUpdateTo(peer);
   }
 
+  private async updateFrom({name}: Peer): Promise<void> {
+    const update = this.buildUpdate(name.nodeId);
+    const {calls} = this.options;
+    this.applyUpdate(await calls.sendUpdate(name.peerAddress, update));
+  }
+
   private applyUpdate(update: PeerUpdate): void {
-    const {records, handleMoves} = this.options;
+    const {records, handleMoves, notes} = this.options;
+    notes.apply(update.notes);
     const peer = this.recordNodeInfo(update.node);
     if (!peer) return;
     for (const name of update.peers) this.addPeer(name);
@@ -303,34 +324,21 @@
   private recordContact(peer: Peer): void {
     peer.lastHeardAt = performance.now();
     peer.failures = 0;
-    this.setSuspect(peer, false);
+    this.options.workers.setSuspect(peer.name.nodeId, false);
   }
 
   private markSilent(peer: Peer, detail: string): void {
-    this.setSuspect(peer, true);
     const {nodeId, peerAddress} = peer.name;
+    this.options.workers.setSuspect(nodeId, true);
     this.options.report('node is silent', {nodeId, peerAddress, detail});
   }
 
-  private setSuspect(peer: Peer, isSuspect: boolean): void {
-    for (const row of this.options.workers.findRows(peer.name.nodeId)) {
-      row.isSuspect = isSuspect;
-    }
-  }
-
   private checkRecords(peer: Peer, recordsEnd: RecordPosition): void {
     this.catchUp.schedule(peer.name.nodeId, recordsEnd, () =>
       this.sendUpdateTo(peer),
     );
   }
 
-  private recordLoads(nodeId: string, loads: readonly ServiceLoad[]): void {
-    for (const row of this.options.workers.findRows(nodeId)) {
-      const reported = loads.find(({service}) => service === row.service);
-      if (reported) recordLoad(row, reported.load);
-    }
-  }
-
   private checkPeers(): void {
     const now = performance.now();
     const subsetNodeIds = this.beacons.listSubsetNodeIds();
@@ -376,13 +384,8 @@
 
   private checkSilent(peer: Peer, silentMs: number, intervalMs: number): void {
     const now = performance.now();
-    const pauseMs = Math.min(
-      MAX_EXCHANGE_PAUSE_MS,
-      MIN_EXCHANGE_PAUSE_MS * 2 ** Math.min(peer.failures, 4),
-    );
-    const regularMs = Math.max(MIN_REMOVAL_MS, REMOVAL_INTERVALS * intervalMs);
-    const removalMs = peer.info?.isLeaving ? LEAVING_REMOVAL_MS : regularMs;
-    if (silentMs > removalMs) this.removePeer(peer);
+    const pauseMs = computeExchangePause(peer);
+    if (silentMs > computeRemovalTime(peer, intervalMs)) this.removePeer(peer);
     else if (now - peer.lastRequestAt > pauseMs) void this.sendUpdateTo(peer);
   }
 
@@ -407,15 +410,14 @@
   }
 
   /** Builds an update; it carries the records from a position on, if given. */
-  private buildUpdate(recordsFrom?: RecordPosition): PeerUpdate {
-    const {records, listMoves, random} = this.options;
+  private buildUpdate(
+    receiverId: string,
+    recordsFrom?: RecordPosition,
+  ): PeerUpdate {
+    const {records, listMoves, notes, random} = this.options;
     const now = performance.now();
-    // Without the silence limit, nodes would name a dead node forever.
     const names = [...this.peers.values()]
-      .filter(
-        ({info: node, lastHeardAt: heardAt}) =>
-          node && now - heardAt < MAX_SHARED_SILENCE_MS,
-      )
+      .filter(peer => isShareable(peer, now))
       .map(({name}) => name);
     return {
       node: this.describe(),
@@ -425,6 +427,7 @@
       wantsRecords: this.catchUp.wantsRecords,
       records: recordsFrom ? records.listSince(recordsFrom) : [],
       moves: listMoves(),
+      notes: notes.listFor(receiverId),
     };
   }
 }
--- a/src/directory-node.ts
+++ b/src/directory-node.ts
@@ -14,10 +14,10 @@
 import {RouteSplitter} from './coordination/route-split.js';
 import type {BadVersionReport} from './coordination/version-moves.js';
 import {WorkerSubset} from './coordination/worker-subset.js';
-import {WorkerReports} from './coordination/worker-reports.js';
 import {createDirectoryGate} from './directory-gate.js';
 import {DirectoryMoves} from './directory-moves.js';
 import {DirectoryRecords} from './directory-records.js';
+import {DirectoryWorker} from './directory-worker.js';
 import type {NodeAdapter, NodePort} from './node-adapter.js';
 import {describeReadiness, NodeStop} from './node-stop.js';
 import type {DirectorySettings} from './protocol/directory-settings.js';
@@ -81,7 +81,7 @@
   private readonly directory: PeerDirectory;
   private readonly gateClient: GateClient;
   private readonly gate: Gate;
-  private readonly reports: WorkerReports;
+  private readonly worker: DirectoryWorker;
   private readonly attempts = new AttemptRegistry();
   private readonly path: AttemptDispatcher;
   private readonly crashTable = new CrashTable();
@@ -129,10 +129,15 @@
       recordRequest: observed => this.moves.evidence.record(observed),
       count: name => this.metrics.count(name),
     });
-    this.reports = new WorkerReports(
-      this.gate,
-      service => this.state.findProfile(service) !== undefined,
-    );
+    this.worker = new DirectoryWorker({
+      nodeId: node.id,
+      gate: this.gate,
+      isConfigured: service => this.state.findProfile(service) !== undefined,
+      store: adapter.directory,
+      hasRecovered: () => this.directory.hasListed,
+      pushNotes: () => this.directory.pushNotes(),
+      report: (text, context) => this.log(text, context),
+    });
     this.directory = this.createDirectory();
     this.path = new AttemptDispatcher({
       identity: this.identity,
@@ -192,7 +197,7 @@
       createMetricsServer(this.metrics),
       node.metricsAddress,
     );
-    this.state.events.on('changed', () => this.reports.refresh());
+    this.state.events.on('changed', () => this.worker.refresh());
     this.gate.events.on('workersChanged', () => this.updateWorkers());
     this.workers.events.on('changed', () => this.updateVersions());
     this.moves.versions.start();
@@ -224,8 +229,8 @@
       chooseService: rule => this.splitter.chooseService(rule),
       describeReadiness: () =>
         describeReadiness(this.plannedStop.isStopping, this.isReady()),
-      handleReport: report => this.reports.handleReport(report),
-      handleLeave: instanceId => this.reports.handleLeave(instanceId),
+      handleReport: report => this.worker.handleReport(report),
+      handleLeave: notice => this.worker.handleLeave(notice),
       count: name => this.metrics.count(name),
       log: (text, context) => this.log(text, context),
     };
@@ -265,6 +270,7 @@
         }),
       listMoves: () => this.moves.orders.listMoveUpdates(),
       handleMoves: moves => this.moves.orders.applyMoveUpdates(moves),
+      notes: this.worker.notes,
       handleLaterRecords: () => this.records.checkNow(),
       report: (text, context) => this.log(text, context),
     });
@@ -399,6 +405,7 @@
     this.loopWatch.stop();
     this.moves.versions.stop();
     this.records.stop();
+    this.worker.stop();
     await this.gateClient.close();
     await this.gate.close();
     this.peers.close();
--- a/src/node-adapter.ts
+++ b/src/node-adapter.ts
@@ -10,6 +10,7 @@
 import type {DesiredState} from './coordination/desired-state.js';
 import type {NodeDirectory} from './coordination/peer-directory-options.js';
 import type {
+  LeaveNotice,
   ReportOutcome,
   WorkerReport,
 } from './coordination/worker-reports.js';
@@ -27,8 +28,10 @@
   findRoute(host: string, path: string): RouteRule | undefined;
   chooseService(rule: RouteRule): string;
   describeReadiness(): NodeAnswer;
-  handleReport(report: WorkerReport): ReportOutcome;
-  handleLeave(instanceId: string): ReportOutcome;
+  /** Resolves once what the report confirms outlives this process. */
+  handleReport(report: WorkerReport): Promise<ReportOutcome>;
+  /** Resolves once the leaving is kept where it outlives this process. */
+  handleLeave(notice: LeaveNotice): Promise<ReportOutcome>;
   count(name: string): void;
   log(text: string, context: Readonly<Record<string, string | number>>): void;
 }
--- a/src/protocol/peer-messages.ts
+++ b/src/protocol/peer-messages.ts
@@ -5,6 +5,7 @@
  */
 import * as z from 'zod';
 import {parseAddress} from './node-identity.js';
+import {nodeNoteSchema} from './node-note.js';
 import type {RecordPosition} from './record-position.js';
 import {addressSchema} from './settings.js';
 import type {WorkerLoad} from './worker-load.js';
@@ -80,6 +81,8 @@
     }),
   ),
   moves: z.array(moveUpdateSchema),
+  /** Notes of the sender, and those that it keeps of the receiver. */
+  notes: z.array(nodeNoteSchema).default([]),
 });
 
 export type PeerIdentity = z.output<typeof peerSchema>;
--- a/src/state/worker-table.ts
+++ b/src/state/worker-table.ts
@@ -6,6 +6,7 @@
  */
 import Emittery from 'emittery';
 import type {AttemptTarget} from '../protocol/attempt.js';
+import type {ServiceLoad} from '../protocol/peer-messages.js';
 import type {WorkerLoad} from '../protocol/worker-load.js';
 import type {WorkerState} from '../protocol/worker-load.js';
 
@@ -76,6 +77,19 @@
     return this.rowsByService.get(service) ?? [];
   }
 
+  /** Marks the workers of a node that does not answer, or that does again. */
+  setSuspect(nodeId: string, isSuspect: boolean): void {
+    for (const row of this.findRows(nodeId)) row.isSuspect = isSuspect;
+  }
+
+  /** Records the load of a node's workers by their services. */
+  recordLoads(nodeId: string, loads: readonly ServiceLoad[]): void {
+    for (const row of this.findRows(nodeId)) {
+      const reported = loads.find(({service}) => service === row.service);
+      if (reported) recordLoad(row, reported.load);
+    }
+  }
+
   /** Finds the workers of one node. */
   findRows(nodeId: string): readonly WorkerRow[] {
     return this.rowsByNode.get(nodeId) ?? [];
--- a/src/test/peer-directory_test.ts
+++ b/src/test/peer-directory_test.ts
@@ -245,6 +245,7 @@
       wantsRecords: false,
       records: [],
       moves: [],
+      notes: [],
     });
     const [worker] = node!.workers.findRows('node-1');
     expect(worker?.target.incarnation).toBe(3);
--- a/src/test/stand-ins/peer-fleet.ts
+++ b/src/test/stand-ins/peer-fleet.ts
@@ -100,8 +100,10 @@
         },
         list: async () => {
           this.listReads += 1;
-          return {era: this.era, entries: [...this.entries.values()]};
+          const entries = [...this.entries.values()];
+          return {era: this.era, entries, notes: []};
         },
+        saveNote: async () => {},
       },
       calls: {
         sendUpdate: (to, update) => this.sendUpdate(to, update),
@@ -114,6 +116,7 @@
       listLoads: () => [{service: SERVICE, load: node.load}],
       listMoves: () => [],
       handleMoves: () => {},
+      notes: {listFor: () => [], has: () => false, apply: () => {}},
       handleLaterRecords: () => {},
       report: () => {},
     });
--- a/src/test/worker-reports_test.ts
+++ b/src/test/worker-reports_test.ts
@@ -3,7 +3,10 @@
  * leaving worker ready again.
  */
 import {describe, expect, it} from 'vitest';
-import type {WorkerReport} from '../coordination/worker-reports.js';
+import type {
+  LeaveNotice,
+  WorkerReport,
+} from '../coordination/worker-reports.js';
 import {WorkerReports} from '../coordination/worker-reports.js';
 import type {Announcement} from '../protocol/announcement.js';
 
@@ -31,9 +34,24 @@
   };
 }
 
+/** Time of day at which notices come, after all processes of the cases began. */
+const NOW_MS = 100;
+
+function createReports(
+  announce: (announcement: Announcement) => void,
+  isConfigured: (service: string) => boolean = () => true,
+): WorkerReports {
+  return new WorkerReports({
+    gate: {announce},
+    isConfigured,
+    handleLeaving: () => {},
+    readClock: () => NOW_MS,
+  });
+}
+
 interface ReportCase {
   readonly name: string;
-  readonly messages: ReadonlyArray<WorkerReport | string>;
+  readonly messages: ReadonlyArray<WorkerReport | LeaveNotice | string>;
   /** Instance and state of the last announcement to the gate. */
   readonly last: string;
 }
@@ -79,21 +97,42 @@
     messages: [buildReport('a', 1, 50), buildReport('a', 9, 1, 'draining')],
     last: 'a draining',
   },
+  // Such reports put a worker into use whose leaving had been confirmed.
+  {
+    name: 'a process leaves before its late first report',
+    messages: [buildReport('a', 1, 5), 'b', buildReport('b', 9, 1)],
+    last: 'b draining',
+  },
+  {
+    name: 'a process tells its start and leaves before its first report',
+    messages: [
+      buildReport('a', 1, 5),
+      {instanceId: 'b', bornAtMs: 9},
+      buildReport('b', 9, 1),
+    ],
+    last: 'b draining',
+  },
+  {
+    name: 'a process that starts after such a notice takes over the id',
+    messages: [buildReport('a', 1, 5), 'b', buildReport('b', NOW_MS + 1, 1)],
+    last: 'b ready',
+  },
+  {
+    name: 'a late notice of an ended process that had the same id',
+    messages: [buildReport('a', 9, 1), {instanceId: 'a', bornAtMs: 1}],
+    last: 'a ready',
+  },
 ];
 
 describe('reports of workers', () => {
   it.each(CASES)('$name', ({messages, last}) => {
     let announced = '';
-    const reports = new WorkerReports(
-      {
-        announce: ({instanceId, state}) => {
-          announced = `${instanceId} ${state}`;
-        },
-      },
-      () => true,
-    );
+    const reports = createReports(({instanceId, state}) => {
+      announced = `${instanceId} ${state}`;
+    });
     for (const word of messages) {
-      if (typeof word === 'string') reports.handleLeave(word);
+      if (typeof word === 'string') reports.handleLeave({instanceId: word});
+      else if (!('announcement' in word)) reports.handleLeave(word);
       else reports.handleReport(word);
     }
     expect(announced).toBe(last);
@@ -102,8 +141,8 @@
   // Such a report made those of the known worker look stale.
   it('a report of an unknown service does not replace a known worker', () => {
     const announced: string[] = [];
-    const reports = new WorkerReports(
-      {announce: ({instanceId}) => void announced.push(instanceId ?? '')},
+    const reports = createReports(
+      ({instanceId}) => void announced.push(instanceId ?? ''),
       service => service === 'desk',
     );
     const foreign = buildReport('b', 9, 1);
@@ -120,8 +159,8 @@
   it('holds a report until its service is configured', () => {
     let isConfigured = false;
     const announced: string[] = [];
-    const reports = new WorkerReports(
-      {announce: ({service}) => void announced.push(service)},
+    const reports = createReports(
+      ({service}) => void announced.push(service),
       () => isConfigured,
     );
     expect(reports.handleReport(buildReport('a', 1, 1))).toBe('held');
