Tell all nodes of a crash on the users' platform

Cause: CrashQuarantine published through an optional function with an empty default, and nodes on the platform passed none.

Change: the function is required; the publisher is independent of the transport and sends by calls between nodes on the platform. A node that starts learns open crashes from the others, and from notes in the store where all nodes were killed.

--- a/src/coordination/crash-quarantine.ts
+++ b/src/coordination/crash-quarantine.ts
@@ -8,7 +8,8 @@
 import {randomUUID} from 'node:crypto';
 import {waitMs} from '../protocol/backoff.js';
 import {Reason, RefusalError} from '../protocol/reasons.js';
-import type {CrashRecord, CrashTable} from '../state/crash-table.js';
+import type {CrashRecord} from '../protocol/crash-record.js';
+import type {CrashTable} from '../state/crash-table.js';
 
 /** Connections lost within this time count as one crash. */
 const CRASH_WINDOW_MS = 30;
@@ -34,7 +35,7 @@
 export class CrashQuarantine {
   constructor(
     readonly table: CrashTable,
-    private readonly publishCrashes: PublishCrashes = async () => {},
+    private readonly publishCrashes: PublishCrashes,
   ) {}
 
   /** @throws RefusalError when the fingerprint is quarantined. */
--- a/src/coordination/node-listing.ts
+++ b/src/coordination/node-listing.ts
@@ -16,7 +16,7 @@
   readonly describe: () => NodeInfo;
   /** Called with the entries of all nodes, some of which may be stale. */
   readonly handleEntries: (entries: readonly NodeInfo[]) => void;
-  /** Called with what the store has of this node's earlier processes. */
+  /** Called with what the store has of all nodes' earlier processes. */
   readonly handleNotes: (notes: readonly NodeNote[]) => void;
   /** Returns the latest era of the store that this node knows of. */
   readonly findEra: () => number;
@@ -107,7 +107,7 @@
     const {directory, describe, handleNotes} = this.options;
     const {era, entries, notes} = await directory.list();
     const {nodeId, incarnation} = describe();
-    handleNotes(notes.filter(note => note.nodeId === nodeId));
+    handleNotes(notes);
     const isListed = entries.some(
       entry => entry.nodeId === nodeId && entry.incarnation === incarnation,
     );
--- a/src/coordination/node-notes.ts
+++ b/src/coordination/node-notes.ts
@@ -2,11 +2,17 @@
  * Keeps what this node has confirmed where it outlives this process: in the
  * platform's store, from which the next process reads it, and with other nodes,
  * which tell the next process when the store is away. A confirmation waits until
- * one of them has it.
+ * one of them has it. Crashes of the local worker, which all nodes are told
+ * anyway, are noted in the store for the case that all nodes are killed.
  */
 import {Backoff, waitMs} from '../protocol/backoff.js';
 import type {LeavingProcess, NodeNote} from '../protocol/node-note.js';
-import {mergeLeaving} from '../protocol/node-note.js';
+import {mergeCrashes, mergeLeaving} from '../protocol/node-note.js';
+import type {
+  AgedCrash,
+  CrashRecord,
+  NotedCrash,
+} from '../protocol/crash-record.js';
 
 /** Time for which a note matters: far longer than any report is late. */
 const RETENTION_MS = 60_000;
@@ -29,7 +35,9 @@
   /** Resolves with the number of other nodes that have confirmed the notes. */
   readonly push: () => Promise<number>;
   /** Called with what an earlier process of this node had noted. */
-  readonly recover: (note: NodeNote) => void;
+  readonly recover: (leaving: readonly LeavingProcess[]) => void;
+  /** Called with the crashes that the store has of any node. */
+  readonly recoverCrashes: (crashes: readonly AgedCrash[]) => void;
   readonly random: () => number;
   /** Returns the time of day in Unix milliseconds. */
   readonly readClock: () => number;
@@ -44,6 +52,8 @@
 export class NodeNotes {
   private readonly abort = new AbortController();
   private readonly notes = new Map<string, NodeNote>();
+  /** Latest crashes of this node's worker, the earliest first. */
+  private crashes: readonly NotedCrash[] = [];
   private writing: Promise<void> | undefined;
   private isOutdated = false;
   private saving: Promise<void> = Promise.resolve();
@@ -62,10 +72,23 @@
   /** Notes a process that is about to be confirmed as leaving. */
   addLeaving(process: LeavingProcess): void {
     const {nodeId} = this.options;
-    this.merge({nodeId, leaving: [process]});
+    this.merge({nodeId, leaving: [process], crashes: []});
     this.saving = this.publish();
   }
 
+  /** Notes a crash of this node's worker, in the store only. */
+  addCrash(crash: CrashRecord): void {
+    const noted = {
+      ...crash,
+      fingerprints: [...crash.fingerprints],
+      answeredFingerprints: [...crash.answeredFingerprints],
+      suspects: [...crash.suspects],
+      atMs: this.options.readClock(),
+    };
+    this.crashes = mergeCrashes(this.crashes, [noted]);
+    void this.write();
+  }
+
   /** Lists the notes that another node is told: this node's and its own. */
   listFor(nodeId: string): NodeNote[] {
     return [this.options.nodeId, nodeId].flatMap(id => {
@@ -86,15 +109,33 @@
       const isNew = this.merge(note);
       if (!isOwn || !isNew) continue;
       this.options.report('notes recovered', {leaving: note.leaving.length});
-      this.options.recover(note);
+      this.options.recover(note.leaving);
     }
   }
 
+  /** Adds what the store has of all nodes. */
+  recover(notes: readonly NodeNote[]): void {
+    const {nodeId, readClock, recoverCrashes} = this.options;
+    const own = notes.filter(note => note.nodeId === nodeId);
+    this.apply(own);
+    for (const {crashes} of own)
+      this.crashes = mergeCrashes(crashes, this.crashes);
+    const now = readClock();
+    recoverCrashes(
+      notes.flatMap(({crashes}) =>
+        crashes.map(({atMs, ...crash}) => ({
+          ...crash,
+          ageMs: Math.max(0, now - atMs),
+        })),
+      ),
+    );
+  }
+
   private find(nodeId: string): NodeNote | undefined {
     const note = this.notes.get(nodeId);
     const earliest = this.options.readClock() - RETENTION_MS;
     const leaving = note?.leaving.filter(({leftAtMs}) => leftAtMs > earliest);
-    if (leaving && leaving.length > 0) return {nodeId, leaving};
+    if (leaving && leaving.length > 0) return {nodeId, leaving, crashes: []};
     this.notes.delete(nodeId);
     return undefined;
   }
@@ -106,6 +147,7 @@
     this.notes.set(nodeId, {
       nodeId,
       leaving: mergeLeaving(note.leaving, before),
+      crashes: [],
     });
     return (this.find(nodeId)?.leaving.length ?? 0) > before.length;
   }
@@ -141,15 +183,14 @@
     const {nodeId, store, hasRecovered, random, report} = this.options;
     const backoff = new Backoff(MIN_BACKOFF_MS, MAX_BACKOFF_MS, random);
     while (!this.abort.signal.aborted && this.isOutdated) {
-      const note = this.find(nodeId);
-      if (!note) return;
       if (!hasRecovered()) {
         await backoff.wait(this.abort.signal);
         continue;
       }
       this.isOutdated = false;
       try {
-        await store(note);
+        const leaving = this.find(nodeId)?.leaving ?? [];
+        await store({nodeId, leaving, crashes: [...this.crashes]});
       } catch (error) {
         this.isOutdated = true;
         report('notes not stored', {detail: String(error)});
--- a/src/coordination/peer-directory-options.ts
+++ b/src/coordination/peer-directory-options.ts
@@ -11,6 +11,7 @@
   PeerUpdate,
   ServiceLoad,
 } from '../protocol/peer-messages.js';
+import type {AgedCrash} from '../protocol/crash-record.js';
 import type {KeyedRecords} from '../state/keyed-records.js';
 import type {WorkerRow, WorkerTable} from '../state/worker-table.js';
 import type {StoreFreshness} from './store-freshness.js';
@@ -49,7 +50,16 @@
 export interface NoteExchange {
   listFor(nodeId: string): NodeNote[];
   has(nodeId: string): boolean;
+  /** Adds notes that another node had. */
   apply(notes: readonly NodeNote[]): void;
+  /** Adds the notes that the store had. */
+  recover(notes: readonly NodeNote[]): void;
+}
+
+/** Crashes of workers, as a peer directory exchanges them. */
+export interface CrashExchange {
+  list(): AgedCrash[];
+  recover(crashes: readonly AgedCrash[]): void;
 }
 
 /** Calls to other nodes. */
@@ -82,6 +92,7 @@
   /** Called with the move updates received from another node. */
   readonly handleMoves: (moves: PeerUpdate['moves']) => void;
   readonly notes: NoteExchange;
+  readonly crashes: CrashExchange;
   /** Called when another node has later operator records. */
   readonly handleLaterRecords: () => void;
   /** Writes a log line with its context. */
--- a/src/coordination/peer-directory.ts
+++ b/src/coordination/peer-directory.ts
@@ -77,7 +77,7 @@
         for (const entry of entries) this.addListedNode(entry);
         this.updateLiveNodes();
       },
-      handleNotes: notes => options.notes.apply(notes),
+      handleNotes: notes => options.notes.recover(notes),
       findEra: () => options.records.end.era,
       random: options.random,
       report: options.report,
@@ -138,6 +138,13 @@
     await Promise.all(known.map(peer => this.sendUpdateTo(peer)));
   }
 
+  /** Lists the peer addresses of the other nodes that are not silent. */
+  listPeerAddresses(): string[] {
+    return [...this.peers.values()]
+      .filter(({failures}) => failures === 0)
+      .map(({name}) => name.peerAddress);
+  }
+
   /** Whether the store's list of nodes and their notes has been read. */
   get hasListed(): boolean {
     return this.listing.hasListed;
@@ -248,10 +255,6 @@
     this.beacons.sendIntroductionRequest(entry.beaconAddress);
   }
 
-  private addPeer(name: PeerIdentity): void {
-    if (this.isNewer(name)) void this.sendUpdateTo(this.createPeer(name));
-  }
-
   private isNewer(name: ProcessName): boolean {
     if (name.nodeId === this.options.identity.nodeId) return false;
     return isNewerProcess(this.peers.get(name.nodeId), name);
@@ -291,11 +294,13 @@
   }
 
   private applyUpdate(update: PeerUpdate): void {
-    const {records, handleMoves, notes} = this.options;
+    const {records, handleMoves, notes, crashes} = this.options;
     notes.apply(update.notes);
+    crashes.recover(update.crashes);
     const peer = this.recordNodeInfo(update.node);
     if (!peer) return;
-    for (const name of update.peers) this.addPeer(name);
+    const unknown = update.peers.filter(name => this.isNewer(name));
+    for (const name of unknown) void this.sendUpdateTo(this.createPeer(name));
     const recordsEnd = findRecordsEnd(update);
     if (update.records.length > 0) {
       records.applyRecords(update.records, recordsEnd);
@@ -385,13 +390,10 @@
   private checkSilent(peer: Peer, silentMs: number, intervalMs: number): void {
     const now = performance.now();
     const pauseMs = computeExchangePause(peer);
-    if (silentMs > computeRemovalTime(peer, intervalMs)) this.removePeer(peer);
-    else if (now - peer.lastRequestAt > pauseMs) void this.sendUpdateTo(peer);
-  }
-
-  private removePeer(peer: Peer): void {
-    this.peers.delete(peer.name.nodeId);
-    this.options.workers.remove(peer.name.nodeId);
+    if (silentMs > computeRemovalTime(peer, intervalMs)) {
+      this.peers.delete(peer.name.nodeId);
+      this.options.workers.remove(peer.name.nodeId);
+    } else if (now - peer.lastRequestAt > pauseMs) void this.sendUpdateTo(peer);
   }
 
   private describe(): NodeInfo {
@@ -414,7 +416,7 @@
     receiverId: string,
     recordsFrom?: RecordPosition,
   ): PeerUpdate {
-    const {records, listMoves, notes, random} = this.options;
+    const {records, listMoves, notes, crashes, random} = this.options;
     const now = performance.now();
     const names = [...this.peers.values()]
       .filter(peer => isShareable(peer, now))
@@ -428,6 +430,7 @@
       records: recordsFrom ? records.listSince(recordsFrom) : [],
       moves: listMoves(),
       notes: notes.listFor(receiverId),
+      crashes: crashes.list(),
     };
   }
 }
--- a/src/coordination/worker-subset.ts
+++ b/src/coordination/worker-subset.ts
@@ -7,7 +7,7 @@
  * about the same number of subsets. Small fleets are not reduced.
  */
 import {createHash} from 'node:crypto';
-import type {WorkerRow} from '../state/worker-table.js';
+import type {WorkerRow, WorkerTable} from '../state/worker-table.js';
 
 /** Number of workers of a version up to which an entry uses all of them. */
 const MAX_UNREDUCED = 10;
@@ -40,6 +40,17 @@
       : [...near, ...far];
   }
 
+  /** Lists the subset of all services, chosen separately for each version. */
+  list(workers: WorkerTable): WorkerRow[] {
+    return workers.listServices().flatMap(service => {
+      const rows = workers.listWorkers(service);
+      const versions = new Set(rows.map(row => row.version));
+      return [...versions].flatMap(version =>
+        this.select(rows.filter(row => row.version === version)),
+      );
+    });
+  }
+
   /**
    * Returns the rows with the lowest affinity values, in their order. The
    * selection is short, so inserting into it costs less than sorting all rows.
--- a/src/directory-gate.ts
+++ b/src/directory-gate.ts
@@ -4,6 +4,7 @@
  * requests are admitted by slots. Each finished request is recorded as evidence
  * about the worker's version.
  */
+import type {PublishCrashes} from './coordination/crash-quarantine.js';
 import {CrashQuarantine} from './coordination/crash-quarantine.js';
 import {Gate} from './coordination/gate.js';
 import type {WorkerCondition} from './coordination/observed-connection.js';
@@ -34,6 +35,7 @@
   readonly state: StateStore;
   readonly dataCentre: string;
   readonly crashTable: CrashTable;
+  readonly publishCrashes: PublishCrashes;
   readonly createProtocol: (worker: Announcement) => UpstreamProtocol;
   /** Called when the load changed enough to be published to other nodes. */
   readonly handleLoadChange: () => void;
@@ -67,7 +69,7 @@
     openConnection,
     state,
     dataCentre,
-    new CrashQuarantine(crashTable),
+    new CrashQuarantine(crashTable, options.publishCrashes),
     {
       createAdmission: ({slots}, limits) => {
         const admission = new SlotAdmission(slots, limits);
--- a/src/directory-node.ts
+++ b/src/directory-node.ts
@@ -15,6 +15,7 @@
 import type {BadVersionReport} from './coordination/version-moves.js';
 import {WorkerSubset} from './coordination/worker-subset.js';
 import {createDirectoryGate} from './directory-gate.js';
+import {DirectoryCrashes} from './directory-crashes.js';
 import {DirectoryMoves} from './directory-moves.js';
 import {DirectoryRecords} from './directory-records.js';
 import {DirectoryWorker} from './directory-worker.js';
@@ -24,6 +25,7 @@
 import {DIRECTORY_CONNECTIONS} from './protocol/directory-settings.js';
 import type {NodeIdentity} from './protocol/node-identity.js';
 import {createIncarnation} from './protocol/node-identity.js';
+import type {CrashPush} from './protocol/peer-messages.js';
 import {Reason, RefusalError, toRefusal} from './protocol/reasons.js';
 import type {
   ServiceAnswer,
@@ -35,7 +37,6 @@
 import {CrashTable} from './state/crash-table.js';
 import {Explanations} from './state/explanations.js';
 import {StateStore} from './state/state-store.js';
-import type {WorkerRow} from './state/worker-table.js';
 import {WorkerTable} from './state/worker-table.js';
 import {createCallerServer} from './transport/caller-listener.js';
 import {GateClient} from './transport/gate-client.js';
@@ -85,6 +86,7 @@
   private readonly attempts = new AttemptRegistry();
   private readonly path: AttemptDispatcher;
   private readonly crashTable = new CrashTable();
+  private readonly crashes: DirectoryCrashes;
   private readonly splitter = new RouteSplitter();
   private readonly subset: WorkerSubset;
   private readonly explanations = new Explanations();
@@ -124,6 +126,7 @@
       state: this.state,
       dataCentre: node.dataCentre,
       crashTable: this.crashTable,
+      publishCrashes: records => this.crashes.publish(records),
       createProtocol: worker => adapter.createUpstreamProtocol(worker),
       handleLoadChange: () => this.directory.scheduleBeacon(),
       recordRequest: observed => this.moves.evidence.record(observed),
@@ -136,6 +139,15 @@
       store: adapter.directory,
       hasRecovered: () => this.directory.hasListed,
       pushNotes: () => this.directory.pushNotes(),
+      recoverCrashes: records => this.crashes.recover(records),
+      report: (text, context) => this.log(text, context),
+    });
+    this.crashes = new DirectoryCrashes({
+      table: this.crashTable,
+      send: this.peers.pushCrashes.bind(this.peers),
+      listPeerAddresses: () => this.directory.listPeerAddresses(),
+      note: record => this.worker.notes.addCrash(record),
+      count: name => this.metrics.count(name),
       report: (text, context) => this.log(text, context),
     });
     this.directory = this.createDirectory();
@@ -261,7 +273,7 @@
       calls: this.peers,
       records: this.records.records,
       freshness: this.records.freshness,
-      listSubset: () => this.listSubset(),
+      listSubset: () => this.subset.list(this.workers),
       random: Math.random,
       listLoads: () =>
         this.gate.listWorkers().flatMap(({service}) => {
@@ -271,22 +283,12 @@
       listMoves: () => this.moves.orders.listMoveUpdates(),
       handleMoves: moves => this.moves.orders.applyMoveUpdates(moves),
       notes: this.worker.notes,
+      crashes: this.crashes,
       handleLaterRecords: () => this.records.checkNow(),
       report: (text, context) => this.log(text, context),
     });
   }
 
-  /** Lists the workers in this node's subset, chosen separately per version. */
-  private listSubset(): WorkerRow[] {
-    return this.workers.listServices().flatMap(service => {
-      const rows = this.workers.listWorkers(service);
-      const versions = new Set(rows.map(row => row.version));
-      return [...versions].flatMap(version =>
-        this.subset.select(rows.filter(row => row.version === version)),
-      );
-    });
-  }
-
   private createEntry(): Entry {
     return new Entry({
       dataCentre: this.identity.dataCentre,
@@ -325,6 +327,7 @@
       readEvidence: this.moves.evidence.read.bind(this.moves.evidence),
       handleBadVersion: (bad: BadVersionReport) =>
         this.moves.versions.handleBadVersion(bad),
+      handleCrashes: (push: CrashPush) => this.crashes.receive(push),
     };
     return createPeerServer({
       handleAttempt: async (attempt, signal, handleAdmitted) => {
--- a/src/directory-worker.ts
+++ b/src/directory-worker.ts
@@ -11,6 +11,7 @@
 } from './coordination/worker-reports.js';
 import {WorkerReports} from './coordination/worker-reports.js';
 import type {Announcement} from './protocol/announcement.js';
+import type {AgedCrash} from './protocol/crash-record.js';
 
 /** Dependencies of a node's knowledge of its worker. */
 export interface DirectoryWorkerOptions {
@@ -22,6 +23,7 @@
   readonly store: Pick<NodeDirectory, 'saveNote'>;
   readonly hasRecovered: () => boolean;
   readonly pushNotes: () => Promise<number>;
+  readonly recoverCrashes: (crashes: readonly AgedCrash[]) => void;
   /** Writes a log line with its context. */
   readonly report: (
     text: string,
@@ -41,7 +43,8 @@
       store: note => options.store.saveNote(note),
       hasRecovered: options.hasRecovered,
       push: options.pushNotes,
-      recover: ({leaving}) => this.reports.recover(leaving),
+      recover: leaving => this.reports.recover(leaving),
+      recoverCrashes: options.recoverCrashes,
       random: Math.random,
       readClock: Date.now,
       report: options.report,
--- a/src/node-process.ts
+++ b/src/node-process.ts
@@ -7,6 +7,7 @@
 import type {ConnectRouter} from '@connectrpc/connect';
 import {connectNodeAdapter} from '@connectrpc/connect-node';
 import {AttemptDispatcher} from './attempt-dispatcher.js';
+import {CrashPublisher} from './coordination/crash-publisher.js';
 import {CrashQuarantine} from './coordination/crash-quarantine.js';
 import {Entry} from './coordination/entry.js';
 import {Gate} from './coordination/gate.js';
@@ -42,7 +43,10 @@
 import {WorkerTable} from './state/worker-table.js';
 import {createSealHandler} from './transport/attempt-service.js';
 import {createCallerServer} from './transport/caller-listener.js';
-import {CrashPublisher} from './transport/crash-service.js';
+import {
+  createCrashSender,
+  registerCrashService,
+} from './transport/crash-service.js';
 import {GateClient} from './transport/gate-client.js';
 import type {LogContext, Logger} from './transport/logger.js';
 import {createLogger} from './transport/logger.js';
@@ -110,7 +114,7 @@
     });
     this.state = this.sharedState.store;
     this.crashPublisher = new CrashPublisher({
-      peers: this.peers,
+      send: createCrashSender(this.peers),
       listPeerAddresses: () => this.listPeerAddresses(),
       handleRecord: record => this.crashTable.add(record),
     });
@@ -327,7 +331,9 @@
   private registerServices(router: ConnectRouter): void {
     this.sharedState.registerServices(router);
     this.moves.registerServices(router);
-    this.crashPublisher.registerService(router);
+    registerCrashService(router, (reports, forwardTo) =>
+      this.crashPublisher.receive(reports, forwardTo),
+    );
     this.keyHomes.registerServices(router);
     registerMembershipService(
       router,
--- a/src/protocol/node-note.ts
+++ b/src/protocol/node-note.ts
@@ -4,9 +4,12 @@
  * types are derived from the schemas.
  */
 import * as z from 'zod';
+import type {NotedCrash} from './crash-record.js';
+import {notedCrashSchema} from './crash-record.js';
 
-/** Bounds a note, which goes into datagram-sized messages and small records. */
+/** Bounds of a note, which nodes and the store keep for each node. */
 const MAX_LEAVING = 16;
+const MAX_NOTED_CRASHES = 8;
 
 /** A worker process that was confirmed as leaving. */
 export const leavingProcessSchema = z.object({
@@ -21,6 +24,8 @@
 export const nodeNoteSchema = z.object({
   nodeId: z.string().min(1).max(128),
   leaving: z.array(leavingProcessSchema).max(MAX_LEAVING),
+  /** Latest crashes of its worker; in the store only. */
+  crashes: z.array(notedCrashSchema).max(MAX_NOTED_CRASHES).default([]),
 });
 
 export type LeavingProcess = z.output<typeof leavingProcessSchema>;
@@ -45,3 +50,13 @@
     .sort((one, other) => one.leftAtMs - other.leftAtMs)
     .slice(-MAX_LEAVING);
 }
+
+/** Appends crashes that are not listed yet; the latest are kept. */
+export function mergeCrashes(
+  known: readonly NotedCrash[],
+  added: readonly NotedCrash[],
+): NotedCrash[] {
+  const ids = new Set(known.map(({crashId}) => crashId));
+  const isNew = ({crashId}: NotedCrash): boolean => !ids.has(crashId);
+  return [...known, ...added.filter(isNew)].slice(-MAX_NOTED_CRASHES);
+}
--- a/src/protocol/peer-messages.ts
+++ b/src/protocol/peer-messages.ts
@@ -5,12 +5,15 @@
  */
 import * as z from 'zod';
 import {parseAddress} from './node-identity.js';
+import {agedCrashSchema, crashRecordSchema} from './crash-record.js';
 import {nodeNoteSchema} from './node-note.js';
 import type {RecordPosition} from './record-position.js';
 import {addressSchema} from './settings.js';
 import type {WorkerLoad} from './worker-load.js';
 import {formatWorkerLoad, parseWorkerLoad, WorkerState} from './worker-load.js';
 
+/** Far above what a node sends; bounds what an unknown sender can add. */
+const MAX_CRASHES = 256;
 const offsetSchema = z.int().min(0);
 /** Era of the store; absent in messages of nodes that know of none. */
 const eraSchema = z.int().min(0).default(0);
@@ -60,6 +63,12 @@
   number: z.int(),
 });
 
+/** Crash reports, which the receiver forwards to the addresses. */
+export const crashPushSchema = z.object({
+  reports: z.array(crashRecordSchema).max(MAX_CRASHES),
+  forwardTo: z.array(peerAddressSchema),
+});
+
 /** A message between two nodes, in either direction. */
 export const peerUpdateSchema = z.object({
   node: nodeInfoSchema,
@@ -83,11 +92,14 @@
   moves: z.array(moveUpdateSchema),
   /** Notes of the sender, and those that it keeps of the receiver. */
   notes: z.array(nodeNoteSchema).default([]),
+  /** Crashes of any node's worker that still matter. */
+  crashes: z.array(agedCrashSchema).max(MAX_CRASHES).default([]),
 });
 
 export type PeerIdentity = z.output<typeof peerSchema>;
 export type NodeInfo = z.output<typeof nodeInfoSchema>;
 export type MoveUpdate = z.output<typeof moveUpdateSchema>;
+export type CrashPush = z.output<typeof crashPushSchema>;
 export type PeerUpdate = z.output<typeof peerUpdateSchema>;
 
 /** Returns the position after the last record that an update's sender has. */
--- a/src/state/crash-table.ts
+++ b/src/state/crash-table.ts
@@ -7,28 +7,19 @@
  * none of them was a suspect yet. The tables of all nodes converge once they
  * hold the same records, in whatever order these arrived.
  */
+import type {AgedCrash, CrashRecord} from '../protocol/crash-record.js';
 
 /** Time for which a crash is kept, and so how long a quarantine lasts. */
 const CRASH_RETENTION_MS = 600_000;
 const MAX_CRASHES = 256;
+/** Crashes that a node which starts is told. */
+const MAX_LISTED_CRASHES = 32;
 /** Crashes after which a suspect is quarantined. */
 const MIN_QUARANTINE_CRASHES = 2;
 
-/** A crash report as nodes exchange it. */
-export interface CrashRecord {
-  readonly crashId: string;
-  readonly service: string;
-  /** Fingerprints of the requests whose connection was lost. */
-  readonly fingerprints: readonly string[];
-  /** Fingerprints that a worker has answered since the crash. */
-  readonly answeredFingerprints: readonly string[];
-  /** Fingerprints that ran as the only suspect, after an earlier crash. */
-  readonly suspects: readonly string[];
-}
-
 interface Crash {
   readonly service: string;
-  /** Time of the first record, on the table's clock. */
+  /** Time of the crash, on the table's clock. */
   readonly at: number;
   readonly unanswered: Set<string>;
   readonly answered: Set<string>;
@@ -58,9 +49,31 @@
     return this.hasCrashes() ? [...this.quarantined] : [];
   }
 
-  /** Merges a record; returns false when it holds no new fingerprint. */
-  add(record: CrashRecord): boolean {
-    const crash = this.findOrAdd(record);
+  /** Lists the latest crashes after which some requests were not answered. */
+  listOpen(): AgedCrash[] {
+    if (!this.hasCrashes()) return [];
+    const now = this.now();
+    return [...this.crashes]
+      .filter(([, {unanswered}]) => unanswered.size > 0)
+      .slice(-MAX_LISTED_CRASHES)
+      .map(([crashId, crash]) => ({
+        crashId,
+        service: crash.service,
+        fingerprints: [...crash.unanswered],
+        answeredFingerprints: [...crash.answered],
+        suspects: [...crash.suspects],
+        ageMs: Math.round(now - crash.at),
+      }));
+  }
+
+  /**
+   * Merges a record; returns false when it holds no new fingerprint.
+   *
+   * @param ageMs time since the crash, in milliseconds.
+   */
+  add(record: CrashRecord, ageMs = 0): boolean {
+    if (ageMs >= CRASH_RETENTION_MS) return false;
+    const crash = this.findOrAdd(record, ageMs);
     let isNew = false;
     for (const fingerprint of record.answeredFingerprints) {
       if (crash.answered.has(fingerprint)) continue;
@@ -98,12 +111,12 @@
     return records;
   }
 
-  private findOrAdd(record: CrashRecord): Crash {
+  private findOrAdd(record: CrashRecord, ageMs: number): Crash {
     const known = this.crashes.get(record.crashId);
     if (known) return known;
     const crash: Crash = {
       service: record.service,
-      at: this.now(),
+      at: this.now() - ageMs,
       unanswered: new Set(),
       answered: new Set(),
       suspects: new Set(),
@@ -120,8 +133,7 @@
     const earliest = this.now() - CRASH_RETENTION_MS;
     const size = this.crashes.size;
     for (const [crashId, crash] of this.crashes) {
-      if (crash.at > earliest) break;
-      this.crashes.delete(crashId);
+      if (crash.at <= earliest) this.crashes.delete(crashId);
     }
     if (this.crashes.size < size) this.update();
     return this.crashes.size > 0;
--- a/src/test/crash-table_test.ts
+++ b/src/test/crash-table_test.ts
@@ -1,7 +1,7 @@
 /** Checks that only the request that crashes workers is quarantined. */
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
-import type {CrashRecord} from '../state/crash-table.js';
+import type {CrashRecord} from '../protocol/crash-record.js';
 import {CrashTable} from '../state/crash-table.js';
 
 const RETENTION_MS = 600_000;
--- a/src/test/crash-watch_test.ts
+++ b/src/test/crash-watch_test.ts
@@ -24,7 +24,7 @@
 ];
 
 it.each(CASES)('after an answer $name', async ({waiting, started}) => {
-  const quarantine = new CrashQuarantine(new CrashTable());
+  const quarantine = new CrashQuarantine(new CrashTable(), async () => {});
   await quarantine.recordCrash('kona-desk', [FINGERPRINT, OTHER], []);
   const watch = new CrashWatch('kona-desk', quarantine, async () => {});
   const first = await startRun(watch, FINGERPRINT);
--- a/src/test/data-centre_test.ts
+++ b/src/test/data-centre_test.ts
@@ -218,7 +218,7 @@
       }),
       state,
       'arusha',
-      new CrashQuarantine(new CrashTable()),
+      new CrashQuarantine(new CrashTable(), async () => {}),
     );
     gate.announce(ANNOUNCEMENT);
     setOut(state, dataCentre, true);
--- a/src/test/peer-directory_test.ts
+++ b/src/test/peer-directory_test.ts
@@ -246,6 +246,7 @@
       records: [],
       moves: [],
       notes: [],
+      crashes: [],
     });
     const [worker] = node!.workers.findRows('node-1');
     expect(worker?.target.incarnation).toBe(3);
--- a/src/test/stand-ins/peer-fleet.ts
+++ b/src/test/stand-ins/peer-fleet.ts
@@ -116,7 +116,13 @@
       listLoads: () => [{service: SERVICE, load: node.load}],
       listMoves: () => [],
       handleMoves: () => {},
-      notes: {listFor: () => [], has: () => false, apply: () => {}},
+      notes: {
+        listFor: () => [],
+        has: () => false,
+        apply: () => {},
+        recover: () => {},
+      },
+      crashes: {list: () => [], recover: () => {}},
       handleLaterRecords: () => {},
       report: () => {},
     });
--- a/src/transport/peer-exchange.ts
+++ b/src/transport/peer-exchange.ts
@@ -13,23 +13,27 @@
 import type {Attempt, AttemptAnswer} from '../protocol/attempt.js';
 import {parseAddress} from '../protocol/node-identity.js';
 import type {
+  CrashPush,
   FindDescription,
   LoadBeacon,
   PeerUpdate,
 } from '../protocol/peer-messages.js';
 import {
+  crashPushSchema,
   formatBeacon,
   parseBeacon,
   peerUpdateSchema,
 } from '../protocol/peer-messages.js';
 import {SealOutcome} from '../protocol/seal.js';
 import type {SealResult} from '../protocol/seal.js';
+import type {CrashRecord} from '../protocol/crash-record.js';
 import {readWholeBody} from './message-body.js';
 import type {WireEvidence} from './move-service.js';
 
 const UPDATE_PATH = '/peers/news';
 const SEAL_PATH = '/peers/seal';
 const EVIDENCE_PATH = '/peers/evidence';
+const CRASHES_PATH = '/peers/crashes';
 const BAD_VERSION_PATH = '/peers/badness';
 const STATUS_OK = 200;
 const STATUS_BAD_REQUEST = 400;
@@ -98,6 +102,7 @@
   /** Returns the answer statistics of this gate's worker. */
   readEvidence(service: string): WireEvidence | undefined;
   handleBadVersion(bad: BadVersion): Promise<void>;
+  handleCrashes(push: CrashPush): void;
 }
 
 type CallHandler = (
@@ -129,6 +134,10 @@
     void handlers.handleBadVersion(badVersionSchema.parse(body));
     return {status: STATUS_OK, body: {}};
   },
+  [CRASHES_PATH]: async (handlers, body) => {
+    handlers.handleCrashes(crashPushSchema.parse(body));
+    return {status: STATUS_OK, body: {}};
+  },
 };
 
 /** Rounds durations to milliseconds, which the version evaluation needs. */
@@ -193,6 +202,15 @@
     await this.sendCall(peerAddress, BAD_VERSION_PATH, bad);
   }
 
+  /** Sends crash reports to a node, which forwards them. */
+  async pushCrashes(
+    peerAddress: string,
+    reports: readonly CrashRecord[],
+    forwardTo: readonly string[],
+  ): Promise<void> {
+    await this.sendCall(peerAddress, CRASHES_PATH, {reports, forwardTo});
+  }
+
   sendBeacon(addresses: readonly string[], beacon: LoadBeacon): void {
     const text = formatBeacon(beacon);
     for (const address of addresses) {
