Keep a silent attempt open until its call has an answer

The users' record: after SIGTERM a lookup was answered 502, 504 ms after it had been sent, and reached its worker 148 ms later (LOST).

Cause: an idempotent attempt that was not acknowledged for 500 ms was abandoned at once; when the retry was refused, the caller got the failure although time was left. Beside it, retries met one dead kept connection after another.

Change: a silent attempt stays open beside its retry, the first answer wins, and a call without anything else to try waits for it. Retries after a silence use a new connection, and the connections kept to that gate are given up.

--- a/src/attempt-dispatcher.ts
+++ b/src/attempt-dispatcher.ts
@@ -50,18 +50,19 @@
   }
 
   /**
-   * Runs an attempt of the local entry on its target node.
+   * Runs an attempt of the local entry on its target node; see SendAttempt.
    *
    * @throws AttemptError
    */
   async sendAttempt(
     attempt: Attempt,
     signal: AbortSignal,
+    handleSilence: () => void,
   ): Promise<AttemptAnswer> {
     if (attempt.target.nodeId === this.options.identity.nodeId) {
       return this.runOnWorker(attempt.request, attempt.version, signal);
     }
-    return this.sender.sendAttempt(attempt, signal);
+    return this.sender.sendAttempt(attempt, signal, handleSilence);
   }
 
   /** Runs an attempt of another node's entry; see AttemptRunner.run. */
--- a/src/coordination/attempt-sender.ts
+++ b/src/coordination/attempt-sender.ts
@@ -1,7 +1,7 @@
 /**
  * Sends attempts and resolves unknown outcomes. When a connection is lost or
- * silent, an idempotent attempt is abandoned and retried at another gate. For
- * a non-idempotent attempt the entry asks the gate for its outcome on a new
+ * silent, an idempotent attempt is retried at another gate; a silent one stays
+ * open beside its retry. For a non-idempotent attempt the entry asks the gate for its outcome on a new
  * connection:
  *
  * - The gate never received it: the gate seals it, and it may be retried.
@@ -59,18 +59,20 @@
   ) {}
 
   /**
-   * Sends an attempt.
+   * Sends an attempt; see SendAttempt.
    *
    * @throws AttemptError whose verdict tells whether the attempt may have run.
    */
   async sendAttempt(
     attempt: Attempt,
     signal: AbortSignal,
+    handleSilence: () => void,
   ): Promise<AttemptAnswer> {
     if (attempt.request.idempotent) {
       return this.send(attempt, signal, () => {
         this.count('silent');
-        return true;
+        handleSilence();
+        return false;
       });
     }
     const abort = new AbortController();
--- a/src/coordination/call.ts
+++ b/src/coordination/call.ts
@@ -29,17 +29,15 @@
   hasTimeToRetryRefusal,
   isCapacityRefusal,
 } from './retry-rules.js';
+import {recordCancelled, recordFailedAttempt} from './attempt-outcomes.js';
+import {SilentAttempts} from './silent-attempts.js';
 import {chooseWorker} from './worker-choice.js';
 
 const HEDGE_COST_TOKENS = 1;
-const US_PER_MS = 1000;
 
-/** Failure reasons that concern the connection to a gate, not its worker. */
-const CONNECTION_REASONS: ReadonlySet<Reason> = new Set<Reason>([
-  Reason.UNREACHABLE,
-  Reason.CONNECTION_LOST,
+/** Failure reasons after which kept connections may be silent as well. */
+const DEAD_CONNECTION_REASONS: ReadonlySet<Reason> = new Set<Reason>([
   Reason.CONNECTION_SILENT,
-  Reason.TRUNCATED_ANSWER,
   Reason.SEALED,
 ]);
 
@@ -50,6 +48,11 @@
   private readonly startedAt = performance.now();
   private paidAttempts = 1;
   private freeRetries = 0;
+  private readonly silent = new SilentAttempts();
+  /** Cancel the attempts that run and are not silent. */
+  private readonly running = new Set<AbortController>();
+  /** Whether a connection of this call went silent, as others may have. */
+  private hasLostConnection = false;
   /** Whether an attempt of this call may have run. */
   private mayHaveRun = false;
 
@@ -73,20 +76,62 @@
     let last: RefusalError | undefined;
     for (;;) {
       const row = this.chooseRow();
-      if (!row) {
-        throw this.buildRefusal(last ?? new RefusalError(Reason.NO_WORKER));
-      }
+      if (!row)
+        return this.waitForSilent(last ?? new RefusalError(Reason.NO_WORKER));
       try {
-        const answer = await this.runAttempts(row);
+        const answer = await this.waitForEither(this.runAttempts(row));
         if (!this.takeStatusRetry(answer)) return this.recordAnswer(answer);
         closeAnswer(answer);
       } catch (error) {
         last = this.recordFailure(error);
-        if (!this.takeRetry(last)) throw this.buildRefusal(last);
+        if (!this.takeRetry(last)) return this.waitForSilent(last);
       }
     }
   }
 
+  /**
+   * Returns the answer of the current attempt or of an earlier, silent one,
+   * whichever comes first.
+   *
+   * @throws the error of the current attempt.
+   */
+  private async waitForEither(
+    current: Promise<AttemptAnswer>,
+  ): Promise<AttemptAnswer> {
+    if (this.silent.count === 0) return current;
+    const never = new Promise<never>(() => {});
+    const late = this.silent.waitForAnswer().catch(() => never);
+    current.catch(() => {});
+    const isLate = await Promise.race([
+      current.then(() => false),
+      late.then(() => true),
+    ]);
+    if (!isLate) {
+      void late.then(closeAnswer);
+      return current;
+    }
+    for (const abort of this.running)
+      abort.abort(new Error('an earlier attempt answered first'));
+    return late;
+  }
+
+  /**
+   * Waits for the silent attempts when nothing else can be tried.
+   *
+   * @throws RefusalError with the combined verdict of all attempts.
+   */
+  private async waitForSilent(last: RefusalError): Promise<AttemptAnswer> {
+    const open = this.silent.count;
+    if (open === 0 || this.hasEnded()) throw this.buildRefusal(last);
+    this.options.count('silent.waited');
+    this.explainer.add('wait', {open, reason: last.reason});
+    try {
+      return this.recordAnswer(await this.silent.waitForAnswer());
+    } catch (error) {
+      throw this.buildRefusal(this.recordFailure(error));
+    }
+  }
+
   private chooseRow(): WorkerRow | undefined {
     const {state, workers, dataCentre, random} = this.options;
     const eligible = workers
@@ -173,6 +218,7 @@
       request: this.request,
       target: row.target,
       version: row.version,
+      ...(this.hasLostConnection ? {needsNewConnection: true} : {}),
     };
     const startedAt = performance.now();
     row.inFlightHere += 1;
@@ -184,7 +230,7 @@
     };
     this.explainer.add(kind, describeChoice(row, startedAt));
     try {
-      const answer = await this.options.sendAttempt(attempt, signal);
+      const answer = await this.sendAttempt(attempt, signal);
       this.serviceState.attemptTimes?.record(performance.now() - startedAt);
       if (answer.load) recordLoad(row, answer.load);
       // A streamed answer counts as in flight until its body has ended.
@@ -203,8 +249,37 @@
     }
   }
 
+  /** Sends an attempt; a silent one fails at once, and stays open. */
+  private sendAttempt(
+    attempt: Attempt,
+    signal: AbortSignal,
+  ): Promise<AttemptAnswer> {
+    const abort = new AbortController();
+    this.running.add(abort);
+    const handleAbort = (): void => abort.abort(signal.reason);
+    if (signal.aborted) handleAbort();
+    signal.addEventListener('abort', handleAbort, {once: true});
+    return new Promise((resolve, reject) => {
+      const answer = this.options.sendAttempt(attempt, abort.signal, () => {
+        this.running.delete(abort);
+        this.silent.add(answer, abort);
+        const {nodeId} = attempt.target;
+        reject(
+          new AttemptError(
+            Reason.CONNECTION_SILENT,
+            Verdict.MAY_HAVE_RUN,
+            `${nodeId}: no acknowledgement; the attempt stays open`,
+          ),
+        );
+      });
+      answer.finally(() => this.running.delete(abort)).then(resolve, reject);
+    });
+  }
+
   private recordFailure(error: unknown): RefusalError {
     const refusal = toRefusal(error);
+    if (DEAD_CONNECTION_REASONS.has(refusal.reason))
+      this.hasLostConnection = true;
     if (refusal.verdict !== Verdict.NOT_RUN) this.mayHaveRun = true;
     const {reason, verdict, detail} = refusal;
     this.explainer.add('failure', {reason, verdict, detail});
@@ -259,6 +334,7 @@
 
   private recordAnswer(answer: AttemptAnswer): AttemptAnswer {
     this.explainer.add('answer', {status: answer.status});
+    this.silent.cancel();
     return answer;
   }
 
@@ -287,55 +363,6 @@
   return {...chosen, state, inFlight, queued, limit, pace, ageMs};
 }
 
-/**
- * Records the elapsed time of a cancelled attempt as a lower bound of the
- * service time. A cancelled attempt returns no load figures; without this
- * bound a slow worker whose attempts are all hedged would keep looking fast.
- */
-function recordCancelled(row: WorkerRow, elapsedMs: number): void {
-  const {observed} = row;
-  const elapsedUs = elapsedMs * US_PER_MS;
-  if (observed && observed.figures.serviceTimeUs >= elapsedUs) return;
-  row.observed = {
-    figures: {
-      state: row.state,
-      inFlight: row.inFlightHere,
-      queued: 0,
-      limit: observed?.figures.limit ?? row.slots,
-      serviceTimeUs: elapsedUs,
-      failureShare: observed?.figures.failureShare ?? 0,
-      pace: observed?.figures.pace ?? 1,
-    },
-    at: performance.now(),
-    inFlightHere: row.inFlightHere,
-  };
-}
-
-/**
- * Records the load figures of a failed attempt. When the connection failed,
- * records the worker as failing.
- */
-function recordFailedAttempt(row: WorkerRow, error: AttemptError): void {
-  if (error.load) {
-    recordLoad(row, error.load);
-    return;
-  }
-  if (!CONNECTION_REASONS.has(error.reason)) return;
-  row.observed = {
-    figures: {
-      state: WorkerState.FAILING,
-      inFlight: row.inFlightHere,
-      queued: 0,
-      limit: 1,
-      serviceTimeUs: row.observed?.figures.serviceTimeUs ?? 0,
-      failureShare: 1,
-      pace: row.observed?.figures.pace ?? 1,
-    },
-    at: performance.now(),
-    inFlightHere: row.inFlightHere,
-  };
-}
-
 function closeAnswer(answer: AttemptAnswer): void {
   answer.body.rest?.on('error', () => {}).destroy();
 }
--- a/src/directory-node.ts
+++ b/src/directory-node.ts
@@ -296,7 +296,7 @@
       workers: this.workers,
       nestedCalls: this.gate.nestedCalls,
       explanations: this.explanations,
-      sendAttempt: (attempt, signal) => this.path.sendAttempt(attempt, signal),
+      sendAttempt: (...call) => this.path.sendAttempt(...call),
       random: Math.random,
       createAttemptId: randomUUID,
       count: name => this.metrics.count(name),
--- a/src/node-process.ts
+++ b/src/node-process.ts
@@ -158,7 +158,7 @@
       workers: this.workers,
       nestedCalls: this.gate.nestedCalls,
       explanations: this.explanations,
-      sendAttempt: (attempt, signal) => this.path.sendAttempt(attempt, signal),
+      sendAttempt: (...call) => this.path.sendAttempt(...call),
       random: Math.random,
       createAttemptTimes: () => new QuantileWindow(),
       createAttemptId: randomUUID,
--- a/src/protocol/attempt.ts
+++ b/src/protocol/attempt.ts
@@ -25,6 +25,8 @@
   readonly version?: string;
   /** Epoch of the home list, if the target is addressed as the key's home. */
   readonly keyHomeEpoch?: number;
+  /** Whether kept connections may be dead, since one of this call was silent. */
+  readonly needsNewConnection?: boolean;
 }
 
 /** Answer of an attempt, with the worker's load as the gate reported it. */
@@ -52,9 +54,12 @@
 /**
  * Sends one attempt and waits for its answer. Aborting the signal cancels it.
  *
+ * @param handleSilence called at most once, when the gate of an idempotent
+ *     attempt has stopped acknowledging it; the attempt goes on.
  * @throws AttemptError when no complete or streaming answer arrived.
  */
 export type SendAttempt = (
   attempt: Attempt,
   signal: AbortSignal,
+  handleSilence: () => void,
 ) => Promise<AttemptAnswer>;
--- a/src/transport/gate-client.ts
+++ b/src/transport/gate-client.ts
@@ -5,7 +5,7 @@
  * repeatedly while it runs, so a missing acknowledgement points to a failed
  * connection or gate, however long the service takes.
  */
-import {Pool} from 'undici';
+import {Client, Pool} from 'undici';
 import type {Attempt, AttemptAnswer} from '../protocol/attempt.js';
 import {AttemptError} from '../protocol/attempt.js';
 import * as headerNames from '../protocol/headers.js';
@@ -38,11 +38,18 @@
 /** Client with one connection pool for the gate of each other node. */
 export class GateClient {
   private readonly pools = new Map<string, Pool>();
+  private readonly connection: Pick<Client.Options, 'connect' | 'localAddress'>;
 
   constructor(
     private readonly nodeId: string,
     private readonly settings: NodeSettings['connections'],
-  ) {}
+  ) {
+    const {connectTimeout, localAddress} = settings;
+    this.connection = {
+      connect: {timeout: connectTimeout},
+      ...(localAddress ? {localAddress} : {}),
+    };
+  }
 
   /**
    * Sends one attempt.
@@ -60,16 +67,24 @@
     let resolveAdmitted: () => void = () => {};
     const admitted = new Promise<void>(resolve => (resolveAdmitted = resolve));
     let cancelExchange: (reason: Error) => void = () => {};
+    const {peerAddress} = attempt.target;
+    const pool = this.findPool(peerAddress);
+    const dispatcher = attempt.needsNewConnection
+      ? this.createSingleUseClient(peerAddress)
+      : pool;
     const silenceTimer = new SilenceTimer(
       this.settings.acknowledgeTimeout,
       () => {
+        // Its other connections may be silent too; new requests get new ones.
+        if (this.pools.get(peerAddress) === pool)
+          void this.removeNode(peerAddress);
         if (!handleAckTimeout(attempt)) return;
         cancelExchange(new RefusalError(Reason.CONNECTION_SILENT));
       },
     );
     try {
       const response = await runExchange(
-        this.findPool(attempt.target.peerAddress),
+        dispatcher,
         {
           method: attempt.request.method,
           path: `${ATTEMPT_PATH}${attempt.request.service}${attempt.request.path}`,
@@ -91,6 +106,7 @@
       throw buildAttemptError(attempt, error);
     } finally {
       silenceTimer.stop();
+      if (dispatcher !== pool) void dispatcher.close();
     }
   }
 
@@ -107,6 +123,13 @@
     this.pools.clear();
   }
 
+  private createSingleUseClient(peerAddress: string): Client {
+    return new Client(`http://${peerAddress}`, {
+      pipelining: 1,
+      ...this.connection,
+    });
+  }
+
   private findPool(peerAddress: string): Pool {
     let pool = this.pools.get(peerAddress);
     if (!pool) {
@@ -114,10 +137,7 @@
         connections: this.settings.maxPerNode,
         pipelining: 1,
         keepAliveTimeout: this.settings.idleTimeout,
-        connect: {timeout: this.settings.connectTimeout},
-        ...(this.settings.localAddress
-          ? {localAddress: this.settings.localAddress}
-          : {}),
+        ...this.connection,
       });
       this.pools.set(peerAddress, pool);
     }
