Notice that a caller has left while its large body waits

Reproduced at four of eight waiting places.

Cause: the close of a connection shows only once all bytes before it are read. Of a body above 64 KiB the rest stayed in the socket until a gate had a slot, so an upload whose caller had left went to a worker. And a late node passed on a request whose close it read in the next turn of the event loop.

Change: up to 512 KiB of a body are read ahead; entry and gate begin with a request two turns after its head, unless its connection has ended by then.

--- a/src/transport/caller-listener.ts
+++ b/src/transport/caller-listener.ts
@@ -22,7 +22,7 @@
 import {writeAnswer, writeRefusal} from './answer-writer.js';
 import {CallerConnection} from './caller-connection.js';
 import {readWholeBody} from './message-body.js';
-import {runAfterReads} from './run-after-reads.js';
+import {runAfterReads, runUnlessClosed} from './run-after-reads.js';
 
 /** Maximum time in which a caller must have sent its request's headers. */
 const HEADERS_TIMEOUT_MS = 10_000;
@@ -110,9 +110,13 @@
       const isTooLarge = measureHeaders(message) > maxHeader;
       const connection = findConnection(message.socket);
       connection.accept(response, abort => {
-        if (isTooLarge) refuseLargeHead(handlers, response);
-        else
+        if (isTooLarge) {
+          refuseLargeHead(handlers, response);
+          return;
+        }
+        runUnlessClosed(message.socket, () => {
           void serveRequest(handlers, {message, response, connection, abort});
+        });
       });
     },
   });
--- a/src/transport/peer-listener.ts
+++ b/src/transport/peer-listener.ts
@@ -20,6 +20,7 @@
 import {ATTEMPT_PATH} from './gate-client.js';
 import {copyEndToEndHeaders, findHeader} from './message-headers.js';
 import {parseTarget} from './request-reader.js';
+import {runUnlessClosed} from './run-after-reads.js';
 
 /** The largest headers of a caller, and those that the entry adds. */
 const MAX_PEER_HEADER_BYTES = MAX_HEADER_BYTES + 32 * 1024;
@@ -64,7 +65,9 @@
     },
     (message, response) => {
       if (message.url?.startsWith(ATTEMPT_PATH)) {
-        void serveAttempt(handlers, message, response);
+        runUnlessClosed(message.socket, () => {
+          void serveAttempt(handlers, message, response);
+        });
       } else {
         handlers.handleCall(message, response);
       }
--- a/src/transport/request-reader.ts
+++ b/src/transport/request-reader.ts
@@ -24,6 +24,12 @@
 import {copyEndToEndHeaders, findHeader} from './message-headers.js';
 import {BodyPauseTimer} from './body-pause-timer.js';
 
+/**
+ * Bytes of a body that are read while nothing takes them. A connection shows
+ * that its caller has left only once all before has been read.
+ */
+const READ_AHEAD_BYTES = 512 * 1024;
+
 const KEY_PATTERN = /^[\x21-\x7e]{1,255}$/;
 const REQUEST_ID_PATTERN = /^[\x21-\x7e]{1,128}$/;
 const CALLER_PATTERN = /^[\x20-\x7e]{1,128}$/;
@@ -214,6 +220,7 @@
 function applySizeLimit(body: Body, maxBytes: number): Transform {
   let size = body.held.length;
   const limited = new Transform({
+    readableHighWaterMark: READ_AHEAD_BYTES,
     transform(chunk: Buffer, encoding, callback) {
       size += chunk.length;
       if (size > maxBytes) callback(buildTooLargeRefusal());
