Confirm a leaving with the first node that keeps it

A confirmation waited for all of up to eight nodes that were pushed the note, one of which may be silent for longer than the confirmation may take; and a note that had reached its bound of 16 processes was not recovered any more.

--- a/src/coordination/attempt-sender.ts
+++ b/src/coordination/attempt-sender.ts
@@ -1,8 +1,8 @@
 /**
  * Sends attempts and resolves unknown outcomes. When a connection is lost or
  * silent, an idempotent attempt is retried at another gate; a silent one stays
- * open beside its retry. For a non-idempotent attempt the entry asks the gate for its outcome on a new
- * connection:
+ * open beside its retry. For a non-idempotent attempt the entry asks the gate
+ * for its outcome on a new connection:
  *
  * - The gate never received it: the gate seals it, and it may be retried.
  * - It is running or has ended: the entry waits for the answer.
--- a/src/coordination/node-notes.ts
+++ b/src/coordination/node-notes.ts
@@ -7,7 +7,11 @@
  */
 import {Backoff, waitMs} from '../protocol/backoff.js';
 import type {LeavingProcess, NodeNote} from '../protocol/node-note.js';
-import {mergeCrashes, mergeLeaving} from '../protocol/node-note.js';
+import {
+  buildProcessKey,
+  mergeCrashes,
+  mergeLeaving,
+} from '../protocol/node-note.js';
 import type {
   AgedCrash,
   CrashRecord,
@@ -32,8 +36,8 @@
   readonly store: (note: NodeNote) => Promise<void>;
   /** Whether what the store has of an earlier process has been read. */
   readonly hasRecovered: () => boolean;
-  /** Resolves with the number of other nodes that have confirmed the notes. */
-  readonly push: () => Promise<number>;
+  /** Resolves with the first node that has confirmed the notes, if any does. */
+  readonly push: () => Promise<string>;
   /** Called with what an earlier process of this node had noted. */
   readonly recover: (leaving: readonly LeavingProcess[]) => void;
   /** Called with the crashes that the store has of any node. */
@@ -144,32 +148,25 @@
   private merge(note: NodeNote): boolean {
     const {nodeId} = note;
     const before = this.find(nodeId)?.leaving ?? [];
-    this.notes.set(nodeId, {
-      nodeId,
-      leaving: mergeLeaving(note.leaving, before),
-      crashes: [],
-    });
-    return (this.find(nodeId)?.leaving.length ?? 0) > before.length;
+    const known = new Set(before.map(buildProcessKey));
+    const leaving = mergeLeaving(before, note.leaving);
+    this.notes.set(nodeId, {nodeId, leaving, crashes: []});
+    const after = this.find(nodeId)?.leaving ?? [];
+    return after.some(process => !known.has(buildProcessKey(process)));
   }
 
   private async publish(): Promise<void> {
     const startedAt = performance.now();
+    const never = new Promise<never>(() => {});
     const keeper = await Promise.race([
       this.write().then(() => 'store'),
-      this.push(),
+      this.options.push().catch(() => never),
       waitMs(SAVE_TIMEOUT_MS).then(() => 'none'),
     ]);
     const elapsedMs = Math.round(performance.now() - startedAt);
     this.options.report('notes saved', {keeper, elapsedMs});
   }
 
-  /** Resolves when other nodes have the notes; never if none answers. */
-  private async push(): Promise<string> {
-    const count = await this.options.push();
-    if (count === 0) return new Promise(() => {});
-    return `${count} nodes`;
-  }
-
   /** Resolves when a write that began after this call has succeeded. */
   private write(): Promise<void> {
     this.isOutdated = true;
--- a/src/coordination/peer-directory.ts
+++ b/src/coordination/peer-directory.ts
@@ -153,17 +153,16 @@
   /**
    * Pushes this node's notes to some others, which tell its next process.
    *
-   * @returns the number of nodes that confirmed.
+   * @returns the id of the first node that confirmed; rejects if none does.
    */
-  async pushNotes(): Promise<number> {
+  pushNotes(): Promise<string> {
     const live = [...this.peers.values()].filter(
       ({failures}) => failures === 0,
     );
     const picked = pickRandom(live, MAX_NOTE_KEEPERS, this.options.random);
-    const results = await Promise.allSettled(
-      picked.map(peer => this.updateFrom(peer)),
+    return Promise.any(
+      picked.map(peer => this.updateFrom(peer).then(() => peer.name.nodeId)),
     );
-    return results.filter(({status}) => status === 'fulfilled').length;
   }
 
   /** Records the local load and schedules a datagram to its subscribers. */
--- a/src/directory-worker.ts
+++ b/src/directory-worker.ts
@@ -22,7 +22,7 @@
   readonly isConfigured: (service: string) => boolean;
   readonly store: Pick<NodeDirectory, 'saveNote'>;
   readonly hasRecovered: () => boolean;
-  readonly pushNotes: () => Promise<number>;
+  readonly pushNotes: () => Promise<string>;
   readonly recoverCrashes: (crashes: readonly AgedCrash[]) => void;
   /** Writes a log line with its context. */
   readonly report: (
