--- a/src/coordination/peer-directory.ts
+++ b/src/coordination/peer-directory.ts
@@ -50,7 +50,7 @@
 
 /** Maximum nodes named per message; enough for a new node to find all soon. */
 const MAX_SHARED_PEERS = 8;
-/** Other nodes that are told a note, so that several survive a lost zone. */
+/** Other nodes that are told a note, so that some survive a lost data centre. */
 const MAX_NOTE_KEEPERS = 8;
 
 /** Directory of the other nodes, as known to one node. */
