Start nodes of deployments that leave out limits

Cause: the settings template rendered `trial_share = ` without a value when a deployment has no roll-outs, so the file was no TOML and every node ended at its start; the other limits had the same fault.

--- a/src/protocol/directory-settings.ts
+++ b/src/protocol/directory-settings.ts
@@ -33,20 +33,23 @@
     /** Maximum time that a read waits for a new record (long poll). */
     pollWait: buildDurationSchema(100, MINUTE_MS).prefault('15s'),
   }),
-  limits: z.strictObject({
-    /** Ratio of retries that reach workers to the requests of a service. */
-    retryRatio: z.number().min(0).max(1),
-    /** Retries allowed in addition to `retryRatio`, in the whole deployment. */
-    retryExtra: z.number().min(0),
-    /** Maximum fraction of a service's traffic for a version in its trial. */
-    trialShare: z.number().min(0).max(1),
-    /** Maximum probes per second of one worker. */
-    probesPerSecond: z.number().min(0),
-    /** Maximum time from a stop signal to the end of the process. */
-    grace: buildDurationSchema(100, 10 * MINUTE_MS),
-    /** Interval between reports of the worker. */
-    reportInterval: buildDurationSchema(10, MINUTE_MS),
-  }),
+  /** Limits of the deployment; the defaults hold where it names none. */
+  limits: z
+    .strictObject({
+      /** Ratio of retries that reach workers to the requests of a service. */
+      retryRatio: z.number().min(0).max(1).default(0.1),
+      /** Retries allowed in addition to `retryRatio`, in the whole deployment. */
+      retryExtra: z.number().min(0).default(20),
+      /** Maximum fraction of a service's traffic for a version in its trial. */
+      trialShare: z.number().min(0).max(1).default(0.05),
+      /** Maximum probes per second of one worker. */
+      probesPerSecond: z.number().min(0).default(1),
+      /** Maximum time from a stop signal to the end of the process. */
+      grace: buildDurationSchema(100, 10 * MINUTE_MS).prefault('5s'),
+      /** Interval between reports of the worker. */
+      reportInterval: buildDurationSchema(10, MINUTE_MS).prefault('2s'),
+    })
+    .prefault({}),
   logging: z
     .strictObject({
       level: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
