Add the switch and the design of demand-aware scheduling

Cause: two deployments with contention between callers and uneven demand need parts that earlier deployments must not get (docs/design/hard-load.md).

Change: profile keys for each part, off by default and without effect yet; the setting scheduling.demand_aware turns them on in all profiles of a deployment.

--- a/src/protocol/configuration.ts
+++ b/src/protocol/configuration.ts
@@ -128,6 +128,26 @@
 });
 
 /** Schema of a profile. */
+/** Routing between data centres. */
+const localitySchema = z.strictObject({
+  /** Whether workers of the entry's own data centre come first. */
+  mode: z.enum(['any', 'prefer-own']).default('any'),
+});
+
+/** Use of a worker's slots by different kinds of requests. */
+const admissionSchema = z.strictObject({
+  /** Whether a gate reserves capacity for nested calls. */
+  reservesForCalls: z.boolean().default(false),
+  /** Whether requests with slack wait in the gate's queue instead of retrying. */
+  queuesPatientWork: z.boolean().default(false),
+});
+
+/** Refusals of requests that can't be served. */
+const refusalsSchema = z.strictObject({
+  /** Whether an entry refuses requests when no worker has capacity. */
+  atEntry: z.boolean().default(false),
+});
+
 export const profileSchema = z
   .strictObject({
     balancing: z.enum(BALANCING_POLICIES).default('adaptive'),
@@ -142,6 +162,9 @@
     probes: probesSchema.prefault({}),
     idempotency: idempotencySchema.prefault({}),
     moves: movesSchema.prefault({}),
+    locality: localitySchema.prefault({}),
+    admission: admissionSchema.prefault({}),
+    refusals: refusalsSchema.prefault({}),
   })
   .refine(profile => profile.timeLimit <= profile.maxTimeLimit, {
     path: ['timeLimit'],
--- a/src/protocol/directory-settings.ts
+++ b/src/protocol/directory-settings.ts
@@ -50,6 +50,15 @@
       reportInterval: buildDurationSchema(10, MINUTE_MS).prefault('2s'),
     })
     .prefault({}),
+  scheduling: z
+    .strictObject({
+      /**
+       * Whether routing, admission and refusals follow the demand in each data
+       * centre and for each kind of request; see docs/design/hard-load.md.
+       */
+      demandAware: z.boolean().default(false),
+    })
+    .prefault({}),
   logging: z
     .strictObject({
       level: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
