--- a/src/coordination/adaptive-admission.ts
+++ b/src/coordination/admission/adaptive-admission.ts
@@ -5,10 +5,10 @@
  * because a wait that ends in a refusal costs the caller time in which another
  * worker could have served the request.
  */
-import type {Profile} from '../protocol/configuration.js';
-import {Reason, RefusalError} from '../protocol/reasons.js';
-import type {WorkerLoad} from '../protocol/worker-load.js';
-import {WorkerState} from '../protocol/worker-load.js';
+import type {Profile} from '../../protocol/configuration.js';
+import {Reason, RefusalError} from '../../protocol/reasons.js';
+import type {WorkerLoad} from '../../protocol/worker-load.js';
+import {WorkerState} from '../../protocol/worker-load.js';
 import {CallerQueue} from './caller-queue.js';
 import {
   ConcurrencyLimit,
--- a/src/coordination/slot-admission.ts
+++ b/src/coordination/admission/slot-admission.ts
@@ -5,17 +5,17 @@
  * which to retry. Queued requests are served by priority, and requests that
  * can no longer meet their target after all that can.
  */
-import type {Profile} from '../protocol/configuration.js';
-import {Reason, RefusalError} from '../protocol/reasons.js';
-import type {TimerId, Timers} from '../protocol/timers.js';
-import {SYSTEM_TIMERS} from '../protocol/timers.js';
-import {Verdict} from '../protocol/verdict.js';
+import type {Profile} from '../../protocol/configuration.js';
+import {Reason, RefusalError} from '../../protocol/reasons.js';
+import type {TimerId, Timers} from '../../protocol/timers.js';
+import {SYSTEM_TIMERS} from '../../protocol/timers.js';
+import {Verdict} from '../../protocol/verdict.js';
 import type {
   ProbeAnswer,
   UpstreamLoadReport,
   WorkerLoad,
-} from '../protocol/worker-load.js';
-import {WorkerState} from '../protocol/worker-load.js';
+} from '../../protocol/worker-load.js';
+import {WorkerState} from '../../protocol/worker-load.js';
 import {ColdRateLimit} from './cold-rate-limit.js';
 import {SlotOutcome} from './concurrency-limit.js';
 import {KneeLimit} from './knee-limit.js';
--- a/src/coordination/worker-admission.ts
+++ b/src/coordination/admission/worker-admission.ts
@@ -4,13 +4,13 @@
  * and `SlotAdmission` with a limit up to the known slots, for workers that
  * report their load.
  */
-import type {Profile} from '../protocol/configuration.js';
+import type {Profile} from '../../protocol/configuration.js';
 import type {
   ProbeAnswer,
   UpstreamLoadReport,
   WorkerLoad,
   WorkerState,
-} from '../protocol/worker-load.js';
+} from '../../protocol/worker-load.js';
 import type {SlotOutcome} from './concurrency-limit.js';
 
 /** Properties of a request that admission depends on. */
--- a/src/coordination/call.ts
+++ b/src/coordination/call.ts
@@ -28,10 +28,10 @@
   findStatusRetryCost,
   hasTimeToRetryRefusal,
   isCapacityRefusal,
-} from './retry-rules.js';
+} from './refusals/retry-rules.js';
 import {recordCancelled, recordFailedAttempt} from './attempt-outcomes.js';
 import {SilentAttempts} from './silent-attempts.js';
-import {chooseWorker} from './worker-choice.js';
+import {chooseWorker} from './routing/worker-choice.js';
 
 const HEDGE_COST_TOKENS = 1;
 
--- a/src/coordination/entry.ts
+++ b/src/coordination/entry.ts
@@ -15,7 +15,7 @@
 import type {WorkerRow, WorkerTable} from '../state/worker-table.js';
 import {Call} from './call.js';
 import type {NestedCalls} from './nested-calls.js';
-import {RetryBudget, TokenBudget} from './retry-budget.js';
+import {RetryBudget, TokenBudget} from './refusals/retry-budget.js';
 
 /** Durations of recent attempts, from which the hedge delay is computed. */
 export interface AttemptTimes {
--- a/src/coordination/gate.ts
+++ b/src/coordination/gate.ts
@@ -14,12 +14,12 @@
 import type {WorkerLoad} from '../protocol/worker-load.js';
 import type {WorkerState} from '../protocol/worker-load.js';
 import type {StateStore} from '../state/state-store.js';
-import {SlotOutcome} from './concurrency-limit.js';
+import {SlotOutcome} from './admission/concurrency-limit.js';
 import type {CrashQuarantine, WatchedRun} from './crash-quarantine.js';
 import type {CreateAdmission, WorkerConnection} from './local-worker.js';
 import {LocalWorker} from './local-worker.js';
 import {NestedCalls} from './nested-calls.js';
-import type {Slot} from './worker-admission.js';
+import type {Slot} from './admission/worker-admission.js';
 
 const SERVER_ERROR = 500;
 
--- a/src/coordination/local-worker.ts
+++ b/src/coordination/local-worker.ts
@@ -7,11 +7,11 @@
 import type {Profile} from '../protocol/configuration.js';
 import type {ServiceRequest} from '../protocol/service-request.js';
 import type {ProbeAnswer, UpstreamLoadReport} from '../protocol/worker-load.js';
-import {AdaptiveAdmission} from './adaptive-admission.js';
+import {AdaptiveAdmission} from './admission/adaptive-admission.js';
 import type {CrashQuarantine} from './crash-quarantine.js';
 import {CrashWatch} from './crash-quarantine.js';
 import {Prober} from './prober.js';
-import type {WorkerAdmission} from './worker-admission.js';
+import type {WorkerAdmission} from './admission/worker-admission.js';
 
 /** Sends requests to one worker; implemented by the transport. */
 export interface WorkerConnection {
--- a/src/coordination/prober.ts
+++ b/src/coordination/prober.ts
@@ -9,7 +9,7 @@
 import {Reason, RefusalError} from '../protocol/reasons.js';
 import type {ProbeAnswer} from '../protocol/worker-load.js';
 import {WorkerState} from '../protocol/worker-load.js';
-import type {WorkerAdmission} from './worker-admission.js';
+import type {WorkerAdmission} from './admission/worker-admission.js';
 import {TokenBucket} from './token-bucket.js';
 
 const CHECK_INTERVAL_MS = 250;
--- a/src/coordination/retry-rules.ts
+++ b/src/coordination/refusals/retry-rules.ts
@@ -5,12 +5,12 @@
  * after a refusal by a failing worker; otherwise calls would try every node
  * when all workers fail.
  */
-import type {AttemptError} from '../protocol/attempt.js';
-import type {Reason} from '../protocol/reasons.js';
-import type {ServiceRequest} from '../protocol/service-request.js';
-import {isResendable} from '../protocol/service-request.js';
-import {Verdict} from '../protocol/verdict.js';
-import {WorkerState} from '../protocol/worker-load.js';
+import type {AttemptError} from '../../protocol/attempt.js';
+import type {Reason} from '../../protocol/reasons.js';
+import type {ServiceRequest} from '../../protocol/service-request.js';
+import {isResendable} from '../../protocol/service-request.js';
+import {Verdict} from '../../protocol/verdict.js';
+import {WorkerState} from '../../protocol/worker-load.js';
 
 const FREE_COST = 0;
 const FULL_COST = 1;
--- a/src/coordination/worker-choice.ts
+++ b/src/coordination/routing/worker-choice.ts
@@ -2,9 +2,9 @@
  * Chooses a worker for one attempt. Each balancing policy has a handler in a
  * table; all but `adaptive` are baselines for measurements.
  */
-import type {BalancingPolicy} from '../protocol/configuration.js';
-import {WorkerState} from '../protocol/worker-load.js';
-import type {WorkerRow} from '../state/worker-table.js';
+import type {BalancingPolicy} from '../../protocol/configuration.js';
+import {WorkerState} from '../../protocol/worker-load.js';
+import type {WorkerRow} from '../../state/worker-table.js';
 
 /** Inputs of a choice other than the workers. */
 export interface ChoiceContext {
--- a/src/coordination/worker-subset.ts
+++ b/src/coordination/routing/worker-subset.ts
@@ -7,7 +7,7 @@
  * about the same number of subsets. Small fleets are not reduced.
  */
 import {createHash} from 'node:crypto';
-import type {WorkerRow, WorkerTable} from '../state/worker-table.js';
+import type {WorkerRow, WorkerTable} from '../../state/worker-table.js';
 
 /** Number of workers of a version up to which an entry uses all of them. */
 const MAX_UNREDUCED = 10;
--- a/src/directory-gate.ts
+++ b/src/directory-gate.ts
@@ -12,7 +12,7 @@
   createObservedConnection,
   NORMAL_CONDITION,
 } from './coordination/observed-connection.js';
-import {SlotAdmission} from './coordination/slot-admission.js';
+import {SlotAdmission} from './coordination/admission/slot-admission.js';
 import type {WorkerConnection} from './coordination/local-worker.js';
 import type {Announcement} from './protocol/announcement.js';
 import type {CrashTable} from './state/crash-table.js';
--- a/src/directory-node.ts
+++ b/src/directory-node.ts
@@ -13,7 +13,7 @@
 import {PeerDirectory} from './coordination/peer-directory.js';
 import {RouteSplitter} from './coordination/route-split.js';
 import type {BadVersionReport} from './coordination/version-moves.js';
-import {WorkerSubset} from './coordination/worker-subset.js';
+import {WorkerSubset} from './coordination/routing/worker-subset.js';
 import {createDirectoryGate} from './directory-gate.js';
 import {DirectoryCrashes} from './directory-crashes.js';
 import {DirectoryMoves} from './directory-moves.js';
--- a/src/measure/emulator/heavy-day.ts
+++ b/src/measure/emulator/heavy-day.ts
@@ -5,17 +5,17 @@
  * a virtual clock, so that a day takes seconds and is reproducible.
  */
 import seedrandom from 'seedrandom';
-import {SlotOutcome} from '../../coordination/concurrency-limit.js';
+import {SlotOutcome} from '../../coordination/admission/concurrency-limit.js';
 import {NestedCalls} from '../../coordination/nested-calls.js';
 import {MIN_LOAD_INTERVAL_MS} from '../../coordination/peer-beacons.js';
-import {hasTimeToRetryRefusal} from '../../coordination/retry-rules.js';
-import {SlotAdmission} from '../../coordination/slot-admission.js';
+import {hasTimeToRetryRefusal} from '../../coordination/refusals/retry-rules.js';
+import {SlotAdmission} from '../../coordination/admission/slot-admission.js';
 import type {
   AdmissionRequest,
   Slot,
-} from '../../coordination/worker-admission.js';
-import {chooseWorker} from '../../coordination/worker-choice.js';
-import {WorkerSubset} from '../../coordination/worker-subset.js';
+} from '../../coordination/admission/worker-admission.js';
+import {chooseWorker} from '../../coordination/routing/worker-choice.js';
+import {WorkerSubset} from '../../coordination/routing/worker-subset.js';
 import {profileSchema} from '../../protocol/configuration.js';
 import type {Profile} from '../../protocol/configuration.js';
 import {toRefusal} from '../../protocol/reasons.js';
--- a/src/measure/emulator/virtual-clock.ts
+++ b/src/measure/emulator/virtual-clock.ts
@@ -2,8 +2,8 @@
  * A virtual clock for emulations: time jumps from event to event, in the same
  * order in each run.
  */
-import type {RankedItem} from '../../coordination/rank-queue.js';
-import {RankQueue} from '../../coordination/rank-queue.js';
+import type {RankedItem} from '../../coordination/admission/rank-queue.js';
+import {RankQueue} from '../../coordination/admission/rank-queue.js';
 import type {TimerId, Timers} from '../../protocol/timers.js';
 
 interface TimedEvent extends RankedItem {
--- a/src/node-process.ts
+++ b/src/node-process.ts
@@ -11,7 +11,7 @@
 import {CrashQuarantine} from './coordination/crash-quarantine.js';
 import {Entry} from './coordination/entry.js';
 import {Gate} from './coordination/gate.js';
-import {QuantileWindow} from './coordination/quantile-window.js';
+import {QuantileWindow} from './coordination/admission/quantile-window.js';
 import {RouteSplitter} from './coordination/route-split.js';
 import type {KeyedRequest} from './coordination/key-home.js';
 import {KeyHomes} from './key-homes.js';
--- a/src/test/admission_test.ts
+++ b/src/test/admission_test.ts
@@ -3,9 +3,9 @@
  * its queue is fair between callers.
  */
 import {describe, expect, it} from 'vitest';
-import {AdaptiveAdmission} from '../coordination/adaptive-admission.js';
-import {SlotOutcome} from '../coordination/concurrency-limit.js';
-import type {Slot} from '../coordination/worker-admission.js';
+import {AdaptiveAdmission} from '../coordination/admission/adaptive-admission.js';
+import {SlotOutcome} from '../coordination/admission/concurrency-limit.js';
+import type {Slot} from '../coordination/admission/worker-admission.js';
 import {profileSchema} from '../protocol/configuration.js';
 import type {RefusalError} from '../protocol/reasons.js';
 import type {WorkerState} from '../protocol/worker-load.js';
--- a/src/test/asking-time_test.ts
+++ b/src/test/asking-time_test.ts
@@ -1,6 +1,6 @@
 /** Limits the time in which a request refused for capacity is retried. */
 import {describe, expect, it} from 'vitest';
-import {hasTimeToRetryRefusal} from '../coordination/retry-rules.js';
+import {hasTimeToRetryRefusal} from '../coordination/refusals/retry-rules.js';
 
 const STARTED_AT = 1000;
 const TARGET_MS = 500;
--- a/src/test/caller-queue_test.ts
+++ b/src/test/caller-queue_test.ts
@@ -1,7 +1,7 @@
 /** Tests that the queue serves callers in turn, whatever each sends. */
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
-import {CallerQueue} from '../coordination/caller-queue.js';
+import {CallerQueue} from '../coordination/admission/caller-queue.js';
 
 interface OrderCase {
   readonly name: string;
--- a/src/test/concurrency-limit_test.ts
+++ b/src/test/concurrency-limit_test.ts
@@ -7,7 +7,7 @@
   ConcurrencyLimit,
   LimitPhase,
   SlotOutcome,
-} from '../coordination/concurrency-limit.js';
+} from '../coordination/admission/concurrency-limit.js';
 
 const BOUNDS = {slots: 8, coldConcurrency: 1};
 
--- a/src/test/paced-choice_test.ts
+++ b/src/test/paced-choice_test.ts
@@ -1,7 +1,7 @@
 /** Choices of entries that see the same load figures at the same time. */
 import seedrandom from 'seedrandom';
 import {describe, expect, it} from 'vitest';
-import {chooseWorker} from '../coordination/worker-choice.js';
+import {chooseWorker} from '../coordination/routing/worker-choice.js';
 import type {WorkerLoad} from '../protocol/worker-load.js';
 import type {WorkerRow} from '../state/worker-table.js';
 
--- a/src/test/peer-directory_test.ts
+++ b/src/test/peer-directory_test.ts
@@ -6,7 +6,7 @@
  * a busy machine would run late, suspect each other and make extra calls.
  */
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
-import {WorkerSubset} from '../coordination/worker-subset.js';
+import {WorkerSubset} from '../coordination/routing/worker-subset.js';
 import {WorkerTable} from '../state/worker-table.js';
 import {runFor, startEmulatedTime} from './stand-ins/emulated-time.js';
 import {
--- a/src/test/prober_test.ts
+++ b/src/test/prober_test.ts
@@ -1,6 +1,6 @@
 /** A probe that began before a connection loss does not explain the loss. */
 import {expect, it} from 'vitest';
-import type {WorkerAdmission} from '../coordination/worker-admission.js';
+import type {WorkerAdmission} from '../coordination/admission/worker-admission.js';
 import {Prober} from '../coordination/prober.js';
 import {profileSchema} from '../protocol/configuration.js';
 import {Reason, RefusalError} from '../protocol/reasons.js';
--- a/src/test/slot-admission_test.ts
+++ b/src/test/slot-admission_test.ts
@@ -3,9 +3,9 @@
  * gets more than it can serve in time, because it is cold, full or gone.
  */
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
-import {SlotOutcome} from '../coordination/concurrency-limit.js';
-import {SlotAdmission} from '../coordination/slot-admission.js';
-import type {Slot} from '../coordination/worker-admission.js';
+import {SlotOutcome} from '../coordination/admission/concurrency-limit.js';
+import {SlotAdmission} from '../coordination/admission/slot-admission.js';
+import type {Slot} from '../coordination/admission/worker-admission.js';
 import {profileSchema} from '../protocol/configuration.js';
 import type {RefusalError} from '../protocol/reasons.js';
 
--- a/src/test/stand-ins/peer-fleet.ts
+++ b/src/test/stand-ins/peer-fleet.ts
@@ -4,7 +4,7 @@
  */
 import {PeerDirectory} from '../../coordination/peer-directory.js';
 import {StoreFreshness} from '../../coordination/store-freshness.js';
-import {WorkerSubset} from '../../coordination/worker-subset.js';
+import {WorkerSubset} from '../../coordination/routing/worker-subset.js';
 import type {
   LoadBeacon,
   NodeInfo,
