Prefer workers of the own data centre and let a share leave

Cause: the policy "paced" compares three random workers of all data centres, so two of three requests leave at any load (docs/design/hard-load.md, part 1).

Change: with locality.mode "prefer-own" an entry keeps, for each service, a share of requests that leave. It follows the difference between the cost at home and elsewhere in steps of 100 ms. Calls that would wait too long, requests refused at home and those without a usable home worker leave at once; large bodies stay. In mode "any" choices, random numbers and datagrams are as before.

--- a/src/coordination/call.ts
+++ b/src/coordination/call.ts
@@ -31,6 +31,12 @@
 } from './refusals/retry-rules.js';
 import {recordCancelled, recordFailedAttempt} from './attempt-outcomes.js';
 import {SilentAttempts} from './silent-attempts.js';
+import {isSettledWithin, waitForFirst} from './attempt-race.js';
+import {
+  buildSpillContext,
+  describeChoice,
+  isOwnPreferred,
+} from './routing/call-choice.js';
 import {chooseWorker} from './routing/worker-choice.js';
 
 const HEDGE_COST_TOKENS = 1;
@@ -53,6 +59,8 @@
   private readonly running = new Set<AbortController>();
   /** Whether a connection of this call went silent, as others may have. */
   private hasLostConnection = false;
+  /** Whether a gate of this data centre refused it for lack of capacity. */
+  private wasRefusedAtHome = false;
   /** Whether an attempt of this call may have run. */
   private mayHaveRun = false;
 
@@ -144,6 +152,14 @@
       );
     const {service} = this.request;
     this.serviceState.choiceCount += 1;
+    const now = performance.now();
+    const {triedTargets, wasRefusedAtHome} = this;
+    const isFirst = triedTargets.size === 0;
+    const spill = buildSpillContext(
+      {profile: this.profile, share: this.serviceState.spill},
+      this.request,
+      {isFirst, wasRefusedAtHome, now},
+    );
     return chooseWorker(
       this.profile.balancing,
       this.options.selectWorkers(service, eligible),
@@ -152,7 +168,8 @@
         farCostMs: this.profile.farCost,
         random,
         choiceCount: this.serviceState.choiceCount,
-        now: performance.now(),
+        now,
+        ...(spill ? {spill} : {}),
       },
     );
   }
@@ -228,7 +245,10 @@
       isEnded = true;
       row.inFlightHere -= 1;
     };
-    this.explainer.add(kind, describeChoice(row, startedAt));
+    this.explainer.add(kind, {
+      ...describeChoice(row, startedAt),
+      ...this.recordSide(row),
+    });
     try {
       const answer = await this.sendAttempt(attempt, signal);
       this.serviceState.attemptTimes?.record(performance.now() - startedAt);
@@ -241,14 +261,29 @@
       end();
       if (signal.aborted) recordCancelled(row, performance.now() - startedAt);
       else if (error instanceof AttemptError) {
-        if (isCapacityRefusal(error))
+        if (isCapacityRefusal(error)) {
           this.options.count(`asks.${attemptOrder}.refused`);
+          if (this.isAtHome(row)) this.wasRefusedAtHome = true;
+        }
         recordFailedAttempt(row, error);
       }
       throw error;
     }
   }
 
+  /** Counts on which side a worker is, and describes it for the explanation. */
+  private recordSide(row: WorkerRow): Readonly<Record<string, number>> {
+    if (!isOwnPreferred(this.profile)) return {};
+    const isAtHome = this.isAtHome(row);
+    this.options.count(isAtHome ? 'choices.near' : 'choices.far');
+    const {share} = this.serviceState.spill;
+    return {left: isAtHome ? 0 : 1, share: Math.round(share * 1000) / 1000};
+  }
+
+  private isAtHome(row: WorkerRow): boolean {
+    return row.dataCentre === this.options.dataCentre;
+  }
+
   /** Sends an attempt; a silent one fails at once, and stays open. */
   private sendAttempt(
     attempt: Attempt,
@@ -349,49 +384,6 @@
   }
 }
 
-/** Describes the load figures that a choice used, and their age. */
-function describeChoice(
-  row: WorkerRow,
-  now: number,
-): Readonly<Record<string, string | number>> {
-  const {target, version, inFlightHere, observed} = row;
-  const chosen = {node: target.nodeId, version, inFlightHere};
-  if (!observed) return chosen;
-  const {figures, at} = observed;
-  const {state, inFlight, queued, limit, pace} = figures;
-  const ageMs = Math.round(now - at);
-  return {...chosen, state, inFlight, queued, limit, pace, ageMs};
-}
-
 function closeAnswer(answer: AttemptAnswer): void {
   answer.body.rest?.on('error', () => {}).destroy();
 }
-
-function isSettledWithin(
-  attempt: Promise<unknown>,
-  limitMs: number,
-): Promise<boolean> {
-  return new Promise(resolve => {
-    const timer = setTimeout(() => resolve(false), limitMs);
-    const settle = (): void => {
-      clearTimeout(timer);
-      resolve(true);
-    };
-    attempt.then(settle, settle);
-  });
-}
-
-/** Returns which attempt succeeded first, or `main` when both failed. */
-async function waitForFirst(
-  main: Promise<AttemptAnswer>,
-  hedge: Promise<AttemptAnswer>,
-): Promise<'main' | 'hedge'> {
-  try {
-    return await Promise.any([
-      main.then(() => 'main' as const),
-      hedge.then(() => 'hedge' as const),
-    ]);
-  } catch {
-    return 'main';
-  }
-}
--- a/src/coordination/entry.ts
+++ b/src/coordination/entry.ts
@@ -15,6 +15,7 @@
 import type {WorkerRow, WorkerTable} from '../state/worker-table.js';
 import {Call} from './call.js';
 import type {NestedCalls} from './nested-calls.js';
+import {DataCentreSpill} from './routing/data-centre-spill.js';
 import {RetryBudget, TokenBudget} from './refusals/retry-budget.js';
 
 /** Durations of recent attempts, from which the hedge delay is computed. */
@@ -37,6 +38,11 @@
   readonly createAttemptId: () => string;
   /** Counts retries, hedges and other events by name. */
   readonly count: (name: string) => void;
+  /** Writes a log line with its context. */
+  readonly report?: (
+    text: string,
+    context: Readonly<Record<string, string | number>>,
+  ) => void;
   /** Detects calls made by running requests. */
   readonly nestedCalls: NestedCalls;
   /** Whether requests of this fingerprint crash workers. */
@@ -58,6 +64,8 @@
   /** Undefined at a node that never hedges. */
   readonly attemptTimes: AttemptTimes | undefined;
   readonly inFlightByCaller: Map<string, number>;
+  /** Share of requests that leave the data centre. */
+  readonly spill: DataCentreSpill;
   /** Number of worker choices so far, used for round robin. */
   choiceCount: number;
 }
@@ -134,11 +142,13 @@
   ): EntryServiceState {
     let serviceState = this.stateByService.get(service);
     if (!serviceState) {
+      const {count, report} = this.options;
       serviceState = {
         retries: new RetryBudget(this.computeRetryBurst(profile)),
         hedges: new TokenBudget(),
         attemptTimes: this.options.createAttemptTimes?.(),
         inFlightByCaller: new Map(),
+        spill: new DataCentreSpill({service, count, report}),
         choiceCount: 0,
       };
       this.stateByService.set(service, serviceState);
--- a/src/coordination/peer-beacons.ts
+++ b/src/coordination/peer-beacons.ts
@@ -24,6 +24,14 @@
  * most: a service with few workers has many entries for each of them.
  */
 const LOAD_INTERVAL_PER_SUBSCRIBER_MS = 5;
+/**
+ * The same two for subscribers in other data centres, where workers of the
+ * local one come first. Their figures move a share in steps of 100 ms and count
+ * as recent for 1 s, so one in two may be lost; they take at most half of the
+ * datagrams with up to 100 such subscribers.
+ */
+const MIN_FAR_LOAD_INTERVAL_MS = 500;
+const FAR_LOAD_INTERVAL_PER_SUBSCRIBER_MS = 10;
 /** Maximum interval between two datagrams to a load subscriber. */
 const MAX_LOAD_INTERVAL_MS = 1000;
 /** Maximum interval between introductions that renew a load subscription. */
@@ -77,23 +85,37 @@
   readonly findStoreAnswer: () => StoreAnswer;
   readonly send: (addresses: readonly string[], beacon: LoadBeacon) => void;
   readonly dataCentre: string;
+  /**
+   * Whether entries send requests for this node's workers to their own data
+   * centre first, so that other data centres need fewer load datagrams.
+   */
+  readonly isOwnPreferred: () => boolean;
   readonly random: () => number;
 }
 
+/** Load datagrams to some of the subscribers, sent together. */
+interface LoadSchedule {
+  timer: NodeJS.Timeout | undefined;
+  lastAt: number;
+  lastCount: number;
+  readonly isReceiver: (peer: BeaconPeer) => boolean;
+}
+
 /** Sends the datagrams of one node. */
 export class PeerBeacons {
-  private loadTimer: NodeJS.Timeout | undefined;
+  private readonly toAll = createLoadSchedule(() => true);
+  private readonly toNear = createLoadSchedule(peer => this.isNear(peer));
+  private readonly toFar = createLoadSchedule(peer => !this.isNear(peer));
   private spreadTimer: NodeJS.Timeout | undefined;
   private repeatTimer: NodeJS.Timeout | undefined;
-  private lastLoadAt = -Infinity;
-  private lastSubscriberCount = 0;
   private isStopped = false;
 
   constructor(private readonly options: PeerBeaconsOptions) {}
 
   stop(): void {
     this.isStopped = true;
-    clearTimeout(this.loadTimer);
+    for (const {timer} of [this.toAll, this.toNear, this.toFar])
+      clearTimeout(timer);
     clearTimeout(this.spreadTimer);
     clearTimeout(this.repeatTimer);
   }
@@ -109,14 +131,19 @@
 
   /** Schedules a load datagram to the subscribers. */
   schedule(): void {
-    if (this.loadTimer || this.isStopped) return;
-    const intervalMs = Math.max(
-      MIN_LOAD_INTERVAL_MS,
-      this.lastSubscriberCount * LOAD_INTERVAL_PER_SUBSCRIBER_MS,
+    if (this.isStopped) return;
+    if (!this.options.isOwnPreferred()) {
+      this.scheduleLoad(this.toAll, computeLoadInterval(this.toAll.lastCount));
+      return;
+    }
+    const far = this.toFar.lastCount;
+    const farIntervalMs = computeFarLoadInterval(far);
+    this.scheduleLoad(this.toFar, farIntervalMs);
+    const near = this.toNear.lastCount;
+    this.scheduleLoad(
+      this.toNear,
+      computeNearLoadInterval(near, far / farIntervalMs),
     );
-    const dueAt = this.lastLoadAt + intervalMs;
-    const pauseMs = Math.max(0, dueAt - performance.now());
-    this.loadTimer = setTimeout(() => this.sendLoad(), pauseMs);
   }
 
   /**
@@ -190,15 +217,25 @@
     this.sendLoadTo(dueSubscribers);
   }
 
-  private sendLoad(): void {
-    this.loadTimer = undefined;
+  private scheduleLoad(load: LoadSchedule, intervalMs: number): void {
+    if (load.timer) return;
+    const pauseMs = Math.max(0, load.lastAt + intervalMs - performance.now());
+    load.timer = setTimeout(() => this.sendLoad(load), pauseMs);
+  }
+
+  private sendLoad(load: LoadSchedule): void {
+    load.timer = undefined;
     const now = performance.now();
-    this.lastLoadAt = now;
-    const subscribers = this.listLoadSubscribers(now);
-    this.lastSubscriberCount = subscribers.length;
+    load.lastAt = now;
+    const subscribers = this.listLoadSubscribers(now).filter(load.isReceiver);
+    load.lastCount = subscribers.length;
     this.sendLoadTo(subscribers);
   }
 
+  private isNear({info}: BeaconPeer): boolean {
+    return info?.dataCentre === this.options.dataCentre;
+  }
+
   private scheduleRepeat(listReceivers: () => readonly BeaconPeer[]): void {
     clearTimeout(this.repeatTimer);
     this.repeatTimer = setTimeout(
@@ -266,6 +303,42 @@
   }
 }
 
+function createLoadSchedule(
+  isReceiver: LoadSchedule['isReceiver'],
+): LoadSchedule {
+  return {timer: undefined, lastAt: -Infinity, lastCount: 0, isReceiver};
+}
+
+/** Returns the least interval between load datagrams to all, in ms. */
+function computeLoadInterval(subscribers: number): number {
+  return Math.max(
+    MIN_LOAD_INTERVAL_MS,
+    subscribers * LOAD_INTERVAL_PER_SUBSCRIBER_MS,
+  );
+}
+
+/** Returns the same for subscribers in other data centres. */
+function computeFarLoadInterval(subscribers: number): number {
+  const intervalMs = subscribers * FAR_LOAD_INTERVAL_PER_SUBSCRIBER_MS;
+  return Math.min(
+    MAX_LOAD_INTERVAL_MS,
+    Math.max(MIN_FAR_LOAD_INTERVAL_MS, intervalMs),
+  );
+}
+
+/**
+ * Returns the same for subscribers in this data centre. They get what the
+ * others leave of the datagrams per second, but at least half of all.
+ */
+function computeNearLoadInterval(
+  subscribers: number,
+  farPerMs: number,
+): number {
+  const allPerMs = 1 / LOAD_INTERVAL_PER_SUBSCRIBER_MS;
+  const perMs = Math.max(allPerMs / 2, allPerMs - farPerMs);
+  return Math.max(MIN_LOAD_INTERVAL_MS, subscribers / perMs);
+}
+
 /** Returns the longest regular interval between datagrams of a node, in ms. */
 export function computeDatagramInterval(
   peer: BeaconPeer,
--- a/src/coordination/peer-directory-options.ts
+++ b/src/coordination/peer-directory-options.ts
@@ -84,6 +84,11 @@
   readonly freshness: StoreFreshness;
   /** Returns the workers in the current subset of this node's entry. */
   readonly listSubset: () => readonly WorkerRow[];
+  /**
+   * Whether entries send requests for this node's workers to their own data
+   * centre first; by default not.
+   */
+  readonly isOwnPreferred?: () => boolean;
   readonly random: () => number;
   /** Returns the load of the local workers. */
   readonly listLoads: () => readonly ServiceLoad[];
--- a/src/coordination/peer-directory.ts
+++ b/src/coordination/peer-directory.ts
@@ -91,6 +91,7 @@
       findStoreAnswer: () => options.freshness.answer,
       send: (addresses, beacon) => options.calls.sendBeacon(addresses, beacon),
       dataCentre: options.identity.dataCentre,
+      isOwnPreferred: options.isOwnPreferred ?? (() => false),
       random: options.random,
     });
   }
--- a/src/coordination/routing/worker-choice.ts
+++ b/src/coordination/routing/worker-choice.ts
@@ -5,6 +5,7 @@
 import type {BalancingPolicy} from '../../protocol/configuration.js';
 import {WorkerState} from '../../protocol/worker-load.js';
 import type {WorkerRow} from '../../state/worker-table.js';
+import type {DataCentreSpill, SpillRequest} from './data-centre-spill.js';
 
 /** Inputs of a choice other than the workers. */
 export interface ChoiceContext {
@@ -18,6 +19,14 @@
   readonly choiceCount: number;
   /** Time on the clock of `performance.now()`. */
   readonly now: number;
+  /**
+   * The share of the service's requests that leave the data centre, and what it
+   * is applied to; absent when all data centres are chosen alike.
+   */
+  readonly spill?: {
+    readonly share: DataCentreSpill;
+    readonly request: SpillRequest;
+  };
 }
 
 type ChooseHandler = (
@@ -46,9 +55,9 @@
 /** Random fraction added to costs, so that nearly equal ones rank randomly. */
 const COST_JITTER_FRACTION = 0.1;
 /** Candidates that the paced policy compares for one attempt. */
-const PACED_CANDIDATES = 3;
+export const PACED_CANDIDATES = 3;
 /** Workers above this multiple of the lowest cost are not considered. */
-const MAX_COST_FACTOR = 10;
+export const MAX_COST_FACTOR = 10;
 /** Pace (slowdown factor) assumed for a host without recent figures. */
 const DEFAULT_PACE = 1.5;
 /**
@@ -57,7 +66,7 @@
  */
 const PACE_DECAY_MS = 400;
 /** Service time to which the cost of a far data centre is related. */
-const REFERENCE_SERVICE_TIME_MS = 100;
+export const REFERENCE_SERVICE_TIME_MS = 100;
 /** Relative cost added for a worker that is filled to its limit. */
 const LOAD_WEIGHT = 0.5;
 /** Approximate slowdown factor of a cold worker. */
@@ -119,7 +128,7 @@
  * Estimates the requests in flight: this entry's own count plus the last
  * reported count of other entries, decayed with its age.
  */
-function computeInFlight(row: WorkerRow, ageMs: number): number {
+export function computeInFlight(row: WorkerRow, ageMs: number): number {
   const {observed} = row;
   if (!observed) return row.inFlightHere;
   const {inFlight, queued} = observed.figures;
@@ -188,7 +197,11 @@
   workers: readonly WorkerRow[],
   context: ChoiceContext,
 ): WorkerRow {
-  const costed = workers.map(row => ({
+  const {spill} = context;
+  const side = spill
+    ? spill.share.selectSide(workers, spill.request, context)
+    : workers;
+  const costed = side.map(row => ({
     row,
     cost:
       computePacedCost(row, context) *
@@ -204,10 +217,15 @@
   return best.row;
 }
 
-/** Computes a relative cost, in multiples of the usual service time. */
+/**
+ * Computes a relative cost, in multiples of the usual service time.
+ *
+ * @param unknownPace Pace toward which a reported one decays.
+ */
 export function computePacedCost(
   row: WorkerRow,
   context: ChoiceContext,
+  unknownPace = DEFAULT_PACE,
 ): number {
   const farCost =
     row.dataCentre === context.dataCentre
@@ -218,12 +236,12 @@
   if (!observed) {
     const cold = row.state === WorkerState.COLD ? COLD_COST_FACTOR : 1;
     const loadCost = row.inFlightHere / Math.max(1, row.slots);
-    return (DEFAULT_PACE * cold * (1 + loadCost) + farCost) * suspectFactor;
+    return (unknownPace * cold * (1 + loadCost) + farCost) * suspectFactor;
   }
   const {figures, at} = observed;
   const ageMs = context.now - at;
   const decay = Math.exp(-ageMs / PACE_DECAY_MS);
-  const pace = DEFAULT_PACE + (figures.pace - DEFAULT_PACE) * decay;
+  const pace = unknownPace + (figures.pace - unknownPace) * decay;
   const limit = Math.max(1, figures.limit);
   const load = computeInFlight(row, ageMs);
   const queueingCost = Math.max(0, load + 1 - limit) / limit;
--- a/src/coordination/routing/worker-subset.ts
+++ b/src/coordination/routing/worker-subset.ts
@@ -18,6 +18,23 @@
 const SUBSET_SIZE = 8;
 /** Workers in the local data centre; the others cover its outages. */
 const NEAR_SUBSET_SIZE = 6;
+/**
+ * The same where workers of the local data centre come first. As many as a
+ * choice compares are then elsewhere: a share of the requests leaves, and two
+ * could both be in one data centre that is lost, or both be full.
+ */
+const NEAR_SUBSET_SIZE_OWN_FIRST = 5;
+
+/** How the subsets of all services are chosen. */
+export interface SubsetRules {
+  /** Whether workers of the local data centre come first for a service. */
+  readonly isOwnPreferred: (service: string) => boolean;
+  /**
+   * Whether a data centre is out. Its workers get no requests, and where those
+   * of the local one come first, the places are used for others.
+   */
+  readonly isDataCentreOut: (dataCentre: string) => boolean;
+}
 
 /** Selects the subsets of one entry. */
 export class WorkerSubset {
@@ -29,9 +46,12 @@
   ) {}
 
   /** Returns the entry's subset, or all workers when there are few. */
-  select(rows: readonly WorkerRow[]): WorkerRow[] {
+  select(rows: readonly WorkerRow[], isOwnPreferred = false): WorkerRow[] {
     if (rows.length <= MAX_UNREDUCED) return [...rows];
-    const near = this.selectClosest(rows, NEAR_SUBSET_SIZE, true);
+    const nearSize = isOwnPreferred
+      ? NEAR_SUBSET_SIZE_OWN_FIRST
+      : NEAR_SUBSET_SIZE;
+    const near = this.selectClosest(rows, nearSize, true);
     const wantedFar = SUBSET_SIZE - near.length;
     const far = this.selectClosest(rows, wantedFar, false);
     const wantedNear = SUBSET_SIZE - far.length;
@@ -41,12 +61,19 @@
   }
 
   /** Lists the subset of all services, chosen separately for each version. */
-  list(workers: WorkerTable): WorkerRow[] {
+  list(workers: WorkerTable, rules?: SubsetRules): WorkerRow[] {
     return workers.listServices().flatMap(service => {
-      const rows = workers.listWorkers(service);
+      const isOwnPreferred = rules?.isOwnPreferred(service) ?? false;
+      const all = workers.listWorkers(service);
+      const rows = isOwnPreferred
+        ? all.filter(row => !rules?.isDataCentreOut(row.dataCentre))
+        : all;
       const versions = new Set(rows.map(row => row.version));
       return [...versions].flatMap(version =>
-        this.select(rows.filter(row => row.version === version)),
+        this.select(
+          rows.filter(row => row.version === version),
+          isOwnPreferred,
+        ),
       );
     });
   }
--- a/src/directory-node.ts
+++ b/src/directory-node.ts
@@ -13,11 +13,11 @@
 import {PeerDirectory} from './coordination/peer-directory.js';
 import {RouteSplitter} from './coordination/route-split.js';
 import type {BadVersionReport} from './coordination/version-moves.js';
-import {WorkerSubset} from './coordination/routing/worker-subset.js';
 import {createDirectoryGate} from './directory-gate.js';
 import {DirectoryCrashes} from './directory-crashes.js';
 import {DirectoryMoves} from './directory-moves.js';
 import {DirectoryRecords} from './directory-records.js';
+import {DirectorySubset} from './directory-subset.js';
 import {DirectoryWorker} from './directory-worker.js';
 import type {NodeAdapter, NodePort} from './node-adapter.js';
 import {describeReadiness, NodeStop} from './node-stop.js';
@@ -88,7 +88,7 @@
   private readonly crashTable = new CrashTable();
   private readonly crashes: DirectoryCrashes;
   private readonly splitter = new RouteSplitter();
-  private readonly subset: WorkerSubset;
+  private readonly subset: DirectorySubset;
   private readonly explanations = new Explanations();
   private readonly callerLog: CallerLog;
   private readonly moves: DirectoryMoves;
@@ -118,7 +118,7 @@
       callerAddress: node.callerAddress,
       peerAddress: node.peerAddress,
     };
-    this.subset = new WorkerSubset(node.id, node.dataCentre);
+    this.subset = new DirectorySubset(node, this.state, this.workers);
     this.port = this.createPort();
     this.records = this.createRecords();
     this.gateClient = new GateClient(node.id, DIRECTORY_CONNECTIONS);
@@ -273,7 +273,8 @@
       calls: this.peers,
       records: this.records.records,
       freshness: this.records.freshness,
-      listSubset: () => this.subset.list(this.workers),
+      listSubset: () => this.subset.list(),
+      isOwnPreferred: () => this.subset.isOwnPreferredAt(this.gate),
       random: Math.random,
       listLoads: () =>
         this.gate.listWorkers().flatMap(({service}) => {
@@ -300,9 +301,10 @@
       random: Math.random,
       createAttemptId: randomUUID,
       count: name => this.metrics.count(name),
+      report: (text, context) => this.log(text, context),
       isQuarantined: fingerprint => this.crashTable.isQuarantined(fingerprint),
       selectWorkers: (service, rows) =>
-        this.subset.select(this.moves.versions.selectWorkers(service, rows)),
+        this.subset.select(service, this.moves.versions, rows),
     });
   }
 
@@ -397,11 +399,8 @@
     return this.state.isConfigured && this.directory.hasJoined;
   }
 
-  private log(
-    text: string,
-    context: Readonly<Record<string, string | number>>,
-  ): void {
-    this.logger.write('info', text, context as LogContext);
+  private log(text: string, context: LogContext): void {
+    this.logger.write('info', text, context);
   }
 
   private async closeClients(): Promise<void> {
--- /dev/null
+++ b/src/directory-subset.ts
@@ -0,0 +1,51 @@
+/** The workers among which the entry of a directory node chooses. */
+import type {Gate} from './coordination/gate.js';
+import {isOwnPreferred} from './coordination/routing/call-choice.js';
+import {WorkerSubset} from './coordination/routing/worker-subset.js';
+import type {VersionMoves} from './coordination/version-moves.js';
+import type {StateStore} from './state/state-store.js';
+import type {WorkerRow, WorkerTable} from './state/worker-table.js';
+
+/** Selects the subsets of one node by the profiles of the services. */
+export class DirectorySubset {
+  private readonly subset: WorkerSubset;
+
+  constructor(
+    node: {readonly id: string; readonly dataCentre: string},
+    private readonly state: StateStore,
+    private readonly workers: WorkerTable,
+  ) {
+    this.subset = new WorkerSubset(node.id, node.dataCentre);
+  }
+
+  /** Selects the subset of a service from the workers that moves allow. */
+  select(
+    service: string,
+    moves: VersionMoves,
+    rows: readonly WorkerRow[],
+  ): WorkerRow[] {
+    return this.subset.select(
+      moves.selectWorkers(service, rows),
+      this.isOwnPreferred(service),
+    );
+  }
+
+  /** Lists the subsets of all services, which get load figures. */
+  list(): WorkerRow[] {
+    return this.subset.list(this.workers, {
+      isOwnPreferred: service => this.isOwnPreferred(service),
+      isDataCentreOut: name => this.state.isDataCentreOut(name),
+    });
+  }
+
+  /** Whether own workers come first for all services of a gate. */
+  isOwnPreferredAt(gate: Gate): boolean {
+    const services = gate.listWorkers();
+    return services.every(({service}) => this.isOwnPreferred(service));
+  }
+
+  private isOwnPreferred(service: string): boolean {
+    const profile = this.state.findProfile(service);
+    return profile !== undefined && isOwnPreferred(profile);
+  }
+}
