--- a/src/coordination/peer-beacons.ts
+++ b/src/coordination/peer-beacons.ts
@@ -26,12 +26,13 @@
 const LOAD_INTERVAL_PER_SUBSCRIBER_MS = 5;
 /**
  * The same two for subscribers in other data centres, where workers of the
- * local one come first. Their figures move a share in steps of 100 ms and count
- * as recent for 1 s, so one in two may be lost; they take at most half of the
- * datagrams with up to 100 such subscribers.
+ * local one come first. Their figures move a share in steps of 100 ms, and are
+ * used for that up to an age of 1 s.
  */
 const MIN_FAR_LOAD_INTERVAL_MS = 500;
-const FAR_LOAD_INTERVAL_PER_SUBSCRIBER_MS = 10;
+const FAR_LOAD_INTERVAL_PER_SUBSCRIBER_MS = 25;
+/** Bound of that interval; it leaves 0.2 s for a busy node or a slow link. */
+const MAX_FAR_LOAD_INTERVAL_MS = 800;
 /** Maximum interval between two datagrams to a load subscriber. */
 const MAX_LOAD_INTERVAL_MS = 1000;
 /** Maximum interval between introductions that renew a load subscription. */
@@ -321,7 +322,7 @@
 function computeFarLoadInterval(subscribers: number): number {
   const intervalMs = subscribers * FAR_LOAD_INTERVAL_PER_SUBSCRIBER_MS;
   return Math.min(
-    MAX_LOAD_INTERVAL_MS,
+    MAX_FAR_LOAD_INTERVAL_MS,
     Math.max(MIN_FAR_LOAD_INTERVAL_MS, intervalMs),
   );
 }
--- a/src/test/paced-choice_test.ts
+++ b/src/test/paced-choice_test.ts
@@ -96,4 +96,37 @@
       expect(count / CHOICES).toBeGreaterThanOrEqual(leastShare);
     },
   );
+
+  // Guards against a change of deployments that do not prefer own workers: the
+  // workers and the number of random numbers are those from before that mode.
+  it('without a preferred data centre is the same as ever', () => {
+    const rows = Array.from({length: 8}, (unused, index): WorkerRow => {
+      const figures = {...LOAD, inFlight: index, pace: 1 + index / 10};
+      const observed = {figures, at: index * 100, inFlightHere: 0};
+      return {
+        ...createRow(`${index}`, {}, index === 7),
+        dataCentre: index < 4 ? DATA_CENTRE : 'two',
+        inFlightHere: index % 2,
+        observed: index === 3 ? undefined : observed,
+      };
+    });
+    const random = seedrandom('any');
+    let draws = 0;
+    const chosen = Array.from({length: 40}, (unused, index) =>
+      chooseWorker('paced', rows, {
+        dataCentre: DATA_CENTRE,
+        farCostMs: 3,
+        random: () => {
+          draws += 1;
+          return random();
+        },
+        choiceCount: index,
+        now: 1000 + index * 20,
+      }),
+    );
+    expect(chosen.map(row => row?.target.nodeId).join('')).toBe(
+      '0142004004000002020420246264402621246420',
+    );
+    expect(draws).toBe(472);
+  });
 });
--- a/src/test/peer-directory_test.ts
+++ b/src/test/peer-directory_test.ts
@@ -352,18 +352,38 @@
       inSubset: 8,
       near: 4,
     },
+    // Guards against a share that leaves to only two workers.
+    {
+      name: 'three workers elsewhere when own ones are preferred',
+      size: 60,
+      inSubset: 8,
+      near: 5,
+      isOwnPreferred: true,
+    },
   ];
-  it.each(cases)('holds $name', ({size, inSubset, near}) => {
+  it.each(cases)('holds $name', ({size, inSubset, near, isOwnPreferred}) => {
     fleet = new TestFleet();
     const table = buildTable(size);
     const picked = new WorkerSubset('entry', 'dsm').select(
       table.listWorkers(SERVICE),
+      isOwnPreferred,
     );
     expect(picked).toHaveLength(inSubset);
     expect(new Set(picked).size).toBe(inSubset);
     expect(picked.filter(row => row.dataCentre === 'dsm')).toHaveLength(near);
   });
 
+  // Guards against places that are taken by workers that get no requests.
+  it('has no workers of a data centre that is out when own ones are preferred', () => {
+    fleet = new TestFleet();
+    const picked = new WorkerSubset('entry', 'dsm').list(buildTable(60), {
+      isOwnPreferred: () => true,
+      isDataCentreOut: name => name === 'aru',
+    });
+    expect(picked).toHaveLength(8);
+    expect(picked.some(row => row.dataCentre === 'aru')).toBe(false);
+  });
+
   it('covers all workers across entries', () => {
     fleet = new TestFleet();
     const table = buildTable(60);
--- a/src/test/stand-ins/spill-loop.ts
+++ b/src/test/stand-ins/spill-loop.ts
@@ -6,15 +6,24 @@
 import seedrandom from 'seedrandom';
 import {DataCentreSpill} from '../../coordination/routing/data-centre-spill.js';
 import {chooseWorker} from '../../coordination/routing/worker-choice.js';
-import type {WorkerState} from '../../protocol/worker-load.js';
+import type {WorkerLoad} from '../../protocol/worker-load.js';
 import type {WorkerRow} from '../../state/worker-table.js';
 import {recordLoad} from '../../state/worker-table.js';
 
-export const TICK_MS = 10;
+const TICK_MS = 10;
 const NEAR_REPORT_MS = 60;
 const FAR_REPORT_MS = 500;
 const SERVICE_TIME_MS = 100;
 const SLOTS = 6;
+export const IDLE: WorkerLoad = {
+  state: 'ready',
+  inFlight: 0,
+  queued: 0,
+  limit: SLOTS,
+  serviceTimeUs: 30_000,
+  failureShare: 0,
+  pace: 1,
+};
 
 /** A data centre with its demand, in requests per second. */
 export interface LoopSite {
@@ -26,7 +35,6 @@
 
 interface LoopWorker {
   readonly dataCentre: string;
-  state: WorkerState;
   readonly endTimes: number[];
   readonly waiting: number[];
   served: number;
@@ -41,6 +49,22 @@
   readonly shares: number[];
 }
 
+/** Creates the row of a worker of which nothing is known yet. */
+export function createSpillRow(dataCentre: string, index: number): WorkerRow {
+  const nodeId = `${dataCentre}-${index}`;
+  return {
+    target: {nodeId, incarnation: 1, peerAddress: nodeId},
+    dataCentre,
+    service: 'service',
+    version: 'v1',
+    slots: SLOTS,
+    state: 'ready',
+    isSuspect: false,
+    inFlightHere: 0,
+    observed: undefined,
+  };
+}
+
 /** Runs the loop for a time; may be run further, with other demand. */
 export class SpillLoop {
   readonly random = seedrandom('1');
@@ -57,7 +81,6 @@
       for (let count = 0; count < workers; count++) {
         this.workers.push({
           dataCentre: name,
-          state: 'ready',
           endTimes: [],
           waiting: [],
           served: 0,
@@ -80,17 +103,9 @@
   }
 
   private createEntry(site: LoopSite) {
-    const rows = this.workers.map(({dataCentre}, index): WorkerRow => ({
-      target: {nodeId: `worker-${index}`, incarnation: 1, peerAddress: ''},
-      dataCentre,
-      service: 'service',
-      version: 'v1',
-      slots: SLOTS,
-      state: 'ready',
-      isSuspect: false,
-      inFlightHere: 0,
-      observed: undefined,
-    }));
+    const rows = this.workers.map(({dataCentre}, index) =>
+      createSpillRow(dataCentre, index),
+    );
     const spill = new DataCentreSpill({
       service: 'service',
       count: () => {},
@@ -149,13 +164,9 @@
         const intervalMs = isNear ? NEAR_REPORT_MS : FAR_REPORT_MS;
         if ((this.now + index * TICK_MS) % intervalMs !== 0) continue;
         const figures = {
-          state: worker.state,
+          ...IDLE,
           inFlight: worker.endTimes.length,
           queued: worker.waiting.length,
-          limit: SLOTS,
-          serviceTimeUs: SERVICE_TIME_MS * 1000,
-          failureShare: 0,
-          pace: 1,
         };
         recordLoad(rows[index]!, figures, this.now);
       }
