--- a/src/coordination/call.ts
+++ b/src/coordination/call.ts
@@ -30,6 +30,7 @@
   isCapacityRefusal,
 } from './refusals/retry-rules.js';
 import {recordCancelled, recordFailedAttempt} from './attempt-outcomes.js';
+import {isSettledWithin, waitForFirst} from './hedge-race.js';
 import {SilentAttempts} from './silent-attempts.js';
 import {chooseWorker} from './routing/worker-choice.js';
 
@@ -366,32 +367,3 @@
 function closeAnswer(answer: AttemptAnswer): void {
   answer.body.rest?.on('error', () => {}).destroy();
 }
-
-function isSettledWithin(
-  attempt: Promise<unknown>,
-  limitMs: number,
-): Promise<boolean> {
-  return new Promise(resolve => {
-    const timer = setTimeout(() => resolve(false), limitMs);
-    const settle = (): void => {
-      clearTimeout(timer);
-      resolve(true);
-    };
-    attempt.then(settle, settle);
-  });
-}
-
-/** Returns which attempt succeeded first, or `main` when both failed. */
-async function waitForFirst(
-  main: Promise<AttemptAnswer>,
-  hedge: Promise<AttemptAnswer>,
-): Promise<'main' | 'hedge'> {
-  try {
-    return await Promise.any([
-      main.then(() => 'main' as const),
-      hedge.then(() => 'hedge' as const),
-    ]);
-  } catch {
-    return 'main';
-  }
-}
