Refuse at the entry what each gate would refuse

Cause: while more requests arrive than all workers can serve in time, each refusal costs an exchange with a gate, and Retry-After follows the queue of that one gate, so that callers return together (docs/design/hard-load.md).

Change: where refusals.at_entry is on and the policy is paced, an entry refuses a caller's request at once when recent figures of all usable workers show a wait above what its gate would allow. A refused request asks no further gate that is shown to be full. Its time to return follows the backlog of the subset, spread over the entry's share of the workers' rate; a request that keeps to its time is preferred once, and one that returns early gains nothing.

The whole suite was not run.

--- a/src/coordination/call.ts
+++ b/src/coordination/call.ts
@@ -23,6 +23,7 @@
 import type {WorkerRow} from '../state/worker-table.js';
 import {recordLoad} from '../state/worker-table.js';
 import type {EntryOptions, EntryServiceState} from './entry.js';
+import type {CallRefusals} from './refusals/capacity-refusals.js';
 import {
   findRetryCost,
   findStatusRetryCost,
@@ -56,6 +57,8 @@
   private hasLostConnection = false;
   /** Whether an attempt of this call may have run. */
   private mayHaveRun = false;
+  /** Undefined where the profile leaves capacity refusals to the gates. */
+  private readonly capacity: CallRefusals | undefined;
 
   constructor(
     private readonly options: EntryOptions,
@@ -66,6 +69,8 @@
   ) {
     this.explainer = options.explanations.start(request);
     if (request.isNested) this.explainer.add('nested', {});
+    const {capacityRefusals} = serviceState;
+    this.capacity = capacityRefusals.start(request, profile, this.explainer);
   }
 
   /**
@@ -77,8 +82,12 @@
     let last: RefusalError | undefined;
     for (;;) {
       const row = this.chooseRow();
-      if (!row)
-        return this.waitForSilent(last ?? new RefusalError(Reason.NO_WORKER));
+      if (!row) {
+        const refusal = last ?? this.capacity?.refusal;
+        return this.waitForSilent(
+          refusal ?? new RefusalError(Reason.NO_WORKER),
+        );
+      }
       try {
         const answer = await this.waitForEither(this.runAttempts(row));
         if (!this.takeStatusRetry(answer)) return this.recordAnswer(answer);
@@ -145,9 +154,10 @@
       );
     const {service} = this.request;
     this.serviceState.choiceCount += 1;
+    const rows = this.options.selectWorkers(service, eligible);
     return chooseWorker(
       this.profile.balancing,
-      this.options.selectWorkers(service, eligible),
+      this.capacity?.selectRows(rows) ?? rows,
       {
         dataCentre,
         farCostMs: this.profile.farCost,
@@ -232,7 +242,9 @@
     this.explainer.add(kind, describeChoice(row, startedAt));
     try {
       const answer = await this.sendAttempt(attempt, signal);
-      this.serviceState.attemptTimes?.record(performance.now() - startedAt);
+      const elapsedMs = performance.now() - startedAt;
+      this.serviceState.attemptTimes?.record(elapsedMs);
+      this.capacity?.recordAnswer(elapsedMs, answer.load?.pace);
       if (answer.load) recordLoad(row, answer.load);
       // A streamed answer counts as in flight until its body has ended.
       answer.body.rest?.once('close', end);
@@ -289,6 +301,11 @@
 
   private takeRetry(refusal: RefusalError): boolean {
     if (this.hasEnded() || !(refusal instanceof AttemptError)) return false;
+    if (this.capacity && isCapacityRefusal(refusal)) {
+      const isTried = ({target}: WorkerRow): boolean =>
+        this.triedTargets.has(target);
+      if (!this.capacity.recordRefusal(isTried)) return false;
+    }
     const {paysForRefusals} = this.profile.retries;
     const {request, startedAt} = this;
     const hasTime = hasTimeToRetryRefusal(
@@ -346,7 +363,8 @@
   private buildRefusal(last: RefusalError): RefusalError {
     const {reason, verdict} = last;
     this.explainer.add('refusal', {reason, verdict});
-    return markMayHaveRun(last, this.mayHaveRun);
+    if (this.mayHaveRun) return markMayHaveRun(last, true);
+    return this.capacity?.setReturnTime(last) ?? last;
   }
 }
 
--- a/src/coordination/entry.ts
+++ b/src/coordination/entry.ts
@@ -15,6 +15,7 @@
 import type {WorkerRow, WorkerTable} from '../state/worker-table.js';
 import {Call} from './call.js';
 import type {NestedCalls} from './nested-calls.js';
+import {CapacityRefusals} from './refusals/capacity-refusals.js';
 import {RetryBudget, TokenBudget} from './refusals/retry-budget.js';
 
 /** Durations of recent attempts, from which the hedge delay is computed. */
@@ -37,6 +38,11 @@
   readonly createAttemptId: () => string;
   /** Counts retries, hedges and other events by name. */
   readonly count: (name: string) => void;
+  /** Writes a line to the node's log. */
+  readonly report?: (
+    text: string,
+    context: Readonly<Record<string, string | number>>,
+  ) => void;
   /** Detects calls made by running requests. */
   readonly nestedCalls: NestedCalls;
   /** Whether requests of this fingerprint crash workers. */
@@ -58,6 +64,7 @@
   /** Undefined at a node that never hedges. */
   readonly attemptTimes: AttemptTimes | undefined;
   readonly inFlightByCaller: Map<string, number>;
+  readonly capacityRefusals: CapacityRefusals;
   /** Number of worker choices so far, used for round robin. */
   choiceCount: number;
 }
@@ -128,6 +135,15 @@
     return retries.budgetBurst / entries;
   }
 
+  /** Counts the workers of a service and the entries that send to them. */
+  private countSenders(service: string): {workers: number; entries: number} {
+    const {workers} = this.options;
+    return {
+      workers: workers.listWorkers(service).length,
+      entries: workers.listNodes().length,
+    };
+  }
+
   private findServiceState(
     service: string,
     profile: Profile,
@@ -139,6 +155,10 @@
         hedges: new TokenBudget(),
         attemptTimes: this.options.createAttemptTimes?.(),
         inFlightByCaller: new Map(),
+        capacityRefusals: new CapacityRefusals(service, {
+          ...this.options,
+          countSenders: name => this.countSenders(name),
+        }),
         choiceCount: 0,
       };
       this.stateByService.set(service, serviceState);
--- a/src/directory-node.ts
+++ b/src/directory-node.ts
@@ -300,6 +300,7 @@
       random: Math.random,
       createAttemptId: randomUUID,
       count: name => this.metrics.count(name),
+      report: (text, context) => this.log(text, context),
       isQuarantined: fingerprint => this.crashTable.isQuarantined(fingerprint),
       selectWorkers: (service, rows) =>
         this.subset.select(this.moves.versions.selectWorkers(service, rows)),
--- a/src/node-process.ts
+++ b/src/node-process.ts
@@ -163,6 +163,8 @@
       createAttemptTimes: () => new QuantileWindow(),
       createAttemptId: randomUUID,
       count: name => this.metrics.count(name),
+      report: (text, context) =>
+        this.logger.write('info', text, context as LogContext),
       isQuarantined: fingerprint => this.crashTable.isQuarantined(fingerprint),
       selectWorkers: (service, rows) =>
         this.moves.versions.selectWorkers(service, rows),
