Describe refusals at the entry, and test repeated returns

The two added tests fail without the bound that they name (seen with each line removed): the promised time as the earliest, and the count of repeated requests.

--- a/src/test/capacity-refusals_test.ts
+++ b/src/test/capacity-refusals_test.ts
@@ -187,4 +187,27 @@
         delayMs,
       );
   });
+
+  // Guards against a caller that asks again until it is told an earlier time.
+  it('tells no earlier time to a request that is repeated', async () => {
+    const bench = new Bench(true);
+    await bench.start();
+    bench.setLoad({...FULL, queued: 10});
+    const firstMs = Number(await bench.send('a'));
+    bench.setLoad(FULL);
+    expect(await bench.send('a')).toBeGreaterThanOrEqual(firstMs);
+  });
+
+  // Guards against a caller that delays the returns of all others.
+  it('delays others no more for a request that is repeated often', async () => {
+    const delays: Array<number | 'served'> = [];
+    for (const repeats of [3, 30]) {
+      const bench = new Bench(true);
+      await bench.start();
+      bench.setLoad(FULL);
+      for (let sent = 0; sent < repeats; sent++) await bench.send('a');
+      delays.push(await bench.send('b'));
+    }
+    expect(delays[1]).toBe(delays[0]);
+  });
 });
