--- a/src/coordination/call.ts
+++ b/src/coordination/call.ts
@@ -23,6 +23,7 @@
 import type {WorkerRow} from '../state/worker-table.js';
 import {recordLoad} from '../state/worker-table.js';
 import type {EntryOptions, EntryServiceState} from './entry.js';
+import type {CallRefusals} from './refusals/capacity-refusals.js';
 import {
   findRetryCost,
   findStatusRetryCost,
@@ -30,8 +31,8 @@
   isCapacityRefusal,
 } from './refusals/retry-rules.js';
 import {recordCancelled, recordFailedAttempt} from './attempt-outcomes.js';
+import {isSettledWithin, waitForFirst} from './hedge-race.js';
 import {SilentAttempts} from './silent-attempts.js';
-import {isSettledWithin, waitForFirst} from './attempt-race.js';
 import {
   buildSpillContext,
   describeChoice,
@@ -63,6 +64,10 @@
   private wasRefusedAtHome = false;
   /** Whether an attempt of this call may have run. */
   private mayHaveRun = false;
+  /** Undefined where the profile leaves capacity refusals to the gates. */
+  private readonly capacity: CallRefusals | undefined;
+  /** Worker of the next attempt, if it is chosen already. */
+  private nextRow: WorkerRow | undefined;
 
   constructor(
     private readonly options: EntryOptions,
@@ -73,6 +78,8 @@
   ) {
     this.explainer = options.explanations.start(request);
     if (request.isNested) this.explainer.add('nested', {});
+    const {capacityRefusals} = serviceState;
+    this.capacity = capacityRefusals.start(request, profile, this.explainer);
   }
 
   /**
@@ -83,9 +90,14 @@
   async run(): Promise<AttemptAnswer> {
     let last: RefusalError | undefined;
     for (;;) {
-      const row = this.chooseRow();
-      if (!row)
-        return this.waitForSilent(last ?? new RefusalError(Reason.NO_WORKER));
+      const row = this.nextRow ?? this.chooseRow();
+      this.nextRow = undefined;
+      if (!row) {
+        const refusal = last ?? this.capacity?.refusal;
+        return this.waitForSilent(
+          refusal ?? new RefusalError(Reason.NO_WORKER),
+        );
+      }
       try {
         const answer = await this.waitForEither(this.runAttempts(row));
         if (!this.takeStatusRetry(answer)) return this.recordAnswer(answer);
@@ -152,6 +164,7 @@
       );
     const {service} = this.request;
     this.serviceState.choiceCount += 1;
+    const rows = this.options.selectWorkers(service, eligible);
     const now = performance.now();
     const {triedTargets, wasRefusedAtHome} = this;
     const isFirst = triedTargets.size === 0;
@@ -162,7 +175,7 @@
     );
     return chooseWorker(
       this.profile.balancing,
-      this.options.selectWorkers(service, eligible),
+      this.capacity?.selectRows(rows) ?? rows,
       {
         dataCentre,
         farCostMs: this.profile.farCost,
@@ -251,7 +264,9 @@
     });
     try {
       const answer = await this.sendAttempt(attempt, signal);
-      this.serviceState.attemptTimes?.record(performance.now() - startedAt);
+      const elapsedMs = performance.now() - startedAt;
+      this.serviceState.attemptTimes?.record(elapsedMs);
+      this.capacity?.recordAnswer(elapsedMs, answer.load?.pace);
       if (answer.load) recordLoad(row, answer.load);
       // A streamed answer counts as in flight until its body has ended.
       answer.body.rest?.once('close', end);
@@ -331,6 +346,11 @@
       performance.now(),
     );
     const cost = findRetryCost(request, refusal, paysForRefusals, hasTime);
+    if (cost !== undefined && this.capacity && isCapacityRefusal(refusal)) {
+      this.nextRow = this.chooseRow();
+      if (this.nextRow && !this.capacity.checkFurther(this.nextRow))
+        return false;
+    }
     return this.takeRetryTokens(cost, refusal.reason);
   }
 
@@ -380,7 +400,8 @@
   private buildRefusal(last: RefusalError): RefusalError {
     const {reason, verdict} = last;
     this.explainer.add('refusal', {reason, verdict});
-    return markMayHaveRun(last, this.mayHaveRun);
+    if (this.mayHaveRun) return markMayHaveRun(last, true);
+    return this.capacity?.setReturnTime(last) ?? last;
   }
 }
 
--- a/src/coordination/entry.ts
+++ b/src/coordination/entry.ts
@@ -16,6 +16,7 @@
 import {Call} from './call.js';
 import type {NestedCalls} from './nested-calls.js';
 import {DataCentreSpill} from './routing/data-centre-spill.js';
+import {CapacityRefusals} from './refusals/capacity-refusals.js';
 import {RetryBudget, TokenBudget} from './refusals/retry-budget.js';
 
 /** Durations of recent attempts, from which the hedge delay is computed. */
@@ -66,6 +67,7 @@
   readonly inFlightByCaller: Map<string, number>;
   /** Share of requests that leave the data centre. */
   readonly spill: DataCentreSpill;
+  readonly capacityRefusals: CapacityRefusals;
   /** Number of worker choices so far, used for round robin. */
   choiceCount: number;
 }
@@ -136,6 +138,15 @@
     return retries.budgetBurst / entries;
   }
 
+  /** Counts the workers of a service and the entries that send to them. */
+  private countSenders(service: string): {workers: number; entries: number} {
+    const {workers} = this.options;
+    return {
+      workers: workers.listWorkers(service).length,
+      entries: workers.listNodes().length,
+    };
+  }
+
   private findServiceState(
     service: string,
     profile: Profile,
@@ -149,6 +160,10 @@
         attemptTimes: this.options.createAttemptTimes?.(),
         inFlightByCaller: new Map(),
         spill: new DataCentreSpill({service, count, report}),
+        capacityRefusals: new CapacityRefusals(service, {
+          ...this.options,
+          countSenders: name => this.countSenders(name),
+        }),
         choiceCount: 0,
       };
       this.stateByService.set(service, serviceState);
--- a/src/coordination/attempt-race.ts
+++ b/src/coordination/hedge-race.ts
@@ -1,7 +1,7 @@
-/** Waits for one of two attempts, or for one within a time. */
+/** Waits for an attempt of a call and its hedge, which run in parallel. */
 import type {AttemptAnswer} from '../protocol/attempt.js';
 
-/** Returns whether an attempt ends, in whatever way, within a time. */
+/** Whether an attempt settles within a time. */
 export function isSettledWithin(
   attempt: Promise<unknown>,
   limitMs: number,
