Split the admission by slots into smaller modules

Change: load publishing, the averages over outcomes and the promise of a waiting request move to modules of their own. Behaviour is unchanged.

--- a/src/coordination/admission/slot-admission.ts
+++ b/src/coordination/admission/slot-admission.ts
@@ -19,29 +19,19 @@
 import {ColdRateLimit} from './cold-rate-limit.js';
 import {SlotOutcome} from './concurrency-limit.js';
 import {KneeLimit} from './knee-limit.js';
+import {LoadPublisher} from './load-publisher.js';
 import {RankQueue} from './rank-queue.js';
+import {ServiceAverages} from './service-averages.js';
 import {WaitPolicy} from './wait-policy.js';
+import type {WaitingRequest} from './waiting-request.js';
+import {enqueueRequest} from './waiting-request.js';
 import type {
   AdmissionRequest,
   Slot,
   WorkerAdmission,
 } from './worker-admission.js';
 
-interface QueuedRequest {
-  readonly request: AdmissionRequest;
-  readonly rank: number;
-  readonly dueAt: number;
-  /** Time at which the request is refused unless it has got a slot. */
-  readonly expiresAt: number;
-  resolve(slot: Slot): void;
-  reject(error: RefusalError): void;
-}
-
 const US_PER_MS = 1000;
-/** Weight of a new sample in the moving averages. */
-const AVERAGE_WEIGHT = 0.1;
-/** Service time assumed before the first answer. */
-const DEFAULT_SERVICE_MS = 100;
 /**
  * Time that a worker takes to notice a cancellation; until then the request
  * counts as in flight.
@@ -56,10 +46,6 @@
 const IDLE_PROBE_INTERVAL_MS = 1000;
 /** Time after a request for which the worker counts as active. */
 const ACTIVITY_WINDOW_MS = 1000;
-/** Change of utilization that is published at once. */
-const MIN_UTILIZATION_CHANGE = 0.45;
-/** Change of the natural logarithm of the pace that is published at once. */
-const MIN_LOG_PACE_CHANGE = 0.25;
 /** Consecutive lost connections that indicate a restart of the worker. */
 const LOST_STREAK = 2;
 /** Time for which requests are refused after a connection failure. */
@@ -67,26 +53,22 @@
 
 /** Admission to one worker with known slots. */
 export class SlotAdmission implements WorkerAdmission {
-  private readonly queue = new RankQueue<QueuedRequest>();
+  private readonly queue = new RankQueue<WaitingRequest>();
   private readonly knee: KneeLimit;
   private readonly cold: ColdRateLimit;
   private readonly waitPolicy = new WaitPolicy(route =>
     this.computeServiceMs(route),
   );
+  private readonly averages = new ServiceAverages();
+  private readonly publisher = new LoadPublisher();
   private inFlight = 0;
-  private serviceMs = 0;
-  private failureShare = 0;
   private isDraining = false;
-  private lostStreak = 0;
   private unreachableUntil = -Infinity;
   private pace = 1;
   private figuresAt = -Infinity;
   private lastSentAt = -Infinity;
   private lastOutcomeTime = -Infinity;
   private timer: TimerId | undefined;
-  /** Called when the load has changed enough to be published at once. */
-  handleLoadChange: () => void = () => {};
-  private publishedLoad: WorkerLoad | undefined;
 
   constructor(
     slots: number,
@@ -98,14 +80,19 @@
     this.cold = new ColdRateLimit(limits.coldRate);
   }
 
+  /** Sets what is called when the load has changed enough to be published. */
+  set handleLoadChange(handler: () => void) {
+    this.publisher.handleChange = handler;
+  }
+
   get load(): WorkerLoad {
     return {
       state: this.findState(),
       inFlight: this.inFlight,
       queued: this.queue.length,
       limit: this.knee.value,
-      serviceTimeUs: this.serviceMs * US_PER_MS,
-      failureShare: this.failureShare,
+      serviceTimeUs: this.averages.serviceMs * US_PER_MS,
+      failureShare: this.averages.failureShare,
       pace: this.pace,
     };
   }
@@ -125,7 +112,7 @@
     this.isDraining = state === WorkerState.DRAINING;
     if (this.isDraining) this.refuseAll(Reason.WORKER_DRAINING);
     this.serveQueue();
-    this.publishLoadChange();
+    this.publisher.publish(this.load);
   }
 
   resetToCold(): void {
@@ -134,7 +121,7 @@
 
   recordProbeAnswer({coldMs}: ProbeAnswer): void {
     this.unreachableUntil = -Infinity;
-    this.lostStreak = 0;
+    this.averages.lostStreak = 0;
     this.cold.recordHealth(coldMs ?? 0, this.now());
     this.serveQueue();
   }
@@ -143,13 +130,13 @@
     this.unreachableUntil = this.now() + UNREACHABLE_HOLD_MS;
     this.cold.reset();
     this.refuseAll(Reason.WORKER_GONE);
-    this.publishLoadChange();
+    this.publisher.publish(this.load);
   }
 
   recordLoadReport(figures: UpstreamLoadReport): void {
     this.pace = figures.pace;
     this.figuresAt = this.now();
-    this.publishLoadChange();
+    this.publisher.publish(this.load);
   }
 
   hasStaleFigures(lastProbeAt: number): boolean {
@@ -177,26 +164,6 @@
     return this.enqueue(request, signal, now, maxWaitMs);
   }
 
-  /**
-   * Reports the load if it has changed enough. Smaller changes wait for the
-   * next regular message, to save traffic.
-   */
-  private publishLoadChange(): void {
-    const {load, publishedLoad} = this;
-    const utilization = (load.inFlight + load.queued) / load.limit;
-    const publishedUtilization = publishedLoad
-      ? (publishedLoad.inFlight + publishedLoad.queued) / publishedLoad.limit
-      : Infinity;
-    const paceChange = load.pace / (publishedLoad?.pace ?? Infinity);
-    const isSignificant =
-      load.state !== publishedLoad?.state ||
-      Math.abs(utilization - publishedUtilization) >= MIN_UTILIZATION_CHANGE ||
-      Math.abs(Math.log(paceChange)) >= MIN_LOG_PACE_CHANGE;
-    if (!isSignificant) return;
-    this.publishedLoad = load;
-    this.handleLoadChange();
-  }
-
   private findState(): WorkerState {
     const now = this.now();
     if (this.isDraining) return WorkerState.DRAINING;
@@ -235,8 +202,9 @@
   /** Returns the expected service time of a route in milliseconds. */
   private computeServiceMs(route: string): number {
     const routeMeanMs = this.knee.findMeanMs(route);
-    const meanMs = this.serviceMs > 0 ? this.serviceMs : DEFAULT_SERVICE_MS;
-    return routeMeanMs === undefined ? meanMs : routeMeanMs * this.pace;
+    return routeMeanMs === undefined
+      ? this.averages.expectedMs
+      : routeMeanMs * this.pace;
   }
 
   /** Returns the expected wait for a slot in milliseconds. */
@@ -244,8 +212,7 @@
     const ahead = this.queue.countAhead(
       this.waitPolicy.computeOrder(request, now),
     );
-    const meanMs = this.serviceMs > 0 ? this.serviceMs : DEFAULT_SERVICE_MS;
-    const slotMs = ((ahead + 1) * meanMs) / this.knee.value;
+    const slotMs = ((ahead + 1) * this.averages.expectedMs) / this.knee.value;
     if (!this.cold.isCold(now)) return slotMs;
     const rate = this.limits.coldRate ?? 1;
     return this.cold.computeWait(now) + (ahead * US_PER_MS) / rate;
@@ -262,32 +229,13 @@
     now: number,
     maxWaitMs: number,
   ): Promise<Slot> {
-    return new Promise((resolve, reject) => {
-      const handleAbort = (): void => {
-        if (this.queue.remove(entry)) {
-          entry.reject(findAbortRefusal(signal));
-        }
-      };
-      const removeAbortListener = (): void =>
-        signal.removeEventListener('abort', handleAbort);
-      const entry: QueuedRequest = {
-        request,
-        ...this.waitPolicy.computeOrder(request, now),
-        expiresAt: Math.min(now + maxWaitMs, request.deadline),
-        resolve: slot => {
-          removeAbortListener();
-          resolve(slot);
-        },
-        reject: error => {
-          removeAbortListener();
-          reject(error);
-        },
-      };
-      signal.addEventListener('abort', handleAbort, {once: true});
-      this.queue.add(entry);
-      this.publishLoadChange();
-      this.watchQueue();
-    });
+    const expiresAt = Math.min(now + maxWaitMs, request.deadline);
+    const order = this.waitPolicy.computeOrder(request, now);
+    const start = {request, ...order, expiresAt};
+    const slot = enqueueRequest(this.queue, start, signal);
+    this.publisher.publish(this.load);
+    this.watchQueue();
+    return slot;
   }
 
   private takeSlot(request: AdmissionRequest, now: number): Slot {
@@ -297,7 +245,7 @@
     const running = this.inFlight;
     const pace = this.pace;
     let isReleased = false;
-    this.publishLoadChange();
+    this.publisher.publish(this.load);
     return {
       release: outcome => {
         if (isReleased) return;
@@ -317,7 +265,7 @@
   private endRun(): void {
     this.inFlight -= 1;
     this.serveQueue();
-    this.publishLoadChange();
+    this.publisher.publish(this.load);
   }
 
   private record(
@@ -328,30 +276,19 @@
     pace: number,
   ): void {
     if (outcome === SlotOutcome.CANCELLED) {
-      if (elapsedMs > this.serviceMs) this.recordServiceTime(elapsedMs);
+      this.averages.recordCancelled(elapsedMs);
       return;
     }
-    const isSuccess = outcome === SlotOutcome.SUCCESS;
     this.lastOutcomeTime = this.now();
-    const failure = isSuccess ? 0 : 1;
-    this.failureShare += AVERAGE_WEIGHT * (failure - this.failureShare);
-    const isLost =
-      outcome === SlotOutcome.CONNECTION_LOST ||
-      outcome === SlotOutcome.UNREACHABLE;
-    this.lostStreak = isLost ? this.lostStreak + 1 : 0;
+    this.averages.recordOutcome(outcome);
     // A new process may have taken over the address, and it starts cold.
-    if (this.lostStreak >= LOST_STREAK) this.cold.reset();
+    if (this.averages.lostStreak >= LOST_STREAK) this.cold.reset();
     if (outcome === SlotOutcome.UNREACHABLE) this.recordUnreachable();
-    if (!isSuccess) return;
-    this.recordServiceTime(elapsedMs);
+    if (outcome !== SlotOutcome.SUCCESS) return;
+    this.averages.recordServiceTime(elapsedMs);
     this.knee.record(route, running, elapsedMs / Math.max(pace, 0.1));
   }
 
-  private recordServiceTime(elapsedMs: number): void {
-    const weight = this.serviceMs === 0 ? 1 : AVERAGE_WEIGHT;
-    this.serviceMs += weight * (elapsedMs - this.serviceMs);
-  }
-
   private serveQueue(): void {
     const now = this.now();
     while (this.queue.length > 0 && this.hasCapacity(now)) {
@@ -365,7 +302,7 @@
     this.watchQueue();
   }
 
-  private refuseQueued(waiting: QueuedRequest, now: number): void {
+  private refuseQueued(waiting: WaitingRequest, now: number): void {
     const waitMs = this.computeWait(waiting.request, now);
     waiting.reject(this.buildOverloadRefusal(now, waitMs));
   }
@@ -420,14 +357,3 @@
     this.serveQueue();
   }
 }
-
-/**
- * Returns the refusal for an aborted wait: that of the signal, such as a
- * passed deadline, or else that the caller has disconnected.
- */
-function findAbortRefusal(signal: AbortSignal): RefusalError {
-  const reason: unknown = signal.reason;
-  return reason instanceof RefusalError
-    ? reason
-    : new RefusalError(Reason.CALLER_GONE);
-}
