Reserve slots for nested calls at a gate

Cause: a nested call goes first in the queue, yet waits until one of the slots that callers' own requests fill becomes free, and its target is short. Change: where admission.reservesForCalls is set, a gate averages the slots that nested calls use over 2 s and holds as many (at most half of the limit) against callers' own requests. These keep one slot beside a flood of calls. A slot is never held for a class that may not take it. The expected wait counts the work ahead by route and the slots that the class may use. Held slots are counted (admission.held-for-calls, admission.held-for-own), changes of the reservation logged at most once a second, and both stand in a refusal's detail.

--- a/src/coordination/admission/slot-admission.ts
+++ b/src/coordination/admission/slot-admission.ts
@@ -22,6 +22,14 @@
 import {LoadPublisher} from './load-publisher.js';
 import {RankQueue} from './rank-queue.js';
 import {ServiceAverages} from './service-averages.js';
+import type {SlotRules} from './slot-allocation.js';
+import {
+  findNextItem,
+  NO_SLOT_RULES,
+  SlotAllocation,
+} from './slot-allocation.js';
+import type {WorkClass} from './slot-shares.js';
+import {findHold} from './slot-shares.js';
 import {WaitPolicy} from './wait-policy.js';
 import type {WaitingRequest} from './waiting-request.js';
 import {enqueueRequest} from './waiting-request.js';
@@ -59,6 +67,7 @@
   private readonly waitPolicy = new WaitPolicy(route =>
     this.computeServiceMs(route),
   );
+  private readonly allocation: SlotAllocation;
   private readonly averages = new ServiceAverages();
   private readonly publisher = new LoadPublisher();
   private inFlight = 0;
@@ -75,7 +84,11 @@
     private limits: Profile['limits'],
     private readonly now: () => number = () => performance.now(),
     private readonly timers: Timers = SYSTEM_TIMERS,
+    rules: SlotRules = NO_SLOT_RULES,
   ) {
+    this.allocation = new SlotAllocation(rules, route =>
+      this.computeServiceMs(route),
+    );
     this.knee = new KneeLimit(slots);
     this.cold = new ColdRateLimit(limits.coldRate);
   }
@@ -154,14 +167,16 @@
     const now = this.now();
     this.checkAvailable(request, now);
     this.waitPolicy.record(request, now);
-    const isNext = this.queue.length === 0 || this.isHighestPriority(request);
-    if (isNext && this.hasCapacity(now)) return this.takeSlot(request, now);
-    const waitMs = this.computeWait(request, now);
+    const workClass = this.allocation.recordArrival(request, now);
+    if (this.hasSlotFor(request, workClass, now)) {
+      return this.takeSlot(request, workClass, now);
+    }
+    const waitMs = this.computeWait(request, workClass, now);
     const maxWaitMs = this.computeMaxWait(request, now);
     if (waitMs > maxWaitMs || this.queue.length >= this.limits.queueLength) {
       throw this.buildOverloadRefusal(now, waitMs);
     }
-    return this.enqueue(request, signal, now, maxWaitMs);
+    return this.enqueue(request, workClass, signal, now, maxWaitMs);
   }
 
   private findState(): WorkerState {
@@ -191,12 +206,22 @@
     return this.knee.admit(this.inFlight, hasWaiting) && this.cold.admit(now);
   }
 
-  private isHighestPriority(request: AdmissionRequest): boolean {
-    return (
-      this.queue.countAhead(
-        this.waitPolicy.computeOrder(request, this.now()),
-      ) === 0
-    );
+  /** Returns whether a request may start now, before all that wait. */
+  private hasSlotFor(
+    request: AdmissionRequest,
+    workClass: WorkClass,
+    now: number,
+  ): boolean {
+    const waiting = this.queue.list();
+    const state = this.allocation.computeState(this.knee.value, waiting, now);
+    const hold = state && findHold(workClass, state);
+    if (hold) {
+      if (this.inFlight < this.knee.value) this.allocation.countHeld(hold);
+      return false;
+    }
+    const order = this.waitPolicy.computeOrder(request, now);
+    const ahead = waiting.slice(0, this.queue.countAhead(order));
+    return !findNextItem(ahead, state) && this.hasCapacity(now);
   }
 
   /** Returns the expected service time of a route in milliseconds. */
@@ -208,11 +233,20 @@
   }
 
   /** Returns the expected wait for a slot in milliseconds. */
-  private computeWait(request: AdmissionRequest, now: number): number {
-    const ahead = this.queue.countAhead(
-      this.waitPolicy.computeOrder(request, now),
-    );
-    const slotMs = ((ahead + 1) * this.averages.expectedMs) / this.knee.value;
+  private computeWait(
+    request: AdmissionRequest,
+    workClass: WorkClass,
+    now: number,
+  ): number {
+    const order = this.waitPolicy.computeOrder(request, now);
+    const ahead = this.queue.countAhead(order);
+    const slotMs =
+      this.allocation.computeWait(
+        workClass,
+        this.queue.list().slice(0, ahead),
+        this.knee.value,
+        now,
+      ) ?? ((ahead + 1) * this.averages.expectedMs) / this.knee.value;
     if (!this.cold.isCold(now)) return slotMs;
     const rate = this.limits.coldRate ?? 1;
     return this.cold.computeWait(now) + (ahead * US_PER_MS) / rate;
@@ -225,21 +259,27 @@
 
   private enqueue(
     request: AdmissionRequest,
+    workClass: WorkClass,
     signal: AbortSignal,
     now: number,
     maxWaitMs: number,
   ): Promise<Slot> {
     const expiresAt = Math.min(now + maxWaitMs, request.deadline);
     const order = this.waitPolicy.computeOrder(request, now);
-    const start = {request, ...order, expiresAt};
+    const start = {request, workClass, ...order, expiresAt};
     const slot = enqueueRequest(this.queue, start, signal);
     this.publisher.publish(this.load);
     this.watchQueue();
     return slot;
   }
 
-  private takeSlot(request: AdmissionRequest, now: number): Slot {
+  private takeSlot(
+    request: AdmissionRequest,
+    workClass: WorkClass,
+    now: number,
+  ): Slot {
     this.inFlight += 1;
+    const endUse = this.allocation.start(workClass, request.route);
     this.lastSentAt = now;
     this.cold.recordSent(now);
     const running = this.inFlight;
@@ -256,14 +296,15 @@
         const meanPace = (pace + this.pace) / 2;
         this.record(outcome, request.route, running, elapsedMs, meanPace);
         if (outcome === SlotOutcome.CANCELLED) {
-          this.timers.set(() => this.endRun(), CANCELLATION_GRACE_MS);
-        } else this.endRun();
+          this.timers.set(() => this.endRun(endUse), CANCELLATION_GRACE_MS);
+        } else this.endRun(endUse);
       },
     };
   }
 
-  private endRun(): void {
+  private endRun(endUse: () => void): void {
     this.inFlight -= 1;
+    endUse();
     this.serveQueue();
     this.publisher.publish(this.load);
   }
@@ -291,10 +332,15 @@
 
   private serveQueue(): void {
     const now = this.now();
-    while (this.queue.length > 0 && this.hasCapacity(now)) {
-      const waiting = this.queue.take()!;
+    for (;;) {
+      const list = this.queue.list();
+      const state = this.allocation.computeState(this.knee.value, list, now);
+      const waiting = findNextItem(list, state);
+      if (!waiting || !this.hasCapacity(now)) break;
+      this.queue.remove(waiting);
       if (now < waiting.expiresAt) {
-        waiting.resolve(this.takeSlot(waiting.request, now));
+        const {request, workClass} = waiting;
+        waiting.resolve(this.takeSlot(request, workClass, now));
       } else {
         this.refuseQueued(waiting, now);
       }
@@ -303,7 +349,7 @@
   }
 
   private refuseQueued(waiting: WaitingRequest, now: number): void {
-    const waitMs = this.computeWait(waiting.request, now);
+    const waitMs = this.computeWait(waiting.request, waiting.workClass, now);
     waiting.reject(this.buildOverloadRefusal(now, waitMs));
   }
 
@@ -318,6 +364,7 @@
       `sent ${this.cold.countSent(now)} in 1 s`,
       `warm ${Math.round(this.cold.computeHealthAge(now))} ms ago`,
       `pace ${this.pace}`,
+      ...this.allocation.describe(this.knee.value, now),
     ].join(', ');
     const retryAfterMs = Math.max(0, Math.round(waitMs));
     return new RefusalError(reason, Verdict.NOT_RUN, detail, retryAfterMs);
--- a/src/coordination/admission/waiting-request.ts
+++ b/src/coordination/admission/waiting-request.ts
@@ -4,10 +4,11 @@
  */
 import {Reason, RefusalError} from '../../protocol/reasons.js';
 import type {RankedItem, RankQueue} from './rank-queue.js';
+import type {ClassifiedItem} from './slot-allocation.js';
 import type {AdmissionRequest, Slot} from './worker-admission.js';
 
 /** Properties with which a request starts to wait. */
-export interface WaitStart extends RankedItem {
+export interface WaitStart extends RankedItem, ClassifiedItem {
   readonly request: AdmissionRequest;
   /** Time at which the request is refused unless it has got a slot. */
   readonly expiresAt: number;
--- a/src/directory-gate.ts
+++ b/src/directory-gate.ts
@@ -12,6 +12,7 @@
   createObservedConnection,
   NORMAL_CONDITION,
 } from './coordination/observed-connection.js';
+import type {ReportEstimate} from './coordination/admission/estimate-log.js';
 import {SlotAdmission} from './coordination/admission/slot-admission.js';
 import type {WorkerConnection} from './coordination/local-worker.js';
 import type {Announcement} from './protocol/announcement.js';
@@ -42,6 +43,8 @@
   /** Records a finished request as evidence about its version. */
   readonly recordRequest: (seen: ObservedRequest) => void;
   readonly count: (name: string) => void;
+  /** Logs a change of an estimate. */
+  readonly report: ReportEstimate;
 }
 
 /** Creates the gate of a node with a directory. */
@@ -71,8 +74,19 @@
     dataCentre,
     new CrashQuarantine(crashTable, options.publishCrashes),
     {
-      createAdmission: ({slots}, limits) => {
-        const admission = new SlotAdmission(slots, limits);
+      createAdmission: ({service, slots}, limits) => {
+        const admission = new SlotAdmission(
+          slots,
+          limits,
+          undefined,
+          undefined,
+          {
+            findRules: () => state.findProfile(service)?.admission,
+            count: options.count,
+            report: (text, context) =>
+              options.report(text, {service, ...context}),
+          },
+        );
         admission.handleLoadChange = options.handleLoadChange;
         return admission;
       },
--- a/src/directory-node.ts
+++ b/src/directory-node.ts
@@ -131,6 +131,7 @@
       handleLoadChange: () => this.directory.scheduleBeacon(),
       recordRequest: observed => this.moves.evidence.record(observed),
       count: name => this.metrics.count(name),
+      report: (text, context) => this.log(text, context),
     });
     this.worker = new DirectoryWorker({
       nodeId: node.id,
