Divide a worker's slots between urgent and patient work

Cause: a burst of exports takes all slots of a worker, and each quick lookup then waits for an export to end; a burst of nested calls, which go first, leaves exports no slot at all; an export is refused as early as a lookup. Change: where admission.queuesPatientWork is set, a gate learns which routes are patient (their spare time is twice the shortest time that any route there has, and covers the longest patient service time). Patient work leaves the slots that urgent work uses, at least one while it arrives, and keeps one itself. It waits as long as it leaves twice its expected service time for its run. When the host turns so slow that it can't be in time, it is refused at once. The first request of a class joins a full queue, or a flood of another class would close the floor. Refusals say the place, the expected wait, how long the request waited and when patient work last started.

--- a/src/coordination/admission/call-reservation.ts
+++ b/src/coordination/admission/call-reservation.ts
@@ -9,17 +9,9 @@
 
 /** Largest part of the limit that is reserved. */
 const MAX_RESERVED_FRACTION = 0.5;
-/**
- * Distance of the demand from the reservation at which it changes by a slot.
- * Above one half, so that a demand between two numbers keeps either of them
- * instead of alternating.
- */
-const CHANGE_DISTANCE = 0.6;
-
 /** Estimates the slots that nested calls need at one worker. */
 export class CallReservation {
   private readonly demand = new SlotDemand();
-  private wanted = 0;
 
   /** Records a nested call with its expected service time. */
   recordCall(serviceMs: number, now: number): void {
@@ -37,10 +29,7 @@
    * of one.
    */
   compute(limit: number, now: number): number {
-    const use = this.demand.compute(now);
-    if (Math.abs(use - this.wanted) >= CHANGE_DISTANCE) {
-      this.wanted = Math.round(use);
-    }
-    return Math.min(this.wanted, Math.floor(limit * MAX_RESERVED_FRACTION));
+    const wanted = this.demand.computeWhole(now);
+    return Math.min(wanted, Math.floor(limit * MAX_RESERVED_FRACTION));
   }
 }
--- a/src/coordination/admission/slot-admission.ts
+++ b/src/coordination/admission/slot-admission.ts
@@ -9,7 +9,6 @@
 import {Reason, RefusalError} from '../../protocol/reasons.js';
 import type {TimerId, Timers} from '../../protocol/timers.js';
 import {SYSTEM_TIMERS} from '../../protocol/timers.js';
-import {Verdict} from '../../protocol/verdict.js';
 import type {
   ProbeAnswer,
   UpstreamLoadReport,
@@ -18,6 +17,7 @@
 import {WorkerState} from '../../protocol/worker-load.js';
 import {ColdRateLimit} from './cold-rate-limit.js';
 import {SlotOutcome} from './concurrency-limit.js';
+import {HostFigures} from './host-figures.js';
 import {KneeLimit} from './knee-limit.js';
 import {LoadPublisher} from './load-publisher.js';
 import {RankQueue} from './rank-queue.js';
@@ -28,10 +28,9 @@
   NO_SLOT_RULES,
   SlotAllocation,
 } from './slot-allocation.js';
-import type {WorkClass} from './slot-shares.js';
-import {findHold} from './slot-shares.js';
 import {WaitPolicy} from './wait-policy.js';
-import type {WaitingRequest} from './waiting-request.js';
+import {createOverloadRefusal} from './overload-refusal.js';
+import type {RankedRequest, WaitingRequest} from './waiting-request.js';
 import {enqueueRequest} from './waiting-request.js';
 import type {
   AdmissionRequest,
@@ -45,15 +44,6 @@
  * counts as in flight.
  */
 const CANCELLATION_GRACE_MS = 25;
-/**
- * Age after which reported load is stale while requests are sent, and the
- * shortest time between probes then.
- */
-const MAX_FIGURES_AGE_MS = 200;
-/** Time after a probe until the next one while no requests are sent. */
-const IDLE_PROBE_INTERVAL_MS = 1000;
-/** Time after a request for which the worker counts as active. */
-const ACTIVITY_WINDOW_MS = 1000;
 /** Consecutive lost connections that indicate a restart of the worker. */
 const LOST_STREAK = 2;
 /** Time for which requests are refused after a connection failure. */
@@ -73,9 +63,7 @@
   private inFlight = 0;
   private isDraining = false;
   private unreachableUntil = -Infinity;
-  private pace = 1;
-  private figuresAt = -Infinity;
-  private lastSentAt = -Infinity;
+  private readonly figures = new HostFigures();
   private lastOutcomeTime = -Infinity;
   private timer: TimerId | undefined;
 
@@ -86,9 +74,11 @@
     private readonly timers: Timers = SYSTEM_TIMERS,
     rules: SlotRules = NO_SLOT_RULES,
   ) {
-    this.allocation = new SlotAllocation(rules, route =>
-      this.computeServiceMs(route),
-    );
+    this.allocation = new SlotAllocation(rules, {
+      compute: route => this.computeServiceMs(route),
+      computeUsual: route =>
+        this.knee.findMeanMs(route) ?? this.averages.expectedMs,
+    });
     this.knee = new KneeLimit(slots);
     this.cold = new ColdRateLimit(limits.coldRate);
   }
@@ -106,7 +96,7 @@
       limit: this.knee.value,
       serviceTimeUs: this.averages.serviceMs * US_PER_MS,
       failureShare: this.averages.failureShare,
-      pace: this.pace,
+      pace: this.figures.pace,
     };
   }
 
@@ -147,36 +137,47 @@
   }
 
   recordLoadReport(figures: UpstreamLoadReport): void {
-    this.pace = figures.pace;
-    this.figuresAt = this.now();
+    const isSlower = figures.pace > this.figures.pace;
+    this.figures.record(figures.pace, this.now());
+    if (isSlower && this.allocation.hasRules) this.updateExpiry();
     this.publisher.publish(this.load);
   }
 
   hasStaleFigures(lastProbeAt: number): boolean {
     const now = this.now();
     if (this.isDraining) return false;
-    const isActive =
-      this.inFlight > 0 || now - this.lastSentAt < ACTIVITY_WINDOW_MS;
-    if (!isActive) return now - lastProbeAt > IDLE_PROBE_INTERVAL_MS;
-    if (now - lastProbeAt < MAX_FIGURES_AGE_MS) return false;
-    const isRateLimited = this.cold.isCold(now) || this.isNearColdRate(now);
-    return isRateLimited || now - this.figuresAt > MAX_FIGURES_AGE_MS;
+    return this.figures.isProbeDue(
+      now,
+      lastProbeAt,
+      this.inFlight > 0,
+      () => this.cold.isCold(now) || this.isNearColdRate(now),
+    );
   }
 
   async admit(request: AdmissionRequest, signal: AbortSignal): Promise<Slot> {
     const now = this.now();
     this.checkAvailable(request, now);
     this.waitPolicy.record(request, now);
-    const workClass = this.allocation.recordArrival(request, now);
-    if (this.hasSlotFor(request, workClass, now)) {
-      return this.takeSlot(request, workClass, now);
-    }
-    const waitMs = this.computeWait(request, workClass, now);
-    const maxWaitMs = this.computeMaxWait(request, now);
-    if (waitMs > maxWaitMs || this.queue.length >= this.limits.queueLength) {
-      throw this.buildOverloadRefusal(now, waitMs);
+    const item = this.buildItem(request, now);
+    if (this.hasSlotFor(item, now)) return this.takeSlot(item, now);
+    const waitMs = this.computeWait(item, now);
+    const maxWaitMs = this.computeMaxWait(item, now);
+    if (
+      waitMs > maxWaitMs ||
+      !this.allocation.hasQueueSpace(item, this.queue.list(), this.limits)
+    ) {
+      const mostMs = Math.round(maxWaitMs);
+      throw this.buildOverloadRefusal(item, now, `may wait ${mostMs} ms`);
     }
-    return this.enqueue(request, workClass, signal, now, maxWaitMs);
+    return this.enqueue(item, signal, now, maxWaitMs);
+  }
+
+  /** Records an arrival and determines its class and place in the queue. */
+  private buildItem(request: AdmissionRequest, now: number): RankedRequest {
+    const isLate = !request.isNested && this.waitPolicy.isLate(request, now);
+    const workClass = this.allocation.recordArrival(request, isLate, now);
+    const order = this.waitPolicy.computeOrder(request, now);
+    return {request, workClass, isLate, ...order};
   }
 
   private findState(): WorkerState {
@@ -207,20 +208,12 @@
   }
 
   /** Returns whether a request may start now, before all that wait. */
-  private hasSlotFor(
-    request: AdmissionRequest,
-    workClass: WorkClass,
-    now: number,
-  ): boolean {
+  private hasSlotFor(item: RankedRequest, now: number): boolean {
     const waiting = this.queue.list();
     const state = this.allocation.computeState(this.knee.value, waiting, now);
-    const hold = state && findHold(workClass, state);
-    if (hold) {
-      if (this.inFlight < this.knee.value) this.allocation.countHeld(hold);
-      return false;
-    }
-    const order = this.waitPolicy.computeOrder(request, now);
-    const ahead = waiting.slice(0, this.queue.countAhead(order));
+    const isFull = this.inFlight >= this.knee.value;
+    if (!this.allocation.admit(item, state, isFull)) return false;
+    const ahead = waiting.slice(0, this.queue.countAhead(item));
     return !findNextItem(ahead, state) && this.hasCapacity(now);
   }
 
@@ -229,20 +222,15 @@
     const routeMeanMs = this.knee.findMeanMs(route);
     return routeMeanMs === undefined
       ? this.averages.expectedMs
-      : routeMeanMs * this.pace;
+      : routeMeanMs * this.figures.pace;
   }
 
   /** Returns the expected wait for a slot in milliseconds. */
-  private computeWait(
-    request: AdmissionRequest,
-    workClass: WorkClass,
-    now: number,
-  ): number {
-    const order = this.waitPolicy.computeOrder(request, now);
-    const ahead = this.queue.countAhead(order);
+  private computeWait(item: RankedRequest, now: number): number {
+    const ahead = this.queue.countAhead(item);
     const slotMs =
       this.allocation.computeWait(
-        workClass,
+        item.workClass,
         this.queue.list().slice(0, ahead),
         this.knee.value,
         now,
@@ -252,38 +240,40 @@
     return this.cold.computeWait(now) + (ahead * US_PER_MS) / rate;
   }
 
-  private computeMaxWait(request: AdmissionRequest, now: number): number {
-    const maxWaitMs = this.waitPolicy.computeMaxWait(request, now);
+  private computeMaxWait(item: RankedRequest, now: number): number {
+    const shortMs = this.waitPolicy.computeMaxWait(item.request, now);
+    const maxWaitMs = this.allocation.computeMaxWait(item, shortMs, now);
     return Math.min(this.limits.queueWait, maxWaitMs);
   }
 
   private enqueue(
-    request: AdmissionRequest,
-    workClass: WorkClass,
+    item: RankedRequest,
     signal: AbortSignal,
     now: number,
     maxWaitMs: number,
   ): Promise<Slot> {
-    const expiresAt = Math.min(now + maxWaitMs, request.deadline);
-    const order = this.waitPolicy.computeOrder(request, now);
-    const start = {request, workClass, ...order, expiresAt};
+    const expiresAt = Math.min(now + maxWaitMs, item.request.deadline);
+    this.allocation.recordQueued(
+      item,
+      this.queue.countAhead(item) + 1,
+      this.computeWait(item, now),
+      now,
+    );
+    const start = {...item, enqueuedAt: now, expiresAt};
     const slot = enqueueRequest(this.queue, start, signal);
     this.publisher.publish(this.load);
     this.watchQueue();
     return slot;
   }
 
-  private takeSlot(
-    request: AdmissionRequest,
-    workClass: WorkClass,
-    now: number,
-  ): Slot {
+  private takeSlot(item: RankedRequest, now: number): Slot {
+    const {workClass, request} = item;
     this.inFlight += 1;
-    const endUse = this.allocation.start(workClass, request.route);
-    this.lastSentAt = now;
+    const endUse = this.allocation.start(workClass, request.route, now);
+    this.figures.recordSent(now);
     this.cold.recordSent(now);
     const running = this.inFlight;
-    const pace = this.pace;
+    const pace = this.figures.pace;
     let isReleased = false;
     this.publisher.publish(this.load);
     return {
@@ -293,7 +283,7 @@
         const elapsedMs = this.now() - now;
         // The pace may change while a request runs, so that at its start and
         // that at its end are averaged.
-        const meanPace = (pace + this.pace) / 2;
+        const meanPace = (pace + this.figures.pace) / 2;
         this.record(outcome, request.route, running, elapsedMs, meanPace);
         if (outcome === SlotOutcome.CANCELLED) {
           this.timers.set(() => this.endRun(endUse), CANCELLATION_GRACE_MS);
@@ -339,8 +329,7 @@
       if (!waiting || !this.hasCapacity(now)) break;
       this.queue.remove(waiting);
       if (now < waiting.expiresAt) {
-        const {request, workClass} = waiting;
-        waiting.resolve(this.takeSlot(request, workClass, now));
+        waiting.resolve(this.takeSlot(waiting, now));
       } else {
         this.refuseQueued(waiting, now);
       }
@@ -349,25 +338,40 @@
   }
 
   private refuseQueued(waiting: WaitingRequest, now: number): void {
-    const waitMs = this.computeWait(waiting.request, waiting.workClass, now);
-    waiting.reject(this.buildOverloadRefusal(now, waitMs));
+    const order = this.waitPolicy.computeOrder(waiting.request, now);
+    const waitedMs = Math.round(now - waiting.enqueuedAt);
+    const item = {...waiting, ...order};
+    const refusal = this.buildOverloadRefusal(
+      item,
+      now,
+      `waited ${waitedMs} ms`,
+    );
+    waiting.reject(refusal);
   }
 
   /** Creates a refusal whose detail holds the state that caused it. */
-  private buildOverloadRefusal(now: number, waitMs: number): RefusalError {
-    const reason = this.cold.isCold(now)
-      ? Reason.WORKER_COLD
-      : Reason.QUEUE_TIMEOUT;
-    const detail = [
-      `running ${this.inFlight} of ${this.knee.value}`,
-      `waiting ${this.queue.length}`,
-      `sent ${this.cold.countSent(now)} in 1 s`,
-      `warm ${Math.round(this.cold.computeHealthAge(now))} ms ago`,
-      `pace ${this.pace}`,
-      ...this.allocation.describe(this.knee.value, now),
-    ].join(', ');
-    const retryAfterMs = Math.max(0, Math.round(waitMs));
-    return new RefusalError(reason, Verdict.NOT_RUN, detail, retryAfterMs);
+  private buildOverloadRefusal(
+    item: RankedRequest,
+    now: number,
+    wait: string,
+  ): RefusalError {
+    const waitMs = this.computeWait(item, now);
+    const place = this.queue.countAhead(item) + 1;
+    return createOverloadRefusal({
+      isCold: this.cold.isCold(now),
+      running: this.inFlight,
+      limit: this.knee.value,
+      waiting: this.queue.length,
+      sent: this.cold.countSent(now),
+      healthAgeMs: this.cold.computeHealthAge(now),
+      pace: this.figures.pace,
+      waitMs,
+      further: this.allocation.describe(
+        [`place ${place}`, `expected wait ${Math.round(waitMs)} ms`, wait],
+        this.knee.value,
+        now,
+      ),
+    });
   }
 
   private refuseAll(reason: Reason): void {
@@ -395,6 +399,14 @@
     );
   }
 
+  /** Refuses at once what a slower host can no longer serve in time. */
+  private updateExpiry(): void {
+    for (const waiting of this.queue.list()) {
+      waiting.expiresAt = this.allocation.computeExpiry(waiting);
+    }
+    this.checkQueue();
+  }
+
   private checkQueue(): void {
     const now = this.now();
     const expired = this.queue.list().filter(({expiresAt}) => expiresAt <= now);
--- a/src/coordination/admission/slot-allocation.ts
+++ b/src/coordination/admission/slot-allocation.ts
@@ -6,7 +6,12 @@
 import {CallReservation} from './call-reservation.js';
 import type {ReportEstimate} from './estimate-log.js';
 import {EstimateLog} from './estimate-log.js';
-import type {ClassCounts, Hold, SlotState} from './slot-shares.js';
+import {
+  computeLatestStart,
+  computePatientWait,
+  PatientWork,
+} from './patient-work.js';
+import type {ClassCounts, SlotState} from './slot-shares.js';
 import {findHold, WorkClass} from './slot-shares.js';
 import type {AdmissionRequest} from './worker-admission.js';
 
@@ -25,10 +30,20 @@
   report: () => {},
 };
 
-/** A queued request with its class. */
+/** A request with its class. */
 export interface ClassifiedItem {
   readonly workClass: WorkClass;
   readonly request: AdmissionRequest;
+  /** Whether it can no longer meet its target. */
+  readonly isLate: boolean;
+}
+
+/** Expected service times of a route in milliseconds. */
+export interface ServiceTimes {
+  /** At the present speed of the host. */
+  compute(route: string): number;
+  /** At the usual speed of the host. */
+  computeUsual(route: string): number;
 }
 
 const OWN_CLASSES = [WorkClass.URGENT, WorkClass.PATIENT];
@@ -37,30 +52,49 @@
 /** Divides the slots of one worker. */
 export class SlotAllocation {
   private readonly reservation = new CallReservation();
+  private readonly patientWork = new PatientWork();
   private readonly running: ClassCounts = {nested: 0, urgent: 0, patient: 0};
   /** Sum of the expected service times of the running requests. */
   private readonly runningMs: ClassCounts = {nested: 0, urgent: 0, patient: 0};
   private readonly log: EstimateLog;
+  private patientStartedAt = -Infinity;
 
-  /**
-   * @param computeServiceMs returns the expected service time of a route in
-   *     milliseconds.
-   */
   constructor(
     private readonly rules: SlotRules,
-    private readonly computeServiceMs: (route: string) => number,
+    private readonly serviceTimes: ServiceTimes,
   ) {
     this.log = new EstimateLog(rules.report);
   }
 
+  /** Whether any rule divides the slots. */
+  get hasRules(): boolean {
+    return this.reservesForCalls || this.queuesPatientWork;
+  }
+
   /** Records an arrival and returns its class. */
-  recordArrival(request: AdmissionRequest, now: number): WorkClass {
-    const {route, isNested} = request;
-    if (!isNested) return WorkClass.URGENT;
-    if (this.rules.findRules()?.reservesForCalls) {
-      this.reservation.recordCall(this.computeServiceMs(route), now);
+  recordArrival(
+    request: AdmissionRequest,
+    isLate: boolean,
+    now: number,
+  ): WorkClass {
+    const {route, isNested = false, targetAt, deadline} = request;
+    const ownClass = isNested ? WorkClass.NESTED : WorkClass.URGENT;
+    if (!this.hasRules) return ownClass;
+    const serviceMs = this.serviceTimes.compute(route);
+    if (isNested && this.reservesForCalls) {
+      this.reservation.recordCall(serviceMs, now);
+    }
+    if (!this.queuesPatientWork) return ownClass;
+    if (!isLate) {
+      const usualMs = this.serviceTimes.computeUsual(route);
+      const timeMs = (targetAt ?? deadline) - now;
+      this.patientWork.recordArrival(route, timeMs, usualMs, now);
+    }
+    if (!isNested && this.patientWork.isPatient(route)) {
+      return WorkClass.PATIENT;
     }
-    return WorkClass.NESTED;
+    if (!isLate) this.patientWork.recordUrgent(serviceMs, now);
+    return ownClass;
   }
 
   /**
@@ -68,10 +102,11 @@
    *
    * @returns A function that records its end; to be called once.
    */
-  start(workClass: WorkClass, route: string): () => void {
-    const serviceMs = this.computeServiceMs(route);
+  start(workClass: WorkClass, route: string, now: number): () => void {
+    const serviceMs = this.serviceTimes.compute(route);
     this.running[workClass] += 1;
     this.runningMs[workClass] += serviceMs;
+    if (workClass === WorkClass.PATIENT) this.patientStartedAt = now;
     return () => {
       this.running[workClass] -= 1;
       this.runningMs[workClass] -= serviceMs;
@@ -87,27 +122,28 @@
     queue: readonly ClassifiedItem[],
     now: number,
   ): SlotState | undefined {
-    const rules = this.rules.findRules();
-    if (!rules?.reservesForCalls) return undefined;
+    if (!this.hasRules) return undefined;
     const waiting: ClassCounts = {nested: 0, urgent: 0, patient: 0};
-    for (const {workClass} of queue) waiting[workClass] += 1;
-    const forCalls = this.computeReserved(limit, now);
+    for (const {workClass, isLate} of queue) {
+      // What is late has no claim to a slot that others could use.
+      if (!isLate) waiting[workClass] += 1;
+    }
     return {
       limit,
       running: this.running,
       waiting,
-      forCalls,
-      forUrgent: 0,
-      hasOwnFloor: true,
+      forCalls: this.computeForCalls(limit, now),
+      forUrgent: this.computeForUrgent(limit, now),
+      hasOwnFloor: this.reservesForCalls,
     };
   }
 
   /**
    * Returns the expected wait in milliseconds behind the given requests;
    * undefined without rules. The wait ends at the next slot that the class may
-   * use: after the work of all that go before, divided among the slots that
-   * aren't held for others, or after the work of its own class in the slot
-   * that the class always keeps, whichever is earlier.
+   * use: after the work that goes before, divided among the slots that aren't
+   * held for others, or after that of its own class in the slot that the class
+   * always keeps, whichever is earlier.
    */
   computeWait(
     workClass: WorkClass,
@@ -115,41 +151,141 @@
     limit: number,
     now: number,
   ): number | undefined {
-    if (!this.rules.findRules()?.reservesForCalls) return undefined;
+    if (!this.hasRules) return undefined;
     const meanMs = this.computeRunningMean(ALL_CLASSES) ?? 0;
-    const allMs = meanMs + this.computeWork(ALL_CLASSES, ahead);
-    if (workClass === WorkClass.NESTED) return allMs / limit;
-    const slots = Math.max(1, limit - this.computeReserved(limit, now));
-    const ownRunning = this.running.urgent + this.running.patient;
-    const ownMeanMs = this.computeRunningMean(OWN_CLASSES);
-    const slotMs =
-      ownMeanMs === undefined ? meanMs / limit : ownMeanMs / ownRunning;
-    const floorMs = slotMs + this.computeWork(OWN_CLASSES, ahead);
-    return Math.min(allMs / slots, floorMs);
+    const allMs = this.computeWork(ALL_CLASSES, ahead);
+    if (workClass === WorkClass.NESTED) return (meanMs + allMs) / limit;
+    const isPatient = workClass === WorkClass.PATIENT;
+    const peers = isPatient ? [WorkClass.PATIENT] : OWN_CLASSES;
+    const forCalls = this.computeForCalls(limit, now);
+    const forUrgent = isPatient ? this.computeForUrgent(limit, now) : 0;
+    const slots = Math.max(1, limit - Math.max(forCalls, forUrgent));
+    const peersMs = this.computeWork(peers, ahead);
+    const peersMeanMs = this.computeRunningMean(peers);
+    const sharedMs =
+      ((peersMeanMs ?? meanMs) + peersMs) / slots + (allMs - peersMs) / limit;
+    const hasFloor = isPatient || this.reservesForCalls;
+    if (!hasFloor) return sharedMs;
+    const floorMs =
+      peersMeanMs === undefined
+        ? meanMs / limit
+        : peersMeanMs / this.countRunning(peers);
+    return Math.min(sharedMs, floorMs + peersMs);
+  }
+
+  /**
+   * Returns the longest wait of a request in milliseconds.
+   *
+   * @param shortMs longest wait of a request that isn't patient.
+   */
+  computeMaxWait(item: ClassifiedItem, shortMs: number, now: number): number {
+    const {workClass, request, isLate} = item;
+    if (workClass !== WorkClass.PATIENT || isLate) return shortMs;
+    const {route, targetAt, deadline} = request;
+    const serviceMs = this.serviceTimes.compute(route);
+    const dueAt = targetAt ?? deadline;
+    return Math.max(shortMs, computePatientWait(dueAt, serviceMs, now));
   }
 
-  /** Counts a request that found a free slot held for another class. */
-  countHeld(hold: Hold): void {
-    this.rules.count(`admission.held-for-${hold}`);
+  /**
+   * Returns the time until which a queued request may wait after the speed of
+   * the host has changed.
+   */
+  computeExpiry(item: ClassifiedItem & {readonly expiresAt: number}): number {
+    const {workClass, request, isLate, expiresAt} = item;
+    if (workClass !== WorkClass.PATIENT || isLate) return expiresAt;
+    const serviceMs = this.serviceTimes.compute(request.route);
+    const dueAt = request.targetAt ?? request.deadline;
+    return Math.min(expiresAt, computeLatestStart(dueAt, serviceMs));
   }
 
-  /** Describes the claims to the slots, for the detail of a refusal. */
-  describe(limit: number, now: number): string[] {
-    if (!this.rules.findRules()?.reservesForCalls) return [];
-    const use = this.reservation.computeUse(now).toFixed(1);
-    return [`${this.computeReserved(limit, now)} for calls using ${use}`];
+  /**
+   * Returns whether no slot is held for others than the request, and counts a
+   * request that finds a free slot held.
+   */
+  admit(
+    {workClass}: ClassifiedItem,
+    state: SlotState | undefined,
+    isFull: boolean,
+  ): boolean {
+    const hold = state && findHold(workClass, state);
+    if (hold && !isFull) this.rules.count(`admission.held-for-${hold}`);
+    return !hold;
+  }
+
+  /**
+   * Returns whether a request may join the queue. With slots divided between
+   * classes, the first of a class may do so even if others fill the queue.
+   */
+  hasQueueSpace(
+    {workClass}: ClassifiedItem,
+    queue: readonly ClassifiedItem[],
+    {queueLength}: Profile['limits'],
+  ): boolean {
+    if (queue.length < queueLength) return true;
+    if (!this.hasRules || queueLength === 0) return false;
+    return queue.every(other => other.workClass !== workClass);
+  }
+
+  /** Counts and logs a request that is queued. */
+  recordQueued(
+    {workClass}: ClassifiedItem,
+    place: number,
+    expectedMs: number,
+    now: number,
+  ): void {
+    if (workClass !== WorkClass.PATIENT) return;
+    this.rules.count('admission.patient-queued');
+    this.log.report('patient work waits', place, now, {
+      expectedMs: Math.round(expectedMs),
+      running: this.running.patient,
+      lastStartMsAgo: Math.round(now - this.patientStartedAt),
+    });
+  }
+
+  /**
+   * Describes a wait and the claims to the slots for the detail of a refusal;
+   * nothing without rules.
+   */
+  describe(wait: readonly string[], limit: number, now: number): string[] {
+    const parts = this.hasRules ? [...wait] : [];
+    if (this.reservesForCalls) {
+      const use = this.reservation.computeUse(now).toFixed(1);
+      parts.push(`${this.computeForCalls(limit, now)} for calls using ${use}`);
+    }
+    if (this.queuesPatientWork) {
+      const use = this.patientWork.computeUrgentUse(now).toFixed(1);
+      const forUrgent = this.computeForUrgent(limit, now);
+      parts.push(
+        `${forUrgent} for urgent using ${use}`,
+        `patient running ${this.running.patient}`,
+      );
+      if (this.patientStartedAt > -Infinity) {
+        const agoMs = Math.round(now - this.patientStartedAt);
+        parts.push(`last patient start ${agoMs} ms ago`);
+      }
+    }
+    return parts;
+  }
+
+  private get reservesForCalls(): boolean {
+    return this.rules.findRules()?.reservesForCalls ?? false;
+  }
+
+  private get queuesPatientWork(): boolean {
+    return this.rules.findRules()?.queuesPatientWork ?? false;
+  }
+
+  private countRunning(classes: readonly WorkClass[]): number {
+    return classes.reduce((count, name) => count + this.running[name], 0);
   }
 
   /** Returns the mean service time of running requests of some classes. */
   private computeRunningMean(
     classes: readonly WorkClass[],
   ): number | undefined {
-    let count = 0;
-    let sumMs = 0;
-    for (const workClass of classes) {
-      count += this.running[workClass];
-      sumMs += this.runningMs[workClass];
-    }
+    const sumMs = classes.reduce((sum, name) => sum + this.runningMs[name], 0);
+    const count = this.countRunning(classes);
     return count > 0 ? sumMs / count : undefined;
   }
 
@@ -161,16 +297,25 @@
     let sumMs = 0;
     for (const {workClass, request} of items) {
       if (!classes.includes(workClass)) continue;
-      sumMs += this.computeServiceMs(request.route);
+      sumMs += this.serviceTimes.compute(request.route);
     }
     return sumMs;
   }
 
-  private computeReserved(limit: number, now: number): number {
-    const reserved = this.reservation.compute(limit, now);
+  private computeForCalls(limit: number, now: number): number {
+    if (!this.reservesForCalls) return 0;
+    const slots = this.reservation.compute(limit, now);
     const use = Number(this.reservation.computeUse(now).toFixed(2));
-    this.log.report('slots reserved for calls', reserved, now, {limit, use});
-    return reserved;
+    this.log.report('slots reserved for calls', slots, now, {limit, use});
+    return slots;
+  }
+
+  private computeForUrgent(limit: number, now: number): number {
+    if (!this.queuesPatientWork) return 0;
+    const slots = this.patientWork.computeLeft(limit, now);
+    const use = Number(this.patientWork.computeUrgentUse(now).toFixed(2));
+    this.log.report('slots left to urgent work', slots, now, {limit, use});
+    return slots;
   }
 }
 
--- a/src/coordination/admission/slot-demand.ts
+++ b/src/coordination/admission/slot-demand.ts
@@ -10,20 +10,28 @@
  * stream that ends is forgotten after about twice this time.
  */
 const TIME_CONSTANT_MS = 2000;
+/**
+ * Distance of the average from the whole number at which that number changes.
+ * Above one half, so that an average between two numbers keeps either of them
+ * instead of alternating.
+ */
+const CHANGE_DISTANCE = 0.6;
 
 /** Average number of slots that a stream of requests uses. */
 export class SlotDemand {
   private slots = 0;
+  private wholeSlots = 0;
   private updatedAt = -Infinity;
 
   /** Time of the latest arrival; `-Infinity` before the first. */
-  lastArrivalAt = -Infinity;
+  get lastArrivalAt(): number {
+    return this.updatedAt;
+  }
 
   /** Records an arrival with its expected service time. */
   record(serviceMs: number, now: number): void {
     this.slots = this.compute(now) + serviceMs / TIME_CONSTANT_MS;
     this.updatedAt = now;
-    this.lastArrivalAt = now;
   }
 
   /** Returns the average number of slots in use. */
@@ -31,4 +39,13 @@
     if (this.slots === 0) return 0;
     return this.slots * Math.exp((this.updatedAt - now) / TIME_CONSTANT_MS);
   }
+
+  /** Returns the average as a whole number, which changes with hysteresis. */
+  computeWhole(now: number): number {
+    const slots = this.compute(now);
+    if (Math.abs(slots - this.wholeSlots) >= CHANGE_DISTANCE) {
+      this.wholeSlots = Math.round(slots);
+    }
+    return this.wholeSlots;
+  }
 }
--- a/src/coordination/admission/wait-policy.ts
+++ b/src/coordination/admission/wait-policy.ts
@@ -63,7 +63,8 @@
     return spareMs * (isHighPriority ? HIGH_PRIORITY_WAIT_RATIO : WAIT_RATIO);
   }
 
-  private isLate({targetAt, route}: AdmissionRequest, now: number): boolean {
+  /** Returns whether a request can no longer meet its target. */
+  isLate({targetAt, route}: AdmissionRequest, now: number): boolean {
     if (targetAt === undefined) return false;
     return now + this.computeServiceMs(route) > targetAt;
   }
--- a/src/coordination/admission/waiting-request.ts
+++ b/src/coordination/admission/waiting-request.ts
@@ -5,13 +5,16 @@
 import {Reason, RefusalError} from '../../protocol/reasons.js';
 import type {RankedItem, RankQueue} from './rank-queue.js';
 import type {ClassifiedItem} from './slot-allocation.js';
-import type {AdmissionRequest, Slot} from './worker-admission.js';
+import type {Slot} from './worker-admission.js';
+
+/** A request with its class and its place in the queue. */
+export interface RankedRequest extends RankedItem, ClassifiedItem {}
 
 /** Properties with which a request starts to wait. */
-export interface WaitStart extends RankedItem, ClassifiedItem {
-  readonly request: AdmissionRequest;
+export interface WaitStart extends RankedRequest {
+  readonly enqueuedAt: number;
   /** Time at which the request is refused unless it has got a slot. */
-  readonly expiresAt: number;
+  expiresAt: number;
 }
 
 /** A request that waits for a slot. */
--- a/src/test/slot-streams.ts
+++ b/src/test/slot-streams.ts
@@ -31,6 +31,7 @@
   waitMs?: number;
   isInTime?: boolean;
   refusal?: RefusalError;
+  refusedAt?: number;
 }
 
 /** Setting of a run. */
@@ -103,6 +104,7 @@
       );
     } catch (error) {
       request.refusal = error as RefusalError;
+      request.refusedAt = clock.nowMs;
     }
   };
   const endMs = seconds * 1000;
