Admit fewer parents while their nested calls fail

Cause: a run whose nested call is refused or late has held a slot in vain, and its calls keep the called service overloaded. The node beside the parent's worker sees how the calls end, since they come in at its entry. Change: ParentAdmission learns which kinds call which service (from calls that arrive while only one kind runs) and, where admission.reservesForCalls is set, thins these kinds while over 0.3 of at least 8 recent calls fail: least urgent rank first, in steps of a tenth per 250 ms, down to one in four. Counter admission.parents-refused; changes of a kind's share are logged at most once a second. Measured: parent-admission_test.ts, nested-calls_test.ts, entry_test.ts and docs_test.ts pass (163 tests).

--- a/src/coordination/entry.ts
+++ b/src/coordination/entry.ts
@@ -3,7 +3,7 @@
  * the answer. It guarantees the verdict: a refusal says `not-run` only when no
  * attempt of the request may have run.
  */
-import {Reason, RefusalError} from '../protocol/reasons.js';
+import {Reason, RefusalError, toRefusal} from '../protocol/reasons.js';
 import type {SendAttempt} from '../protocol/attempt.js';
 import type {Profile} from '../protocol/configuration.js';
 import type {
@@ -13,6 +13,7 @@
 import type {Explanations} from '../state/explanations.js';
 import type {StateStore} from '../state/state-store.js';
 import type {WorkerRow, WorkerTable} from '../state/worker-table.js';
+import type {CallOutcome} from './admission/parent-admission.js';
 import {Call} from './call.js';
 import type {NestedCalls} from './nested-calls.js';
 import {RetryBudget, TokenBudget} from './refusals/retry-budget.js';
@@ -24,6 +25,8 @@
   compute(quantile: number): number | undefined;
 }
 
+const UNAVAILABLE = 503;
+
 /** Options of an entry. */
 export interface EntryOptions {
   readonly dataCentre: string;
@@ -78,6 +81,30 @@
     signal: AbortSignal,
   ): Promise<ServiceAnswer> {
     const request = this.markNested(received);
+    if (!request.isNested) return this.runRequest(request, signal);
+    const {service, awaitedUntil = request.deadline} = request;
+    const endCall = this.options.nestedCalls.startCall(
+      service,
+      awaitedUntil,
+      performance.now(),
+    );
+    try {
+      const answer = await this.runRequest(request, signal);
+      const endedAt = performance.now();
+      endCall(findCallOutcome(answer, request, endedAt), endedAt);
+      return answer;
+    } catch (error) {
+      // A call whose parent is gone says nothing of the called service.
+      const isGone = toRefusal(error).reason === Reason.CALLER_GONE;
+      if (!isGone) endCall('refused', performance.now());
+      throw error;
+    }
+  }
+
+  private async runRequest(
+    request: ServiceRequest,
+    signal: AbortSignal,
+  ): Promise<ServiceAnswer> {
     const profile = this.options.state.findProfile(request.service);
     // Its route was found when its head arrived, and leads elsewhere now.
     if (!profile) throw new RefusalError(Reason.NO_WORKER);
@@ -97,7 +124,7 @@
     const end = (): void => {
       clearTimeout(timer);
       signal.removeEventListener('abort', handleDisconnect);
-      endCall(serviceState, request);
+      releaseCall(serviceState, request);
     };
     try {
       const answer = await call.run();
@@ -166,7 +193,20 @@
   }
 }
 
-function endCall(
+/**
+ * Returns how a call ended for the run that waits for it. Statuses other than
+ * that of a worker without capacity are the called service's answers.
+ */
+function findCallOutcome(
+  {status}: ServiceAnswer,
+  {targetAt, deadline}: ServiceRequest,
+  now: number,
+): CallOutcome {
+  if (status === UNAVAILABLE) return 'refused';
+  return now <= (targetAt ?? deadline) ? 'served' : 'late';
+}
+
+function releaseCall(
   serviceState: EntryServiceState,
   request: ServiceRequest,
 ): void {
--- a/src/coordination/gate.ts
+++ b/src/coordination/gate.ts
@@ -15,6 +15,8 @@
 import type {WorkerState} from '../protocol/worker-load.js';
 import type {StateStore} from '../state/state-store.js';
 import {SlotOutcome} from './admission/concurrency-limit.js';
+import type {ParentHooks} from './admission/parent-admission.js';
+import {formatKind, ParentAdmission} from './admission/parent-admission.js';
 import type {CrashQuarantine, WatchedRun} from './crash-quarantine.js';
 import type {CreateAdmission, WorkerConnection} from './local-worker.js';
 import {LocalWorker} from './local-worker.js';
@@ -39,13 +41,18 @@
   readonly createAdmission?: CreateAdmission;
   /** Interval in milliseconds between checks whether a probe is due. */
   readonly probeCheckIntervalMs?: number;
+  /** Counters and log of the admission of requests that make calls. */
+  readonly parentHooks?: ParentHooks;
 }
 
+const NO_HOOKS: ParentHooks = {count: () => {}, report: () => {}};
+
 /** Sends requests to the workers of one host. */
 export class Gate {
   readonly events = new Emittery<GateEvents>();
   /** Requests that run on the workers of this host, and calls they make. */
-  readonly nestedCalls = new NestedCalls();
+  readonly nestedCalls: NestedCalls;
+  private readonly parents: ParentAdmission;
   private readonly workers = new Map<string, LocalWorker>();
   private wasDataCentreOut: boolean;
 
@@ -56,6 +63,8 @@
     private readonly quarantine: CrashQuarantine,
     private readonly options: GateOptions = {},
   ) {
+    this.parents = new ParentAdmission(options.parentHooks ?? NO_HOOKS);
+    this.nestedCalls = new NestedCalls(this.parents);
     this.wasDataCentreOut = state.isDataCentreOut(dataCentre);
     state.events.on('changed', () => this.updateDataCentre());
   }
@@ -117,6 +126,9 @@
   ): Promise<AttemptAnswer> {
     const worker = this.findWorker(request, version);
     try {
+      if (this.state.findProfile(request.service)?.admission.reservesForCalls) {
+        this.parents.admit(request, performance.now());
+      }
       const run = await this.startRun(worker, request);
       try {
         const slot = await worker.admission.admit(request, signal);
@@ -181,7 +193,10 @@
     run: WatchedRun,
   ): Promise<AttemptAnswer> {
     let answer: AttemptAnswer;
-    const endParentRun = this.nestedCalls.startRun(request.deadline);
+    const endParentRun = this.nestedCalls.startRun(
+      request.deadline,
+      formatKind(request.service, request.route),
+    );
     try {
       answer = await worker.connection
         .sendRequest(request, signal)
--- a/src/coordination/nested-calls.ts
+++ b/src/coordination/nested-calls.ts
@@ -9,6 +9,11 @@
  * the parent has held a worker.
  */
 
+import type {
+  CallOutcome,
+  ParentAdmission,
+} from './admission/parent-admission.js';
+
 /** Requests of a route before it is classified. */
 const MIN_REQUESTS = 8;
 /** Lowest weight of a route's newest request in the moving average. */
@@ -26,22 +31,54 @@
   externalFraction: number;
 }
 
+/** A request that runs on the local worker. */
+interface Run {
+  readonly deadline: number;
+  readonly kind: string | undefined;
+}
+
+/** Learns from the calls of running requests; see `ParentAdmission`. */
+export type CallObserver = Pick<
+  ParentAdmission,
+  'recordCall' | 'recordOutcome'
+>;
+
 /** Tracks the requests on the local worker and detects their calls. */
 export class NestedCalls {
-  private readonly deadlines = new Set<{readonly deadline: number}>();
+  private readonly runs = new Set<Run>();
   private readonly statsByRoute = new Map<string, RouteStats>();
 
+  constructor(private readonly observer?: CallObserver) {}
+
   /**
    * Records that a request runs on the local worker.
    *
    * @param deadline Deadline sent to the worker, on the clock of
    *     `performance.now()`.
+   * @param kind key of the request's kind; see `formatKind`.
    * @returns A function that ends the run; later calls have no effect.
    */
-  startRun(deadline: number): () => void {
-    const run = {deadline};
-    this.deadlines.add(run);
-    return () => void this.deadlines.delete(run);
+  startRun(deadline: number, kind?: string): () => void {
+    const run = {deadline, kind};
+    this.runs.add(run);
+    return () => void this.runs.delete(run);
+  }
+
+  /**
+   * Records that a nested call starts.
+   *
+   * @returns A function that records how it ended.
+   */
+  startCall(
+    service: string,
+    deadline: number,
+    now: number,
+  ): (outcome: CallOutcome, endedAt: number) => void {
+    const {observer} = this;
+    if (!observer) return () => {};
+    observer.recordCall(service, this.findParentKind(deadline), now);
+    return (outcome, endedAt) =>
+      observer.recordOutcome(service, outcome, endedAt);
   }
 
   /** Records a received request; returns whether it is a nested call. */
@@ -72,8 +109,24 @@
     return stats;
   }
 
+  /**
+   * Returns the kind of the request that made a call; undefined if running
+   * requests of several kinds can have made it.
+   */
+  private findParentKind(callDeadline: number): string | undefined {
+    let found: string | undefined;
+    for (const {deadline, kind} of this.runs) {
+      if (deadline < callDeadline - MAX_READ_DELAY_MS) continue;
+      if (kind === undefined || (found !== undefined && found !== kind)) {
+        return undefined;
+      }
+      found = kind;
+    }
+    return found;
+  }
+
   private hasRequestRunningUntil(time: number): boolean {
-    for (const {deadline} of this.deadlines) {
+    for (const {deadline} of this.runs) {
       if (deadline >= time) return true;
     }
     return false;
--- a/src/directory-gate.ts
+++ b/src/directory-gate.ts
@@ -91,6 +91,7 @@
         return admission;
       },
       probeCheckIntervalMs: PROBE_CHECK_INTERVAL_MS,
+      parentHooks: {count: options.count, report: options.report},
     },
   );
   return gate;
