Document the division of slots, and change nothing without patient work

Change: without patient routes and reserved slots nothing is left and the wait is computed as before.

--- a/src/coordination/admission/patient-work.ts
+++ b/src/coordination/admission/patient-work.ts
@@ -54,6 +54,7 @@
   private readonly routes = new Map<string, RouteTimes>();
   private readonly urgentDemand = new SlotDemand();
   private comparedAt = -Infinity;
+  private hasPatientRoutes = false;
 
   /**
    * Records a request that can still be in time.
@@ -93,9 +94,11 @@
 
   /**
    * Returns the number of slots that patient work leaves to urgent work: what
-   * that uses, at least one while it arrives, and never all.
+   * that uses, at least one while it arrives, and never all. None without
+   * patient work.
    */
   computeLeft(limit: number, now: number): number {
+    if (!this.hasPatientRoutes) return 0;
     const {lastArrivalAt} = this.urgentDemand;
     if (now - lastArrivalAt > URGENT_RETENTION_MS) return 0;
     const used = Math.max(1, this.urgentDemand.computeWhole(now));
@@ -122,6 +125,7 @@
     for (const times of tolerant) {
       times.isPatient = computeSpare(times) >= longestMs;
     }
+    this.hasPatientRoutes = tolerant.some(({isPatient}) => isPatient);
   }
 }
 
--- a/src/coordination/admission/slot-allocation.ts
+++ b/src/coordination/admission/slot-allocation.ts
@@ -140,10 +140,11 @@
 
   /**
    * Returns the expected wait in milliseconds behind the given requests;
-   * undefined without rules. The wait ends at the next slot that the class may
-   * use: after the work that goes before, divided among the slots that aren't
-   * held for others, or after that of its own class in the slot that the class
-   * always keeps, whichever is earlier.
+   * undefined while no class has a claim, when all wait for the same slots. The
+   * wait ends at the next slot that the class may use: after the work that goes
+   * before, divided among the slots that aren't held for others, or after that
+   * of its own class in the slot that the class always keeps, whichever is
+   * earlier.
    */
   computeWait(
     workClass: WorkClass,
@@ -151,15 +152,16 @@
     limit: number,
     now: number,
   ): number | undefined {
-    if (!this.hasRules) return undefined;
+    const forCalls = this.computeForCalls(limit, now);
+    const forUrgent = this.computeForUrgent(limit, now);
+    if (forCalls === 0 && forUrgent === 0) return undefined;
     const meanMs = this.computeRunningMean(ALL_CLASSES) ?? 0;
     const allMs = this.computeWork(ALL_CLASSES, ahead);
     if (workClass === WorkClass.NESTED) return (meanMs + allMs) / limit;
     const isPatient = workClass === WorkClass.PATIENT;
     const peers = isPatient ? [WorkClass.PATIENT] : OWN_CLASSES;
-    const forCalls = this.computeForCalls(limit, now);
-    const forUrgent = isPatient ? this.computeForUrgent(limit, now) : 0;
-    const slots = Math.max(1, limit - Math.max(forCalls, forUrgent));
+    const held = isPatient ? Math.max(forCalls, forUrgent) : forCalls;
+    const slots = Math.max(1, limit - held);
     const peersMs = this.computeWork(peers, ahead);
     const peersMeanMs = this.computeRunningMean(peers);
     const sharedMs =
