Test the order of thinning and work of one kind

Cause: no test failed when parents were thinned without regard to rank, and none compared a worker with one kind of work with and without the rule. Change: a case and a check for these.

--- a/src/test/parent-admission_test.ts
+++ b/src/test/parent-admission_test.ts
@@ -131,6 +131,9 @@
       expect(admitted['other']).toBeLessThan(0.9);
       expect(admitted['other']).toBeGreaterThanOrEqual(MIN_SHARE - 0.05);
       expect(admitted['urgent']).toBeGreaterThanOrEqual(admitted['other']!);
+      // The more urgent kind is thinned after the other one only.
+      const isOtherThinned = admitted['other']! < MIN_SHARE + 0.1;
+      if (!isOtherThinned) expect(admitted['urgent']).toBeGreaterThan(0.9);
     }
     if (capacity === 0) expect(last[9]!['urgent']).toBeCloseTo(MIN_SHARE, 1);
   });
--- a/src/test/patient-work_test.ts
+++ b/src/test/patient-work_test.ts
@@ -99,6 +99,17 @@
     expect(counts[0]).toBeGreaterThan(counts[1]!);
   });
 
+  // Guards against slots that are left to nobody, and other waits, at a worker
+  // whose work is all alike.
+  it('serves work of one kind as without the rule', async () => {
+    const [withRule, without] = await Promise.all(
+      [true, false].map(isOn => run(isOn, [{...EXPORTS, everyMs: 80}])),
+    );
+    expect(withRule!.map(({waitMs}) => waitMs)).toEqual(
+      without!.map(({waitMs}) => waitMs),
+    );
+  });
+
   // Guards against requests that go on waiting at a host that has become too
   // slow for them, while another gate could still serve them.
   it('refuses waiting exports when the host becomes too slow', async () => {
