--- a/src/coordination/admission/slot-admission.ts
+++ b/src/coordination/admission/slot-admission.ts
@@ -9,7 +9,6 @@
 import {Reason, RefusalError} from '../../protocol/reasons.js';
 import type {TimerId, Timers} from '../../protocol/timers.js';
 import {SYSTEM_TIMERS} from '../../protocol/timers.js';
-import {Verdict} from '../../protocol/verdict.js';
 import type {
   ProbeAnswer,
   UpstreamLoadReport,
@@ -18,48 +17,33 @@
 import {WorkerState} from '../../protocol/worker-load.js';
 import {ColdRateLimit} from './cold-rate-limit.js';
 import {SlotOutcome} from './concurrency-limit.js';
+import {HostFigures} from './host-figures.js';
 import {KneeLimit} from './knee-limit.js';
+import {LoadPublisher} from './load-publisher.js';
 import {RankQueue} from './rank-queue.js';
+import {ServiceAverages} from './service-averages.js';
+import type {SlotRules} from './slot-allocation.js';
+import {
+  findNextItem,
+  NO_SLOT_RULES,
+  SlotAllocation,
+} from './slot-allocation.js';
 import {WaitPolicy} from './wait-policy.js';
+import {createOverloadRefusal} from './overload-refusal.js';
+import type {RankedRequest, WaitingRequest} from './waiting-request.js';
+import {enqueueRequest} from './waiting-request.js';
 import type {
   AdmissionRequest,
   Slot,
   WorkerAdmission,
 } from './worker-admission.js';
 
-interface QueuedRequest {
-  readonly request: AdmissionRequest;
-  readonly rank: number;
-  readonly dueAt: number;
-  /** Time at which the request is refused unless it has got a slot. */
-  readonly expiresAt: number;
-  resolve(slot: Slot): void;
-  reject(error: RefusalError): void;
-}
-
 const US_PER_MS = 1000;
-/** Weight of a new sample in the moving averages. */
-const AVERAGE_WEIGHT = 0.1;
-/** Service time assumed before the first answer. */
-const DEFAULT_SERVICE_MS = 100;
 /**
  * Time that a worker takes to notice a cancellation; until then the request
  * counts as in flight.
  */
 const CANCELLATION_GRACE_MS = 25;
-/**
- * Age after which reported load is stale while requests are sent, and the
- * shortest time between probes then.
- */
-const MAX_FIGURES_AGE_MS = 200;
-/** Time after a probe until the next one while no requests are sent. */
-const IDLE_PROBE_INTERVAL_MS = 1000;
-/** Time after a request for which the worker counts as active. */
-const ACTIVITY_WINDOW_MS = 1000;
-/** Change of utilization that is published at once. */
-const MIN_UTILIZATION_CHANGE = 0.45;
-/** Change of the natural logarithm of the pace that is published at once. */
-const MIN_LOG_PACE_CHANGE = 0.25;
 /** Consecutive lost connections that indicate a restart of the worker. */
 const LOST_STREAK = 2;
 /** Time for which requests are refused after a connection failure. */
@@ -67,46 +51,52 @@
 
 /** Admission to one worker with known slots. */
 export class SlotAdmission implements WorkerAdmission {
-  private readonly queue = new RankQueue<QueuedRequest>();
+  private readonly queue = new RankQueue<WaitingRequest>();
   private readonly knee: KneeLimit;
   private readonly cold: ColdRateLimit;
   private readonly waitPolicy = new WaitPolicy(route =>
     this.computeServiceMs(route),
   );
+  private readonly allocation: SlotAllocation;
+  private readonly averages = new ServiceAverages();
+  private readonly publisher = new LoadPublisher();
   private inFlight = 0;
-  private serviceMs = 0;
-  private failureShare = 0;
   private isDraining = false;
-  private lostStreak = 0;
   private unreachableUntil = -Infinity;
-  private pace = 1;
-  private figuresAt = -Infinity;
-  private lastSentAt = -Infinity;
+  private readonly figures = new HostFigures();
   private lastOutcomeTime = -Infinity;
   private timer: TimerId | undefined;
-  /** Called when the load has changed enough to be published at once. */
-  handleLoadChange: () => void = () => {};
-  private publishedLoad: WorkerLoad | undefined;
 
   constructor(
     slots: number,
     private limits: Profile['limits'],
     private readonly now: () => number = () => performance.now(),
     private readonly timers: Timers = SYSTEM_TIMERS,
+    rules: SlotRules = NO_SLOT_RULES,
   ) {
+    this.allocation = new SlotAllocation(rules, {
+      compute: route => this.computeServiceMs(route),
+      computeUsual: route =>
+        this.knee.findMeanMs(route) ?? this.averages.expectedMs,
+    });
     this.knee = new KneeLimit(slots);
     this.cold = new ColdRateLimit(limits.coldRate);
   }
 
+  /** Sets what is called when the load has changed enough to be published. */
+  set handleLoadChange(handler: () => void) {
+    this.publisher.handleChange = handler;
+  }
+
   get load(): WorkerLoad {
     return {
       state: this.findState(),
       inFlight: this.inFlight,
       queued: this.queue.length,
       limit: this.knee.value,
-      serviceTimeUs: this.serviceMs * US_PER_MS,
-      failureShare: this.failureShare,
-      pace: this.pace,
+      serviceTimeUs: this.averages.serviceMs * US_PER_MS,
+      failureShare: this.averages.failureShare,
+      pace: this.figures.pace,
     };
   }
 
@@ -125,7 +115,7 @@
     this.isDraining = state === WorkerState.DRAINING;
     if (this.isDraining) this.refuseAll(Reason.WORKER_DRAINING);
     this.serveQueue();
-    this.publishLoadChange();
+    this.publisher.publish(this.load);
   }
 
   resetToCold(): void {
@@ -134,7 +124,7 @@
 
   recordProbeAnswer({coldMs}: ProbeAnswer): void {
     this.unreachableUntil = -Infinity;
-    this.lostStreak = 0;
+    this.averages.lostStreak = 0;
     this.cold.recordHealth(coldMs ?? 0, this.now());
     this.serveQueue();
   }
@@ -143,58 +133,51 @@
     this.unreachableUntil = this.now() + UNREACHABLE_HOLD_MS;
     this.cold.reset();
     this.refuseAll(Reason.WORKER_GONE);
-    this.publishLoadChange();
+    this.publisher.publish(this.load);
   }
 
   recordLoadReport(figures: UpstreamLoadReport): void {
-    this.pace = figures.pace;
-    this.figuresAt = this.now();
-    this.publishLoadChange();
+    const isSlower = figures.pace > this.figures.pace;
+    this.figures.record(figures.pace, this.now());
+    if (isSlower && this.allocation.hasRules) this.updateExpiry();
+    this.publisher.publish(this.load);
   }
 
   hasStaleFigures(lastProbeAt: number): boolean {
     const now = this.now();
     if (this.isDraining) return false;
-    const isActive =
-      this.inFlight > 0 || now - this.lastSentAt < ACTIVITY_WINDOW_MS;
-    if (!isActive) return now - lastProbeAt > IDLE_PROBE_INTERVAL_MS;
-    if (now - lastProbeAt < MAX_FIGURES_AGE_MS) return false;
-    const isRateLimited = this.cold.isCold(now) || this.isNearColdRate(now);
-    return isRateLimited || now - this.figuresAt > MAX_FIGURES_AGE_MS;
+    return this.figures.isProbeDue(
+      now,
+      lastProbeAt,
+      this.inFlight > 0,
+      () => this.cold.isCold(now) || this.isNearColdRate(now),
+    );
   }
 
   async admit(request: AdmissionRequest, signal: AbortSignal): Promise<Slot> {
     const now = this.now();
     this.checkAvailable(request, now);
     this.waitPolicy.record(request, now);
-    const isNext = this.queue.length === 0 || this.isHighestPriority(request);
-    if (isNext && this.hasCapacity(now)) return this.takeSlot(request, now);
-    const waitMs = this.computeWait(request, now);
-    const maxWaitMs = this.computeMaxWait(request, now);
-    if (waitMs > maxWaitMs || this.queue.length >= this.limits.queueLength) {
-      throw this.buildOverloadRefusal(now, waitMs);
+    const item = this.buildItem(request, now);
+    if (this.hasSlotFor(item, now)) return this.takeSlot(item, now);
+    const waitMs = this.computeWait(item, now);
+    const maxWaitMs = this.computeMaxWait(item, now);
+    if (
+      waitMs > maxWaitMs ||
+      !this.allocation.hasQueueSpace(item, this.queue.list(), this.limits)
+    ) {
+      const mostMs = Math.round(maxWaitMs);
+      throw this.buildOverloadRefusal(item, now, `may wait ${mostMs} ms`);
     }
-    return this.enqueue(request, signal, now, maxWaitMs);
+    return this.enqueue(item, signal, now, maxWaitMs);
   }
 
-  /**
-   * Reports the load if it has changed enough. Smaller changes wait for the
-   * next regular message, to save traffic.
-   */
-  private publishLoadChange(): void {
-    const {load, publishedLoad} = this;
-    const utilization = (load.inFlight + load.queued) / load.limit;
-    const publishedUtilization = publishedLoad
-      ? (publishedLoad.inFlight + publishedLoad.queued) / publishedLoad.limit
-      : Infinity;
-    const paceChange = load.pace / (publishedLoad?.pace ?? Infinity);
-    const isSignificant =
-      load.state !== publishedLoad?.state ||
-      Math.abs(utilization - publishedUtilization) >= MIN_UTILIZATION_CHANGE ||
-      Math.abs(Math.log(paceChange)) >= MIN_LOG_PACE_CHANGE;
-    if (!isSignificant) return;
-    this.publishedLoad = load;
-    this.handleLoadChange();
+  /** Records an arrival and determines its class and place in the queue. */
+  private buildItem(request: AdmissionRequest, now: number): RankedRequest {
+    const isLate = !request.isNested && this.waitPolicy.isLate(request, now);
+    const workClass = this.allocation.recordArrival(request, isLate, now);
+    const order = this.waitPolicy.computeOrder(request, now);
+    return {request, workClass, isLate, ...order};
   }
 
   private findState(): WorkerState {
@@ -224,80 +207,75 @@
     return this.knee.admit(this.inFlight, hasWaiting) && this.cold.admit(now);
   }
 
-  private isHighestPriority(request: AdmissionRequest): boolean {
-    return (
-      this.queue.countAhead(
-        this.waitPolicy.computeOrder(request, this.now()),
-      ) === 0
-    );
+  /** Returns whether a request may start now, before all that wait. */
+  private hasSlotFor(item: RankedRequest, now: number): boolean {
+    const waiting = this.queue.list();
+    const state = this.allocation.computeState(this.knee.value, waiting, now);
+    const isFull = this.inFlight >= this.knee.value;
+    if (!this.allocation.admit(item, state, isFull)) return false;
+    const ahead = waiting.slice(0, this.queue.countAhead(item));
+    return !findNextItem(ahead, state) && this.hasCapacity(now);
   }
 
   /** Returns the expected service time of a route in milliseconds. */
   private computeServiceMs(route: string): number {
     const routeMeanMs = this.knee.findMeanMs(route);
-    const meanMs = this.serviceMs > 0 ? this.serviceMs : DEFAULT_SERVICE_MS;
-    return routeMeanMs === undefined ? meanMs : routeMeanMs * this.pace;
+    return routeMeanMs === undefined
+      ? this.averages.expectedMs
+      : routeMeanMs * this.figures.pace;
   }
 
   /** Returns the expected wait for a slot in milliseconds. */
-  private computeWait(request: AdmissionRequest, now: number): number {
-    const ahead = this.queue.countAhead(
-      this.waitPolicy.computeOrder(request, now),
-    );
-    const meanMs = this.serviceMs > 0 ? this.serviceMs : DEFAULT_SERVICE_MS;
-    const slotMs = ((ahead + 1) * meanMs) / this.knee.value;
+  private computeWait(item: RankedRequest, now: number): number {
+    const ahead = this.queue.countAhead(item);
+    const slotMs =
+      this.allocation.computeWait(
+        item.workClass,
+        this.queue.list().slice(0, ahead),
+        this.knee.value,
+        now,
+      ) ?? ((ahead + 1) * this.averages.expectedMs) / this.knee.value;
     if (!this.cold.isCold(now)) return slotMs;
     const rate = this.limits.coldRate ?? 1;
     return this.cold.computeWait(now) + (ahead * US_PER_MS) / rate;
   }
 
-  private computeMaxWait(request: AdmissionRequest, now: number): number {
-    const maxWaitMs = this.waitPolicy.computeMaxWait(request, now);
+  private computeMaxWait(item: RankedRequest, now: number): number {
+    const shortMs = this.waitPolicy.computeMaxWait(item.request, now);
+    const maxWaitMs = this.allocation.computeMaxWait(item, shortMs, now);
     return Math.min(this.limits.queueWait, maxWaitMs);
   }
 
   private enqueue(
-    request: AdmissionRequest,
+    item: RankedRequest,
     signal: AbortSignal,
     now: number,
     maxWaitMs: number,
   ): Promise<Slot> {
-    return new Promise((resolve, reject) => {
-      const handleAbort = (): void => {
-        if (this.queue.remove(entry)) {
-          entry.reject(findAbortRefusal(signal));
-        }
-      };
-      const removeAbortListener = (): void =>
-        signal.removeEventListener('abort', handleAbort);
-      const entry: QueuedRequest = {
-        request,
-        ...this.waitPolicy.computeOrder(request, now),
-        expiresAt: Math.min(now + maxWaitMs, request.deadline),
-        resolve: slot => {
-          removeAbortListener();
-          resolve(slot);
-        },
-        reject: error => {
-          removeAbortListener();
-          reject(error);
-        },
-      };
-      signal.addEventListener('abort', handleAbort, {once: true});
-      this.queue.add(entry);
-      this.publishLoadChange();
-      this.watchQueue();
-    });
+    const expiresAt = Math.min(now + maxWaitMs, item.request.deadline);
+    this.allocation.recordQueued(
+      item,
+      this.queue.countAhead(item) + 1,
+      this.computeWait(item, now),
+      now,
+    );
+    const start = {...item, enqueuedAt: now, expiresAt};
+    const slot = enqueueRequest(this.queue, start, signal);
+    this.publisher.publish(this.load);
+    this.watchQueue();
+    return slot;
   }
 
-  private takeSlot(request: AdmissionRequest, now: number): Slot {
+  private takeSlot(item: RankedRequest, now: number): Slot {
+    const {workClass, request} = item;
     this.inFlight += 1;
-    this.lastSentAt = now;
+    const endUse = this.allocation.start(workClass, request.route, now);
+    this.figures.recordSent(now);
     this.cold.recordSent(now);
     const running = this.inFlight;
-    const pace = this.pace;
+    const pace = this.figures.pace;
     let isReleased = false;
-    this.publishLoadChange();
+    this.publisher.publish(this.load);
     return {
       release: outcome => {
         if (isReleased) return;
@@ -305,19 +283,20 @@
         const elapsedMs = this.now() - now;
         // The pace may change while a request runs, so that at its start and
         // that at its end are averaged.
-        const meanPace = (pace + this.pace) / 2;
+        const meanPace = (pace + this.figures.pace) / 2;
         this.record(outcome, request.route, running, elapsedMs, meanPace);
         if (outcome === SlotOutcome.CANCELLED) {
-          this.timers.set(() => this.endRun(), CANCELLATION_GRACE_MS);
-        } else this.endRun();
+          this.timers.set(() => this.endRun(endUse), CANCELLATION_GRACE_MS);
+        } else this.endRun(endUse);
       },
     };
   }
 
-  private endRun(): void {
+  private endRun(endUse: () => void): void {
     this.inFlight -= 1;
+    endUse();
     this.serveQueue();
-    this.publishLoadChange();
+    this.publisher.publish(this.load);
   }
 
   private record(
@@ -328,36 +307,29 @@
     pace: number,
   ): void {
     if (outcome === SlotOutcome.CANCELLED) {
-      if (elapsedMs > this.serviceMs) this.recordServiceTime(elapsedMs);
+      this.averages.recordCancelled(elapsedMs);
       return;
     }
-    const isSuccess = outcome === SlotOutcome.SUCCESS;
     this.lastOutcomeTime = this.now();
-    const failure = isSuccess ? 0 : 1;
-    this.failureShare += AVERAGE_WEIGHT * (failure - this.failureShare);
-    const isLost =
-      outcome === SlotOutcome.CONNECTION_LOST ||
-      outcome === SlotOutcome.UNREACHABLE;
-    this.lostStreak = isLost ? this.lostStreak + 1 : 0;
+    this.averages.recordOutcome(outcome);
     // A new process may have taken over the address, and it starts cold.
-    if (this.lostStreak >= LOST_STREAK) this.cold.reset();
+    if (this.averages.lostStreak >= LOST_STREAK) this.cold.reset();
     if (outcome === SlotOutcome.UNREACHABLE) this.recordUnreachable();
-    if (!isSuccess) return;
-    this.recordServiceTime(elapsedMs);
+    if (outcome !== SlotOutcome.SUCCESS) return;
+    this.averages.recordServiceTime(elapsedMs);
     this.knee.record(route, running, elapsedMs / Math.max(pace, 0.1));
   }
 
-  private recordServiceTime(elapsedMs: number): void {
-    const weight = this.serviceMs === 0 ? 1 : AVERAGE_WEIGHT;
-    this.serviceMs += weight * (elapsedMs - this.serviceMs);
-  }
-
   private serveQueue(): void {
     const now = this.now();
-    while (this.queue.length > 0 && this.hasCapacity(now)) {
-      const waiting = this.queue.take()!;
+    for (;;) {
+      const list = this.queue.list();
+      const state = this.allocation.computeState(this.knee.value, list, now);
+      const waiting = findNextItem(list, state);
+      if (!waiting || !this.hasCapacity(now)) break;
+      this.queue.remove(waiting);
       if (now < waiting.expiresAt) {
-        waiting.resolve(this.takeSlot(waiting.request, now));
+        waiting.resolve(this.takeSlot(waiting, now));
       } else {
         this.refuseQueued(waiting, now);
       }
@@ -365,25 +337,41 @@
     this.watchQueue();
   }
 
-  private refuseQueued(waiting: QueuedRequest, now: number): void {
-    const waitMs = this.computeWait(waiting.request, now);
-    waiting.reject(this.buildOverloadRefusal(now, waitMs));
+  private refuseQueued(waiting: WaitingRequest, now: number): void {
+    const order = this.waitPolicy.computeOrder(waiting.request, now);
+    const waitedMs = Math.round(now - waiting.enqueuedAt);
+    const item = {...waiting, ...order};
+    const refusal = this.buildOverloadRefusal(
+      item,
+      now,
+      `waited ${waitedMs} ms`,
+    );
+    waiting.reject(refusal);
   }
 
   /** Creates a refusal whose detail holds the state that caused it. */
-  private buildOverloadRefusal(now: number, waitMs: number): RefusalError {
-    const reason = this.cold.isCold(now)
-      ? Reason.WORKER_COLD
-      : Reason.QUEUE_TIMEOUT;
-    const detail = [
-      `running ${this.inFlight} of ${this.knee.value}`,
-      `waiting ${this.queue.length}`,
-      `sent ${this.cold.countSent(now)} in 1 s`,
-      `warm ${Math.round(this.cold.computeHealthAge(now))} ms ago`,
-      `pace ${this.pace}`,
-    ].join(', ');
-    const retryAfterMs = Math.max(0, Math.round(waitMs));
-    return new RefusalError(reason, Verdict.NOT_RUN, detail, retryAfterMs);
+  private buildOverloadRefusal(
+    item: RankedRequest,
+    now: number,
+    wait: string,
+  ): RefusalError {
+    const waitMs = this.computeWait(item, now);
+    const place = this.queue.countAhead(item) + 1;
+    return createOverloadRefusal({
+      isCold: this.cold.isCold(now),
+      running: this.inFlight,
+      limit: this.knee.value,
+      waiting: this.queue.length,
+      sent: this.cold.countSent(now),
+      healthAgeMs: this.cold.computeHealthAge(now),
+      pace: this.figures.pace,
+      waitMs,
+      further: this.allocation.describe(
+        [`place ${place}`, `expected wait ${Math.round(waitMs)} ms`, wait],
+        this.knee.value,
+        now,
+      ),
+    });
   }
 
   private refuseAll(reason: Reason): void {
@@ -411,6 +399,14 @@
     );
   }
 
+  /** Refuses at once what a slower host can no longer serve in time. */
+  private updateExpiry(): void {
+    for (const waiting of this.queue.list()) {
+      waiting.expiresAt = this.allocation.computeExpiry(waiting);
+    }
+    this.checkQueue();
+  }
+
   private checkQueue(): void {
     const now = this.now();
     const expired = this.queue.list().filter(({expiresAt}) => expiresAt <= now);
@@ -420,14 +416,3 @@
     this.serveQueue();
   }
 }
-
-/**
- * Returns the refusal for an aborted wait: that of the signal, such as a
- * passed deadline, or else that the caller has disconnected.
- */
-function findAbortRefusal(signal: AbortSignal): RefusalError {
-  const reason: unknown = signal.reason;
-  return reason instanceof RefusalError
-    ? reason
-    : new RefusalError(Reason.CALLER_GONE);
-}
