Hold back a waiting answer's bytes before the HTTP client's parser

Cause: the HTTP client's parser was paused while an answer waited for a slow reader. When the connection ended meanwhile, by a reset during an upload or by a regular FIN of an answer without a length, assert(!this.paused) in Parser.finish failed in a listener of the socket, and the node ended.

Ruled out: that a reset is taken for the end of an answer without a length during an upload, and that a status below 100 or above 599 is passed on.

Change: bytes are held back before the parser, for workers and for gates; responses that do not begin with HTTP/1. and unknown transfer codings are wrong answers; the gate closes a connection whose upload it has not read whole.

--- a/src/test/stand-ins/upstream.ts
+++ b/src/test/stand-ins/upstream.ts
@@ -57,6 +57,8 @@
   state: Announcement['state'];
   /** Number of padding bytes in an answer. */
   answerBytes: number;
+  /** Sends answers in chunks, without a length. */
+  isChunking: boolean;
 }
 
 /** Statistics of one worker since its start. */
@@ -140,6 +142,7 @@
       isQuiet: false,
       state: 'ready',
       answerBytes: 0,
+      isChunking: false,
       ...options.control,
     };
   }
@@ -298,7 +301,9 @@
     });
     response.writeHead(200, {
       'content-type': 'application/json',
-      'content-length': Buffer.byteLength(answer),
+      ...(this.control.isChunking
+        ? {}
+        : {'content-length': Buffer.byteLength(answer)}),
     });
     if (!this.control.isCutting) {
       response.end(answer);
--- a/src/transport/gate-client.ts
+++ b/src/transport/gate-client.ts
@@ -20,7 +20,7 @@
 import {readVerdict, Verdict} from '../protocol/verdict.js';
 import {parseWorkerLoad} from '../protocol/worker-load.js';
 import type {ExchangeResponse} from './http-exchange.js';
-import {ExchangeError, runExchange} from './http-exchange.js';
+import {createConnector, ExchangeError, runExchange} from './http-exchange.js';
 import {copyEndToEndHeaders, findHeader} from './message-headers.js';
 import {SilenceTimer} from './silence-timer.js';
 
@@ -38,17 +38,14 @@
 /** Client with one connection pool for the gate of each other node. */
 export class GateClient {
   private readonly pools = new Map<string, Pool>();
-  private readonly connection: Pick<Client.Options, 'connect' | 'localAddress'>;
+  private readonly connection: Pick<Client.Options, 'connect'>;
 
   constructor(
     private readonly nodeId: string,
     private readonly settings: NodeSettings['connections'],
   ) {
     const {connectTimeout, localAddress} = settings;
-    this.connection = {
-      connect: {timeout: connectTimeout},
-      ...(localAddress ? {localAddress} : {}),
-    };
+    this.connection = {connect: createConnector(connectTimeout, localAddress)};
   }
 
   /**
--- a/src/transport/http-exchange.ts
+++ b/src/transport/http-exchange.ts
@@ -3,6 +3,7 @@
  * that reports whether a byte of the request may have been written, which
  * decides whether a failed exchange is safe to repeat.
  */
+import type {Socket} from 'node:net';
 import {Readable} from 'node:stream';
 import type {Dispatcher} from 'undici';
 import {buildConnector} from 'undici';
@@ -49,11 +50,76 @@
   queueMicrotask(() => (isConnectionReset = false));
 }
 
+/** First bytes of each response, behind empty lines that the parser skips. */
+const RESPONSE_START = 'HTTP/1.';
+/** Bytes of a part in which the first bytes of a response are looked for. */
+const MAX_START_BYTES = 64;
+
+/** The connection whose bytes are being parsed. */
+let parsedConnection: ResponseConnection | undefined;
+
+function markParsed(connection: ResponseConnection): void {
+  parsedConnection = connection;
+}
+
 /**
- * Creates the function with which a client connects. Undici takes a reset for
- * the regular end of a body without a length, so listeners on the socket detect
- * it just before undici is notified: by an `error` event or, when the error was
- * lost, by an `end` event at which the socket no longer has a remote port.
+ * Reading of one connection. Undici's parser must not be paused: when the
+ * connection ends meanwhile, an assertion fails in a listener of the socket,
+ * which ends the process. So its bytes are held back before they reach the
+ * parser.
+ */
+class ResponseConnection {
+  private isHeld = false;
+  /** The start of the response that is due, as far as it was read. */
+  private start = '';
+
+  constructor(private readonly socket: Socket) {
+    const read = socket.read.bind(socket);
+    socket.read = (size?: number): unknown => {
+      // Node.js reads no bytes in order to notice the end of the connection.
+      if (this.isHeld && size !== 0) return null;
+      markParsed(this);
+      const part = read(size) as Buffer | null;
+      if (part === null || this.isResponse(part)) return part;
+      socket.destroy(new Error('bytes that are no response of HTTP/1'));
+      return null;
+    };
+  }
+
+  /** Holds back what has not been parsed. */
+  hold(): void {
+    this.isHeld = true;
+  }
+
+  /** Goes on with what was held back. */
+  release(): void {
+    if (!this.isHeld) return;
+    this.isHeld = false;
+    this.socket.emit('readable');
+  }
+
+  /** Lets the parser go on by itself at the end of a response. */
+  reset(): void {
+    this.isHeld = false;
+    this.start = '';
+  }
+
+  /** Checks the first bytes of a response; undici's parser takes any version. */
+  private isResponse(part: Buffer): boolean {
+    const missing = RESPONSE_START.length - this.start.length;
+    if (missing === 0) return true;
+    const text = this.start + part.toString('latin1', 0, MAX_START_BYTES);
+    this.start = text.trimStart().slice(0, RESPONSE_START.length);
+    return RESPONSE_START.startsWith(this.start);
+  }
+}
+
+/**
+ * Creates the function with which a client connects; exchanges need it. Undici
+ * takes a reset for the regular end of a body without a length, so listeners on
+ * the socket detect it just before undici is notified: by an `error` event or,
+ * when the error was lost, by an `end` event at which the socket no longer has
+ * a remote port.
  */
 export function createConnector(
   timeoutMs: number,
@@ -66,23 +132,43 @@
   return (target, callback) =>
     connect(target, (...result) => {
       const [, socket] = result;
-      socket?.prependListener('error', markReset);
-      socket?.prependListener('end', () => {
-        if (socket.remotePort === undefined) markReset();
-      });
+      if (socket) watchSocket(socket);
       callback(...result);
     });
 }
 
+function watchSocket(socket: Socket): void {
+  new ResponseConnection(socket);
+  socket.prependListener('error', markReset);
+  socket.prependListener('end', () => {
+    if (socket.remotePort === undefined) markReset();
+  });
+}
+
 /** Body of a response; destroying it closes the connection. */
 class ResponseBody extends Readable {
-  constructor(private readonly controller: Dispatcher.DispatchController) {
+  constructor(
+    private readonly controller: Dispatcher.DispatchController,
+    private readonly connection: ResponseConnection | undefined,
+  ) {
     super();
   }
 
+  /** Adds a part; holds the connection when the reader is behind. */
+  append(part: Buffer): void {
+    if (!this.push(part)) this.connection?.hold();
+  }
+
+  /** Ends the body, of which nothing more is parsed. */
+  end(error?: Error): void {
+    this.connection?.reset();
+    if (error) this.destroy(error);
+    else this.push(null);
+  }
+
   // eslint-disable-next-line @typescript-eslint/naming-convention -- stream API
   override _read(): void {
-    this.controller.resume();
+    this.connection?.release();
   }
 
   // eslint-disable-next-line @typescript-eslint/naming-convention -- stream API
@@ -150,21 +236,20 @@
           request.onInformation?.(status);
           return;
         }
-        body = new ResponseBody(dispatchController);
+        body = new ResponseBody(dispatchController, parsedConnection);
         resolve({status, headers: headers as Headers, body});
       },
-      onResponseData: (dispatchController, chunk) => {
-        if (body && !body.push(chunk)) dispatchController.pause();
-      },
+      onResponseData: (dispatchController, chunk) => body?.append(chunk),
       onResponseEnd: () => {
         removeAbortListener();
-        if (isConnectionReset)
-          body?.destroy(new Error('connection reset in the body'));
-        else body?.push(null);
+        const isCut = isConnectionReset;
+        body?.end(
+          isCut ? new Error('connection reset in the body') : undefined,
+        );
       },
       onResponseError: (dispatchController, error) => {
         removeAbortListener();
-        if (body) body.destroy(error);
+        if (body) body.end(error);
         else reject(new ExchangeError(sent, error));
       },
     });
--- a/src/transport/peer-listener.ts
+++ b/src/transport/peer-listener.ts
@@ -108,9 +108,11 @@
       extra[headerNames.PEER_SIGNATURE] = answer.signature;
     }
     extra[headerNames.VERDICT] = Verdict.RAN;
+    if (hasUnreadBody(message)) response.shouldKeepAlive = false;
     await writeAnswer(response, answer, extra);
   } catch (error) {
     stopAcknowledging();
+    if (hasUnreadBody(message)) response.shouldKeepAlive = false;
     const refusal = toRefusal(error);
     if (refusal instanceof AttemptError) addLoadHeader(extra, refusal.load);
     if (refusal.retryAfterMs !== undefined) {
@@ -120,6 +122,14 @@
   }
 }
 
+/**
+ * Whether a part of a body is unread when its answer is written. Behind it, a
+ * kept connection would not be read any more.
+ */
+function hasUnreadBody(message: IncomingMessage): boolean {
+  return !message.complete || message.readableLength > 0;
+}
+
 /** Sends acknowledgements until the returned function is called. */
 function sendAcknowledgements(
   response: ServerResponse,
--- a/src/transport/upstream-client.ts
+++ b/src/transport/upstream-client.ts
@@ -12,13 +12,13 @@
 import type {AttemptAnswer} from '../protocol/attempt.js';
 import {AttemptError} from '../protocol/attempt.js';
 import {Reason, RefusalError} from '../protocol/reasons.js';
-import type {ServiceRequest} from '../protocol/service-request.js';
+import type {Headers, ServiceRequest} from '../protocol/service-request.js';
 import {readHeldBody} from '../protocol/service-request.js';
 import {Verdict} from '../protocol/verdict.js';
 import type {ProbeAnswer, UpstreamLoadReport} from '../protocol/worker-load.js';
 import type {ExchangeRequest, ExchangeResponse} from './http-exchange.js';
 import {createConnector, ExchangeError, runExchange} from './http-exchange.js';
-import {copyEndToEndHeaders} from './message-headers.js';
+import {copyEndToEndHeaders, findHeader} from './message-headers.js';
 import type {AnswerFault, UpstreamProtocol} from './upstream-protocol.js';
 import {DEFAULT_UPSTREAM_PROTOCOL} from './upstream-protocol.js';
 
@@ -216,6 +216,21 @@
   };
 }
 
+/**
+ * Detects a body with a coding other than chunks. It would be passed on as it
+ * is but without its header, so that a caller couldn't decode it.
+ */
+function findUnknownCoding(headers: Headers): AnswerFault | undefined {
+  const coding = findHeader(headers, 'transfer-encoding');
+  if (coding === undefined || coding.toLowerCase() === 'chunked')
+    return undefined;
+  return {
+    reason: Reason.WRONG_ANSWER,
+    verdict: Verdict.MAY_HAVE_RUN,
+    detail: `worker answered with transfer coding ${coding}`,
+  };
+}
+
 async function readUpstreamAnswer(
   protocol: UpstreamProtocol,
   request: ServiceRequest,
@@ -225,6 +240,7 @@
   const isKeptConnection = request.idempotent;
   const fault =
     findUnknownStatus(status) ??
+    findUnknownCoding(headers) ??
     protocol.findFault(request, status, headers, isKeptConnection);
   if (fault) {
     closeBody(response.body, fault);
