Test what clients that no one controls cost in memory, red

Cause: a process on the users' platform ran out of memory under clients that send heads without end, or requests ahead whose answers they don't read.

Evidence: 50 crowds against each listener of one node with its store and worker stand-in, the node with a heap limit of 64 MiB (the deployment gives 120). A test asks that the process lives, that its resident memory stays within thrice the heap limit (heap, buffers outside it, code), that its descriptors do, and that one ordinary request gets 200. No check depends on the machine's speed.

Change: tests and stand-ins only. The tests have a run of their own after the others, one at a time (vitest.alone.config.ts, npm run test:alone).

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -90,7 +90,7 @@
     },
   },
   {
-    files: ['vitest.config.ts'],
+    files: ['vitest*.config.ts'],
     rules: {'n/no-unpublished-import': 'off'},
   },
   {
--- a/src/measure/child-program.ts
+++ b/src/measure/child-program.ts
@@ -20,8 +20,13 @@
   readonly exited: Promise<number | null>;
   private readonly child: ChildProcess;
 
-  constructor(file: string, args: readonly string[]) {
-    this.child = spawn(process.execPath, [file, ...args], {
+  /** @param nodeFlags options of Node.js itself. */
+  constructor(
+    file: string,
+    args: readonly string[],
+    nodeFlags: readonly string[] = [],
+  ) {
+    this.child = spawn(process.execPath, [...nodeFlags, file, ...args], {
       stdio: ['ignore', 'pipe', 'pipe'],
       env: {...process.env, ROARR_LOG: 'true'},
     });
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -10,6 +10,8 @@
 export default defineConfig({
   test: {
     include: ['src/test/**/*_test.ts', 'platform/test/**/*_test.ts'],
+    // These have a run of their own, see vitest.alone.config.ts.
+    exclude: ['platform/test/alone/**'],
     testTimeout: TEST_LIMIT_MS,
     hookTimeout: TEST_LIMIT_MS,
     pool: 'forks',
