Explain a route at a node without sending

Cause: an operator could see where a request went (explain) but not where the next one would go, nor which rule keeps a worker from being chosen.

Change: GET /-/route at the caller address, and at the metrics address on the platform, where /-/ is not served to callers. The decision code of a request runs on copies of the share and of the refusal tables, with its own generator. The predicates of the choice move to routing/ and are used by both; call.ts and data-centre-spill.ts are shorter.

No test of the explanation itself yet.

--- a/src/coordination/call.ts
+++ b/src/coordination/call.ts
@@ -18,7 +18,6 @@
 import type {ServiceRequest} from '../protocol/service-request.js';
 import {isResendable} from '../protocol/service-request.js';
 import {Verdict} from '../protocol/verdict.js';
-import {WorkerState} from '../protocol/worker-load.js';
 import type {RequestExplainer} from '../state/explanations.js';
 import type {WorkerRow} from '../state/worker-table.js';
 import {recordLoad} from '../state/worker-table.js';
@@ -34,9 +33,10 @@
 import {isSettledWithin, waitForFirst} from './hedge-race.js';
 import {SilentAttempts} from './silent-attempts.js';
 import {
-  buildSpillContext,
+  buildChoiceContext,
   describeChoice,
   isOwnPreferred,
+  selectCallRows,
 } from './routing/call-choice.js';
 import {chooseWorker} from './routing/worker-choice.js';
 
@@ -153,38 +153,24 @@
   }
 
   private chooseRow(): WorkerRow | undefined {
-    const {state, workers, dataCentre, random} = this.options;
-    const eligible = workers
-      .listWorkers(this.request.service)
-      .filter(
-        row =>
-          row.state !== WorkerState.DRAINING &&
-          !this.triedTargets.has(row.target) &&
-          !state.isDataCentreOut(row.dataCentre),
-      );
-    const {service} = this.request;
-    this.serviceState.choiceCount += 1;
-    const rows = this.options.selectWorkers(service, eligible);
-    const now = performance.now();
-    const {triedTargets, wasRefusedAtHome} = this;
-    const isFirst = triedTargets.size === 0;
-    const spill = buildSpillContext(
-      {profile: this.profile, share: this.serviceState.spill},
-      this.request,
-      {isFirst, wasRefusedAtHome, now},
-    );
-    return chooseWorker(
-      this.profile.balancing,
-      this.capacity?.selectRows(rows) ?? rows,
+    const {options, request, profile, serviceState, triedTargets} = this;
+    serviceState.choiceCount += 1;
+    const rows = selectCallRows(options, request.service, triedTargets);
+    const context = buildChoiceContext(
+      options.dataCentre,
       {
-        dataCentre,
-        farCostMs: this.profile.farCost,
-        random,
-        choiceCount: this.serviceState.choiceCount,
-        now,
-        ...(spill ? {spill} : {}),
+        request,
+        profile,
+        share: serviceState.spill,
+        choiceCount: serviceState.choiceCount,
+        isFirst: triedTargets.size === 0,
+        wasRefusedAtHome: this.wasRefusedAtHome,
       },
+      options.random,
+      performance.now(),
     );
+    const allowed = this.capacity?.selectRows(rows) ?? rows;
+    return chooseWorker(profile.balancing, allowed, context);
   }
 
   /** Runs an attempt, and a hedge in parallel when it is slow. */
--- a/src/coordination/entry.ts
+++ b/src/coordination/entry.ts
@@ -17,6 +17,8 @@
 import {Call} from './call.js';
 import type {NestedCalls} from './nested-calls.js';
 import {DataCentreSpill} from './routing/data-centre-spill.js';
+import type {RouteExplanation} from './routing/route-explanation.js';
+import {buildRouteExplanation} from './routing/route-explanation.js';
 import {CapacityRefusals} from './refusals/capacity-refusals.js';
 import {RetryBudget, TokenBudget} from './refusals/retry-budget.js';
 
@@ -53,12 +55,19 @@
   readonly isQuarantined: (fingerprint: string) => boolean;
   /**
    * Selects the workers that an attempt may be sent to: those that the moves in
-   * progress allow and, in a large fleet, those of the entry's subset.
+   * progress allow and, in a large fleet, those of the entry's subset. Moves
+   * draw from `random`, if given, in place of their own generator.
    */
   readonly selectWorkers: (
     service: string,
     rows: readonly WorkerRow[],
+    random?: () => number,
   ) => WorkerRow[];
+  /**
+   * Selects the workers that the moves allow, without the subset; by default
+   * `selectWorkers` does that alone.
+   */
+  readonly selectVersion?: EntryOptions['selectWorkers'];
 }
 
 /** State that an entry keeps for one service. */
@@ -111,6 +120,24 @@
     }
   }
 
+  /**
+   * Explains where a request would go now, without sending it. No state of the
+   * entry changes, and its random numbers are not drawn.
+   */
+  describeRoute(request: ServiceRequest, now: number): RouteExplanation {
+    const {options} = this;
+    const {service} = request;
+    const profile = options.state.findProfile(service);
+    if (!profile) throw new RefusalError(Reason.UNKNOWN_SERVICE);
+    const serviceState =
+      this.stateByService.get(service) ??
+      this.createServiceState(service, profile);
+    return buildRouteExplanation(
+      {options, request, profile, serviceState},
+      now,
+    );
+  }
+
   private async runRequest(
     request: ServiceRequest,
     signal: AbortSignal,
@@ -180,23 +207,30 @@
   ): EntryServiceState {
     let serviceState = this.stateByService.get(service);
     if (!serviceState) {
-      const {count, report} = this.options;
-      serviceState = {
-        retries: new RetryBudget(this.computeRetryBurst(profile)),
-        hedges: new TokenBudget(),
-        attemptTimes: this.options.createAttemptTimes?.(),
-        inFlightByCaller: new Map(),
-        spill: new DataCentreSpill({service, count, report}),
-        capacityRefusals: new CapacityRefusals(service, {
-          ...this.options,
-          countSenders: name => this.countSenders(name),
-        }),
-        choiceCount: 0,
-      };
+      serviceState = this.createServiceState(service, profile);
       this.stateByService.set(service, serviceState);
     }
     return serviceState;
   }
+
+  private createServiceState(
+    service: string,
+    profile: Profile,
+  ): EntryServiceState {
+    const {count, report} = this.options;
+    return {
+      retries: new RetryBudget(this.computeRetryBurst(profile)),
+      hedges: new TokenBudget(),
+      attemptTimes: this.options.createAttemptTimes?.(),
+      inFlightByCaller: new Map(),
+      spill: new DataCentreSpill({service, count, report}),
+      capacityRefusals: new CapacityRefusals(service, {
+        ...this.options,
+        countSenders: name => this.countSenders(name),
+      }),
+      choiceCount: 0,
+    };
+  }
 }
 
 /** Counts a call as in flight; refuses it at the caller's limit. */
--- a/src/coordination/refusals/capacity-refusals.ts
+++ b/src/coordination/refusals/capacity-refusals.ts
@@ -48,10 +48,7 @@
 
 /** State that an entry keeps for the refusals of one service. */
 export class CapacityRefusals {
-  readonly kinds = new RouteKinds();
-  readonly entry = new EntryRefusal(this.kinds);
-  readonly times = new ReturnTimes();
-  readonly returns = new PromisedReturns();
+  readonly entry: EntryRefusal;
   private refused = 0;
   private sentAnyway = 0;
   private loggedAt = -Infinity;
@@ -61,7 +58,30 @@
   constructor(
     private readonly service: string,
     readonly options: CapacityRefusalsOptions,
-  ) {}
+    readonly kinds = new RouteKinds(),
+    readonly times = new ReturnTimes(),
+    readonly returns = new PromisedReturns(),
+  ) {
+    this.entry = new EntryRefusal(kinds);
+  }
+
+  /**
+   * Copies the state, so that a decision can be made without changing it. The
+   * copy counts and logs nothing.
+   */
+  copy(random: () => number): CapacityRefusals {
+    const {countSenders} = this.options;
+    const copy = new CapacityRefusals(
+      this.service,
+      {random, countSenders, count: () => {}},
+      this.kinds.copy(),
+      this.times.copy(),
+      this.returns.copy(),
+    );
+    copy.share = this.share;
+    copy.shareAt = this.shareAt;
+    return copy;
+  }
 
   /** Creates the state of one call; undefined where the profile is off. */
   start(
--- a/src/coordination/refusals/entry-refusal.ts
+++ b/src/coordination/refusals/entry-refusal.ts
@@ -21,7 +21,7 @@
 /** Rows examined for one decision; with more the entry doesn't refuse. */
 export const MAX_ROWS = 10;
 /** Fraction of refusable requests that are sent, so that figures renew. */
-const SENT_FRACTION = 1 / 8;
+export const SENT_FRACTION = 1 / 8;
 /**
  * Ratios of the longest wait at a gate to a request's spare time, and the
  * margin on its service time, as in `wait-policy.ts`. A test compares both.
--- a/src/coordination/refusals/promised-returns.ts
+++ b/src/coordination/refusals/promised-returns.ts
@@ -51,6 +51,14 @@
     return this.promises.size;
   }
 
+  /** Copies the promises, so that a decision can be made without change. */
+  copy(): PromisedReturns {
+    const copy = new PromisedReturns();
+    for (const [key, promised] of this.promises)
+      copy.promises.set(key, {...promised});
+    return copy;
+  }
+
   /** Records the arrival of a request; a promise is used up by it. */
   recordArrival(key: string, now: number): Arrival {
     const promised = this.find(key, now);
--- a/src/coordination/refusals/return-time.ts
+++ b/src/coordination/refusals/return-time.ts
@@ -49,6 +49,14 @@
   /** Whether the last time chosen was within the expected room. */
   isWithinRoom = false;
 
+  /** Copies the times given, so that one can be chosen without change. */
+  copy(): ReturnTimes {
+    const copy = new ReturnTimes();
+    copy.counts.set(this.counts);
+    copy.slots.set(this.slots);
+    return copy;
+  }
+
   /**
    * Returns the delay in milliseconds after which a caller should return;
    * undefined when none is useful.
--- a/src/coordination/refusals/route-kinds.ts
+++ b/src/coordination/refusals/route-kinds.ts
@@ -43,6 +43,15 @@
   private readonly byRoute = new Map<string, RouteKind>();
   private startedAt = Infinity;
 
+  /** Copies what was observed, so that a decision can be made without change. */
+  copy(): RouteKinds {
+    const copy = new RouteKinds();
+    copy.startedAt = this.startedAt;
+    for (const [route, kind] of this.byRoute)
+      copy.byRoute.set(route, {...kind});
+    return copy;
+  }
+
   /** Records a request of a caller. */
   record(request: ServiceRequest, now: number): void {
     const {route, rank, targetAt} = request;
--- a/src/coordination/route-split.ts
+++ b/src/coordination/route-split.ts
@@ -26,15 +26,23 @@
     const {targets} = rule;
     if (targets.length === 1) return targets[0]!.service;
     const split = this.findSplit(rule);
-    let best = 0;
-    targets.forEach(({weight}, index) => {
-      split.credits[index]! += weight;
-      if (split.credits[index]! > split.credits[best]!) best = index;
-    });
+    const best = findNext(targets, split.credits);
+    targets.forEach(({weight}, index) => (split.credits[index]! += weight));
     split.credits[best]! -= split.totalWeight;
     return targets[best]!.service;
   }
 
+  /**
+   * Finds the service that the next request of a route goes to, without taking
+   * its turn. Before the first request this is the one with the most weight,
+   * as the initial credits are not drawn yet.
+   */
+  findNextService({name, targets}: RouteRule): string {
+    const split = this.splits.get(name);
+    const isKnown = split && hasSameTargets(split.targets, targets);
+    return targets[findNext(targets, isKnown ? split.credits : [])]!.service;
+  }
+
   private findSplit(rule: RouteRule): Split {
     const known = this.splits.get(rule.name);
     if (known && hasSameTargets(known.targets, rule.targets)) return known;
@@ -49,6 +57,22 @@
   }
 }
 
+/** Finds the index of the target with the most credits after the next step. */
+function findNext(
+  targets: RouteRule['targets'],
+  credits: readonly number[],
+): number {
+  let best = 0;
+  let most = -Infinity;
+  targets.forEach(({weight}, index) => {
+    const credit = (credits[index] ?? 0) + weight;
+    if (credit <= most) return;
+    most = credit;
+    best = index;
+  });
+  return best;
+}
+
 function hasSameTargets(
   one: RouteRule['targets'],
   other: RouteRule['targets'],
--- a/src/coordination/routing/data-centre-spill.ts
+++ b/src/coordination/routing/data-centre-spill.ts
@@ -8,16 +8,20 @@
  * share by small steps in time. Entries with the same figures thus move
  * together slowly, instead of all sending their next request to one worker.
  */
-import {WorkerState} from '../../protocol/worker-load.js';
 import type {WorkerRow} from '../../state/worker-table.js';
 import type {ChoiceContext} from './worker-choice.js';
 import {
-  computeInFlight,
   computePacedCost,
   MAX_COST_FACTOR,
   PACED_CANDIDATES,
-  REFERENCE_SERVICE_TIME_MS,
 } from './worker-choice.js';
+import {
+  computeAge,
+  computeKnownRoom,
+  computeLeastAge,
+  computeWaitMs,
+  findUnusableRule,
+} from './worker-room.js';
 
 /** Time of one step of the share, above the 60 ms between load reports. */
 const STEP_MS = 100;
@@ -60,16 +64,6 @@
 const IDLE_DECAY_MS = 3000;
 /** Age of load figures up to which the share may rise on them. */
 const FRESH_MS = 1000;
-/**
- * Age of load figures up to which the share may be used. Idle workers report
- * every 1 to 1.5 s, so this survives a lost datagram.
- */
-const MAX_ROOM_AGE_MS = 3000;
-/**
- * Age up to which a worker that failed is not usable. Later its cost has
- * decayed below MAX_COST_FACTOR, and it may be tried again.
- */
-const FAILING_LIFETIME_MS = 10_000;
 /**
  * Fraction of the time to its target that a nested call may wait at home while
  * there is room elsewhere. Its parent holds a slot meanwhile.
@@ -90,7 +84,6 @@
 const LOG_INTERVAL_MS = 1000;
 /** Precision of logged numbers. */
 const LOG_DIGITS = 3;
-const US_PER_MS = 1000;
 
 /** What a choice needs to know of the request. */
 export interface SpillRequest {
@@ -105,6 +98,9 @@
   readonly timeLeftMs: number;
 }
 
+/** Inputs of a step of the share, as logged. */
+export type SpillInputs = Readonly<Record<string, string | number>>;
+
 /** Dependencies of the share of one service. */
 export interface DataCentreSpillOptions {
   readonly service: string;
@@ -123,7 +119,6 @@
 export class DataCentreSpill {
   private currentShare = 0;
   private advantage = 0;
-  /** Time up to which the share was updated; undefined before a choice. */
   private steppedAt: number | undefined;
   private loggedShare = 0;
   private loggedAt = -Infinity;
@@ -132,6 +127,8 @@
   private readonly away: WorkerRow[] = [];
   private readonly withRoom: WorkerRow[] = [];
   private roomFraction = 0;
+  /** Inputs of the last step of the share. */
+  private inputs: SpillInputs = {};
   private readonly costs: number[] = [];
 
   constructor(private readonly options: DataCentreSpillOptions) {}
@@ -141,6 +138,34 @@
     return this.currentShare;
   }
 
+  /** Time up to which the share was updated; undefined before a choice. */
+  get updatedAt(): number | undefined {
+    return this.steppedAt;
+  }
+
+  /** Inputs of the last step of the share, with the smoothed difference. */
+  describeInputs(): SpillInputs {
+    return {advantage: this.advantage.toFixed(LOG_DIGITS), ...this.inputs};
+  }
+
+  /**
+   * Copies the share, so that a choice can be made without changing it. The
+   * copy counts and logs nothing.
+   */
+  copy(): DataCentreSpill {
+    const {service} = this.options;
+    const copy = new DataCentreSpill({
+      service,
+      count: () => {},
+      report: undefined,
+    });
+    copy.currentShare = this.currentShare;
+    copy.advantage = this.advantage;
+    copy.steppedAt = this.steppedAt;
+    copy.inputs = this.inputs;
+    return copy;
+  }
+
   /**
    * Selects the workers among which a request's next attempt chooses: those of
    * one side, or all when no figures or no usable workers are known. The result
@@ -180,7 +205,7 @@
     this.home.length = 0;
     this.away.length = 0;
     for (const row of rows) {
-      if (!isUsable(row, context.now)) continue;
+      if (findUnusableRule(row, context.now)) continue;
       const isHome = row.dataCentre === context.dataCentre;
       (isHome ? this.home : this.away).push(row);
     }
@@ -218,11 +243,10 @@
     let freeSlots = 0;
     let slots = 0;
     for (const row of away) {
-      const isKnown = computeAge(row, now) <= MAX_ROOM_AGE_MS;
-      const room = isKnown ? Math.max(0, computeRoom(row)) : 0;
-      freeSlots += room;
+      const room = computeKnownRoom(row, now);
+      freeSlots += room ?? 0;
       slots += row.observed?.figures.limit ?? row.slots;
-      if (room >= 1 || (allowsUnknown && !isKnown)) withRoom.push(row);
+      if (room === undefined ? allowsUnknown : room >= 1) withRoom.push(row);
     }
     this.roomFraction = freeSlots / Math.max(1, slots);
     return withRoom;
@@ -306,10 +330,8 @@
     return sum / weights;
   }
 
-  private logShare(
-    now: number,
-    inputs: Readonly<Record<string, string | number>>,
-  ): void {
+  private logShare(now: number, inputs: SpillInputs): void {
+    this.inputs = inputs;
     const {report, service} = this.options;
     const change = Math.abs(this.currentShare - this.loggedShare);
     const isBackToNone = this.currentShare === 0 && this.loggedShare > 0;
@@ -330,44 +352,3 @@
   if (advantage >= 0) return -EQUAL_FALL;
   return -Math.min(MAX_STEP, MIN_FALL - GAIN * advantage);
 }
-
-function isUsable(row: WorkerRow, now: number): boolean {
-  if (row.isSuspect) return false;
-  const state = row.observed?.figures.state ?? row.state;
-  if (state !== WorkerState.FAILING) return true;
-  return (
-    row.observed !== undefined && computeAge(row, now) > FAILING_LIFETIME_MS
-  );
-}
-
-function computeAge({observed}: WorkerRow, now: number): number {
-  return observed ? now - observed.at : Infinity;
-}
-
-/**
- * Computes the free slots by the last figures, less what this entry has sent
- * since. Unlike in a cost, the requests of others do not decay, and a cold
- * worker has no room.
- */
-function computeRoom({observed, inFlightHere}: WorkerRow): number {
-  if (observed?.figures.state !== WorkerState.READY) return 0;
-  const {limit, inFlight, queued} = observed.figures;
-  const sentSince = Math.max(0, inFlightHere - observed.inFlightHere);
-  return limit - inFlight - queued - sentSince;
-}
-
-/** Estimates the time that a request waits for a slot of a worker. */
-function computeWaitMs(row: WorkerRow, context: ChoiceContext): number {
-  const {observed} = row;
-  if (!observed) return 0;
-  const {limit, serviceTimeUs} = observed.figures;
-  const load = computeInFlight(row, computeAge(row, context.now));
-  const waiting = Math.max(0, load + 1 - Math.max(1, limit));
-  const serviceTimeMs = serviceTimeUs / US_PER_MS || REFERENCE_SERVICE_TIME_MS;
-  return (waiting / Math.max(1, limit)) * serviceTimeMs;
-}
-
-function computeLeastAge(rows: readonly WorkerRow[], now: number): number {
-  const age = Math.min(...rows.map(row => computeAge(row, now)));
-  return Number.isFinite(age) ? Math.round(age) : -1;
-}
--- a/src/coordination/routing/worker-choice.ts
+++ b/src/coordination/routing/worker-choice.ts
@@ -208,15 +208,18 @@
       (1 + COST_JITTER_FRACTION * context.random()),
   }));
   const lowestCost = Math.min(...costed.map(({cost}) => cost));
-  const eligible = costed.filter(
-    ({cost}) => cost <= MAX_COST_FACTOR * lowestCost,
-  );
+  const eligible = costed.filter(({cost}) => isComparable(cost, lowestCost));
   const candidates = pickDistinct(eligible, PACED_CANDIDATES, context.random);
   let best = candidates[0]!;
   for (const other of candidates) if (other.cost < best.cost) best = other;
   return best.row;
 }
 
+/** Whether a worker is considered beside one of the lowest cost. */
+export function isComparable(cost: number, lowestCost: number): boolean {
+  return cost <= MAX_COST_FACTOR * lowestCost;
+}
+
 /**
  * Computes a relative cost, in multiples of the usual service time.
  *
--- a/src/coordination/version-moves.ts
+++ b/src/coordination/version-moves.ts
@@ -140,11 +140,15 @@
    * While a move runs, either version may replace the other. After its end the
    * other version serves only when no worker of the right one is left.
    */
-  selectWorkers(service: string, rows: readonly WorkerRow[]): WorkerRow[] {
+  selectWorkers(
+    service: string,
+    rows: readonly WorkerRow[],
+    random = this.options.random,
+  ): WorkerRow[] {
     const {state, workers} = this.options;
     const move = state.findMove(service);
     const wanted = move
-      ? this.chooseVersion(service, move)
+      ? this.chooseVersion(service, move, random)
       : (this.options.findBaseVersion?.(service) ??
         state.findServiceVersion(service));
     if (wanted === undefined) return [...rows];
@@ -183,12 +187,16 @@
     }
   }
 
-  private chooseVersion(service: string, move: Move): string {
+  private chooseVersion(
+    service: string,
+    move: Move,
+    random: () => number,
+  ): string {
     if (move.stage === 'done') return move.toVersion;
     if (move.stage === 'taken-back' || this.badMoves.has(move.moveId)) {
       return move.fromVersion;
     }
-    const percent = this.options.random() * 100;
+    const percent = random() * 100;
     return percent < this.computeShare(service, move)
       ? move.toVersion
       : move.fromVersion;
--- a/src/directory-node.ts
+++ b/src/directory-node.ts
@@ -20,6 +20,7 @@
 import {DirectorySubset} from './directory-subset.js';
 import {DirectoryWorker} from './directory-worker.js';
 import type {NodeAdapter, NodePort} from './node-adapter.js';
+import {buildRouteHandler} from './node-route-query.js';
 import {describeReadiness, NodeStop} from './node-stop.js';
 import type {DirectorySettings} from './protocol/directory-settings.js';
 import {DIRECTORY_CONNECTIONS} from './protocol/directory-settings.js';
@@ -206,10 +207,9 @@
     for (const {server, address} of this.adapter.createServers(this.port)) {
       await startListening(server, address);
     }
-    await startListening(
-      createMetricsServer(this.metrics),
-      node.metricsAddress,
-    );
+    const route = buildRouteHandler(this.entry, this.state, this.splitter);
+    const metricsServer = createMetricsServer(this.metrics, route);
+    await startListening(metricsServer, node.metricsAddress);
     this.state.events.on('changed', () => this.worker.refresh());
     this.gate.events.on('workersChanged', () => this.updateWorkers());
     this.workers.events.on('changed', () => this.updateVersions());
@@ -304,8 +304,7 @@
       count: name => this.metrics.count(name),
       report: (text, context) => this.log(text, context),
       isQuarantined: fingerprint => this.crashTable.isQuarantined(fingerprint),
-      selectWorkers: (service, rows) =>
-        this.subset.select(service, this.moves.versions, rows),
+      ...this.subset.buildSelection(() => this.moves.versions),
     });
   }
 
--- a/src/directory-subset.ts
+++ b/src/directory-subset.ts
@@ -1,4 +1,5 @@
 /** The workers among which the entry of a directory node chooses. */
+import type {EntryOptions} from './coordination/entry.js';
 import type {Gate} from './coordination/gate.js';
 import {isOwnPreferred} from './coordination/routing/call-choice.js';
 import {WorkerSubset} from './coordination/routing/worker-subset.js';
@@ -18,16 +19,20 @@
     this.subset = new WorkerSubset(node.id, node.dataCentre);
   }
 
-  /** Selects the subset of a service from the workers that moves allow. */
-  select(
-    service: string,
-    moves: VersionMoves,
-    rows: readonly WorkerRow[],
-  ): WorkerRow[] {
-    return this.subset.select(
-      moves.selectWorkers(service, rows),
-      this.isOwnPreferred(service),
-    );
+  /** Builds the selection of an entry from the workers that moves allow. */
+  buildSelection(
+    findMoves: () => VersionMoves,
+  ): Required<Pick<EntryOptions, 'selectWorkers' | 'selectVersion'>> {
+    const selectVersion: EntryOptions['selectWorkers'] = (...choice) =>
+      findMoves().selectWorkers(...choice);
+    return {
+      selectVersion,
+      selectWorkers: (service, rows, random) =>
+        this.subset.select(
+          selectVersion(service, rows, random),
+          this.isOwnPreferred(service),
+        ),
+    };
   }
 
   /** Lists the subsets of all services, which get load figures. */
--- a/src/node-process.ts
+++ b/src/node-process.ts
@@ -23,6 +23,7 @@
 } from './node-membership.js';
 import {askSeal} from './node-attempts.js';
 import {NodeMoves} from './node-moves.js';
+import {buildRouteHandler} from './node-route-query.js';
 import {buildNodeRoutes} from './node-routes.js';
 import {describeReadiness, NodeStop} from './node-stop.js';
 import {AttemptService} from './protocol/attempts_pb.js';
@@ -166,8 +167,8 @@
       report: (text, context) =>
         this.logger.write('info', text, context as LogContext),
       isQuarantined: fingerprint => this.crashTable.isQuarantined(fingerprint),
-      selectWorkers: (service, rows) =>
-        this.moves.versions.selectWorkers(service, rows),
+      selectWorkers: (service, rows, random) =>
+        this.moves.versions.selectWorkers(service, rows, random),
     });
     this.keyHomes = new KeyHomes({
       identity: this.identity,
@@ -199,6 +200,7 @@
         describeReadiness: () =>
           describeReadiness(this.plannedStop.isStopping, this.hasJoined),
         buildStatus: () => this.buildStatus(),
+        describeRoute: buildRouteHandler(this.entry, this.state, this.splitter),
         findExplanation: requestId => this.explanations.find(requestId),
         announce: announcement => this.gate.announce(announcement),
         hostAddress: parseAddress(node.callerAddress).host,
--- a/src/node-routes.ts
+++ b/src/node-routes.ts
@@ -14,6 +14,8 @@
   readonly buildStatus: () => Record<string, unknown>;
   /** Returns undefined when this node has no explanation of the request. */
   readonly findExplanation: (requestId: string) => unknown;
+  /** Explains where a request would go now. */
+  readonly describeRoute: (query: URLSearchParams) => NodeAnswer;
   readonly announce: (announcement: Announcement) => void;
   /** IP address of this host; announcements from other hosts are refused. */
   readonly hostAddress: string;
@@ -51,6 +53,11 @@
           : {status: 200, body: found};
       },
     },
+    {
+      method: 'get',
+      path: '/-/route',
+      handle: ({query}) => options.describeRoute(query),
+    },
     {
       method: 'post',
       path: '/-/announce',
--- a/src/transport/caller-listener.ts
+++ b/src/transport/caller-listener.ts
@@ -34,6 +34,8 @@
 export interface NodeRequest {
   /** Path parameters, decoded. */
   readonly params: Readonly<Record<string, string>>;
+  /** Parameters of the query string. */
+  readonly query: URLSearchParams;
   /** Parsed JSON body; undefined when the request has none. */
   readonly body: unknown;
   readonly remoteAddress: string;
@@ -327,7 +329,8 @@
   try {
     const body = await readJson(message);
     const remoteAddress = message.socket.remoteAddress ?? '';
-    const answer = await route.handle({params, body, remoteAddress});
+    const query = readQuery(message);
+    const answer = await route.handle({params, query, body, remoteAddress});
     const text = JSON.stringify(answer.body);
     response.writeHead(answer.status, {'content-type': 'application/json'});
     response.end(text);
@@ -336,6 +339,12 @@
   }
 }
 
+/** Reads the parameters of the query string. */
+export function readQuery({url = ''}: IncomingMessage): URLSearchParams {
+  const start = url.indexOf('?');
+  return new URLSearchParams(start < 0 ? '' : url.slice(start + 1));
+}
+
 async function readJson(message: IncomingMessage): Promise<unknown> {
   const body = await readWholeBody(message, MAX_NODE_REQUEST_BODY_BYTES);
   if (body.length === 0) return undefined;
--- a/src/transport/metrics.ts
+++ b/src/transport/metrics.ts
@@ -4,9 +4,11 @@
  * also go to a MetricsSender if there is one. Each reason of a refusal or retry
  * has its own counter.
  */
-import type {Server} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {createServer} from 'node:http';
 import {Counter, Histogram, Registry} from 'prom-client';
+import type {NodeAnswer} from './caller-listener.js';
+import {readQuery} from './caller-listener.js';
 
 /** Upper bounds in seconds, from a local answer to a usual deadline. */
 const LATENCY_BUCKETS_S = [
@@ -93,12 +95,41 @@
   }
 }
 
-/** Creates a server that answers any request with the metrics as text. */
-export function createMetricsServer(metrics: Metrics): Server {
+/** Path of the metrics server that explains a route. */
+const ROUTE_PATH = '/-/route';
+
+/**
+ * Creates a server for operators. It explains a route below `/-/route`, since
+ * the caller address serves no paths of the node on some platforms, and answers
+ * any other request with the metrics as text.
+ */
+export function createMetricsServer(
+  metrics: Metrics,
+  describeRoute: (query: URLSearchParams) => NodeAnswer,
+): Server {
   return createServer((message, response) => {
+    const [path] = (message.url ?? '').split('?', 1);
+    if (path === ROUTE_PATH) {
+      writeRoute(message, response, describeRoute);
+      return;
+    }
     void metrics
       .formatText()
       .then(text => response.end(text))
       .catch(() => response.destroy());
   });
 }
+
+function writeRoute(
+  message: IncomingMessage,
+  response: ServerResponse,
+  describeRoute: (query: URLSearchParams) => NodeAnswer,
+): void {
+  try {
+    const {status, body} = describeRoute(readQuery(message));
+    response.writeHead(status, {'content-type': 'application/json'});
+    response.end(JSON.stringify(body));
+  } catch {
+    response.destroy();
+  }
+}
