--- a/src/bin/ctl.ts
+++ b/src/bin/ctl.ts
@@ -11,6 +11,8 @@
 import {JsonOutput, TextOutput} from '../ctl/output.js';
 import {publishFile} from '../ctl/publish.js';
 import {recoverState} from '../ctl/recover.js';
+import type {RouteOptions} from '../ctl/route.js';
+import {describeRoute} from '../ctl/route.js';
 import {describeRequest, reportStatus} from '../ctl/status.js';
 import {LogUnavailableError} from '../protocol/platform-log.js';
 import {SettingsError} from '../protocol/settings.js';
@@ -135,6 +137,23 @@
     runCommand(client => describeRequest(client, requestId)),
   );
 
+program
+  .command('route [service]')
+  .description(
+    'show where the first --node would send a request now, without sending it; --time-limit is that of the request',
+  )
+  .option('--host <name>', 'host that selects a route, in place of a service')
+  .option('--path <path>', 'path of the request')
+  .option('--method <method>', 'method of the request')
+  .option('--rank <number>', 'priority; 0 is the highest')
+  .option('--target <duration>', 'target latency, such as 400ms')
+  .option('--nested', 'as a call that a running request makes')
+  .action((service: string | undefined, options: RouteOptions) => {
+    const flags = program.opts<SharedFlags>();
+    const output = flags.json ? new JsonOutput() : new TextOutput();
+    return describeRoute(output, flags, service, options);
+  });
+
 /** Returns the exit code for an error. */
 function findExitCode(error: unknown): ExitCode {
   if (error instanceof ControlError) return error.exitCode;
