--- a/src/test/control_test.ts
+++ b/src/test/control_test.ts
@@ -164,6 +164,46 @@
     rmSync(configuration);
   });
 
+  // Guards against a command that doesn't reach the node's explanation, or that
+  // sends what it explains.
+  it('a route is explained by one node, without a request', async () => {
+    const {callerAddress} = fixture.deployment.findHost('desk-0');
+    const countServed = (): number =>
+      [...fixture.upstreams.values()].reduce(
+        (total, upstream) => total + upstream.stats.requests,
+        0,
+      );
+    const before = countServed();
+    const end = await runControlCommand([
+      ...['--json', '--node', callerAddress, '--time-limit', '900ms'],
+      ...['route', 'kona-desk', '--rank', '2', '--target', '300ms'],
+    ]);
+    expect(end.exitCode).toBe(0);
+    expect(end.result).toMatchObject({
+      node: callerAddress,
+      explanation: {
+        service: 'kona-desk',
+        dataCentre: 'arusha',
+        rank: 2,
+        timeLimitMs: 900,
+        targetMs: 300,
+        refusal: null,
+      },
+    });
+    expect(end.result['text']).toContain('desk-1');
+    expect(countServed()).toBe(before);
+  });
+
+  it.each([
+    {name: 'an unknown service', args: ['nowhere'], exitCode: 7},
+    {name: 'neither service nor host', args: [], exitCode: 2},
+    {name: 'a bad rank', args: ['kona-desk', '--rank', 'high'], exitCode: 2},
+    {name: 'a host without a route', args: ['--host', 'a.test'], exitCode: 7},
+  ])('a route of $name is refused', async ({args, exitCode}) => {
+    const end = await runControl(fixture, ['route', ...args]);
+    expect(end.exitCode).toBe(exitCode);
+  });
+
   it('a request is explained by the node that took it', async () => {
     const {callerAddress} = fixture.deployment.findHost('desk-0');
     await fetch(`http://${callerAddress}/kona-desk/tickets/1`, {
