--- a/src/coordination/routing/exclusion-rules.ts
+++ b/src/coordination/routing/exclusion-rules.ts
@@ -19,7 +19,7 @@
 
 /**
  * Choices made to estimate probabilities: the standard error is 3.5 percentage
- * points at most, and a node is kept busy for a few milliseconds.
+ * points at most, and the node is kept busy for some milliseconds.
  */
 export const SAMPLES = 200;
 
--- a/src/coordination/routing/route-explanation.ts
+++ b/src/coordination/routing/route-explanation.ts
@@ -260,7 +260,9 @@
         queued: figures?.queued ?? null,
         limit: figures?.limit ?? null,
         pace: figures?.pace ?? null,
-        serviceMs: figures ? figures.serviceTimeUs / US_PER_MS : null,
+        serviceMs: figures
+          ? Math.round(figures.serviceTimeUs / US_PER_MS)
+          : null,
         failureShare: figures?.failureShare ?? null,
         ageMs: at === undefined ? null : Math.round(context.now - at),
         cost: cost === undefined ? null : computeRounded(cost),
