Bound the bytes that a worker holds after a crash

Cause: a worker crashes when the requests that it holds exceed its memory, and no setting or report tells a gate how much that is. Change: profile key admission.bounds_worker_bytes (off by default). A gate learns a bound from crashes, holds back requests above it in its queue and raises the bound slowly while runs at it end well.

--- a/src/coordination/admission/slot-admission.ts
+++ b/src/coordination/admission/slot-admission.ts
@@ -22,12 +22,8 @@
 import {LoadPublisher} from './load-publisher.js';
 import {RankQueue} from './rank-queue.js';
 import {ServiceAverages} from './service-averages.js';
-import type {SlotRules} from './slot-allocation.js';
-import {
-  findNextItem,
-  NO_SLOT_RULES,
-  SlotAllocation,
-} from './slot-allocation.js';
+import type {SlotRules, WorkerUse} from './slot-allocation.js';
+import {NO_SLOT_RULES, SlotAllocation} from './slot-allocation.js';
 import {WaitPolicy} from './wait-policy.js';
 import {createOverloadRefusal} from './overload-refusal.js';
 import type {RankedRequest, WaitingRequest} from './waiting-request.js';
@@ -136,6 +132,10 @@
     this.publisher.publish(this.load);
   }
 
+  recordCrash(): void {
+    this.allocation.bytes.recordCrash(this.now());
+  }
+
   recordLoadReport(figures: UpstreamLoadReport): void {
     const isSlower = figures.pace > this.figures.pace;
     this.figures.record(figures.pace, this.now());
@@ -214,7 +214,9 @@
     const isFull = this.inFlight >= this.knee.value;
     if (!this.allocation.admit(item, state, isFull)) return false;
     const ahead = waiting.slice(0, this.queue.countAhead(item));
-    return !findNextItem(ahead, state) && this.hasCapacity(now);
+    return this.allocation.hasRoomFor(item, ahead, state, () =>
+      this.hasCapacity(now),
+    );
   }
 
   /** Returns the expected service time of a route in milliseconds. */
@@ -269,7 +271,7 @@
   private takeSlot(item: RankedRequest, now: number): Slot {
     const {workClass, request} = item;
     this.inFlight += 1;
-    const endUse = this.allocation.start(workClass, request.route, now);
+    const use = this.allocation.start(workClass, request, now);
     this.figures.recordSent(now);
     this.cold.recordSent(now);
     const running = this.inFlight;
@@ -285,16 +287,18 @@
         // that at its end are averaged.
         const meanPace = (pace + this.figures.pace) / 2;
         this.record(outcome, request.route, running, elapsedMs, meanPace);
+        const end = (): void => this.endRun(use, outcome);
         if (outcome === SlotOutcome.CANCELLED) {
-          this.timers.set(() => this.endRun(endUse), CANCELLATION_GRACE_MS);
-        } else this.endRun(endUse);
+          this.timers.set(end, CANCELLATION_GRACE_MS);
+        } else end();
       },
+      recordBytes: bytes => use.addBytes(bytes),
     };
   }
 
-  private endRun(endUse: () => void): void {
+  private endRun(use: WorkerUse, outcome: SlotOutcome): void {
     this.inFlight -= 1;
-    endUse();
+    use.end(outcome, this.now());
     this.serveQueue();
     this.publisher.publish(this.load);
   }
@@ -325,7 +329,7 @@
     for (;;) {
       const list = this.queue.list();
       const state = this.allocation.computeState(this.knee.value, list, now);
-      const waiting = findNextItem(list, state);
+      const waiting = this.allocation.findNext(list, state);
       if (!waiting || !this.hasCapacity(now)) break;
       this.queue.remove(waiting);
       if (now < waiting.expiresAt) {
--- a/src/coordination/admission/slot-allocation.ts
+++ b/src/coordination/admission/slot-allocation.ts
@@ -12,7 +12,9 @@
   PatientWork,
 } from './patient-work.js';
 import type {ClassCounts, SlotState} from './slot-shares.js';
+import type {SlotOutcome} from './concurrency-limit.js';
 import {findHold, WorkClass} from './slot-shares.js';
+import {ByteBound, WorkerBytes} from './worker-bytes.js';
 import type {AdmissionRequest} from './worker-admission.js';
 
 /** Rules, counters and log of the use of one worker's slots. */
@@ -21,6 +23,8 @@
   readonly findRules: () => Profile['admission'] | undefined;
   readonly count: (name: string) => void;
   readonly report: ReportEstimate;
+  /** What is known of the worker's memory from earlier processes. */
+  readonly byteBound?: ByteBound;
 }
 
 /** Rules of a worker without any. */
@@ -46,11 +50,21 @@
   computeUsual(route: string): number;
 }
 
+/** Use of the worker by a running request. */
+export interface WorkerUse {
+  /** Adds bytes of a body whose length wasn't known before. */
+  addBytes(bytes: number): void;
+  /** Ends the use; to be called once. */
+  end(outcome: SlotOutcome, now: number): void;
+}
+
 const OWN_CLASSES = [WorkClass.URGENT, WorkClass.PATIENT];
 const ALL_CLASSES = [WorkClass.NESTED, ...OWN_CLASSES];
 
-/** Divides the slots of one worker. */
+/** Divides the slots and the memory of one worker. */
 export class SlotAllocation {
+  /** Bytes of the requests that the worker holds. */
+  readonly bytes: WorkerBytes;
   private readonly reservation = new CallReservation();
   private readonly patientWork = new PatientWork();
   private readonly running: ClassCounts = {nested: 0, urgent: 0, patient: 0};
@@ -64,6 +78,11 @@
     private readonly serviceTimes: ServiceTimes,
   ) {
     this.log = new EstimateLog(rules.report);
+    this.bytes = new WorkerBytes(
+      rules.byteBound ?? new ByteBound(),
+      () => rules.findRules()?.boundsWorkerBytes ?? false,
+      rules,
+    );
   }
 
   /** Whether any rule divides the slots. */
@@ -97,22 +116,52 @@
     return ownClass;
   }
 
-  /**
-   * Records that a request starts.
-   *
-   * @returns A function that records its end; to be called once.
-   */
-  start(workClass: WorkClass, route: string, now: number): () => void {
+  /** Records that a request starts. */
+  start(
+    workClass: WorkClass,
+    {route, bytes}: AdmissionRequest,
+    now: number,
+  ): WorkerUse {
     const serviceMs = this.serviceTimes.compute(route);
+    const held = this.bytes.start(bytes);
     this.running[workClass] += 1;
     this.runningMs[workClass] += serviceMs;
     if (workClass === WorkClass.PATIENT) this.patientStartedAt = now;
-    return () => {
-      this.running[workClass] -= 1;
-      this.runningMs[workClass] -= serviceMs;
+    return {
+      addBytes: more => held.add(more),
+      end: (outcome, endedAt) => {
+        this.running[workClass] -= 1;
+        this.runningMs[workClass] -= serviceMs;
+        held.end(outcome, endedAt);
+      },
     };
   }
 
+  /** Returns the first queued request that may take the next free slot. */
+  findNext<T extends ClassifiedItem>(
+    queue: readonly T[],
+    state: SlotState | undefined,
+  ): T | undefined {
+    return findNextItem(queue, state, this.bytes.createFilter());
+  }
+
+  /**
+   * Returns whether a request may start before those that wait ahead of it and
+   * the worker has a slot and memory for it.
+   */
+  hasRoomFor(
+    item: ClassifiedItem,
+    ahead: readonly ClassifiedItem[],
+    state: SlotState | undefined,
+    hasCapacity: () => boolean,
+  ): boolean {
+    const hasRoom = this.bytes.createFilter();
+    if (findNextItem(ahead, state, hasRoom) || !hasCapacity()) return false;
+    if (hasRoom(item.request)) return true;
+    this.bytes.recordHeldBack();
+    return false;
+  }
+
   /**
    * Returns the state from which `findHold` decides; undefined without rules,
    * when nothing is held.
@@ -267,7 +316,7 @@
         parts.push(`last patient start ${agoMs} ms ago`);
       }
     }
-    return parts;
+    return [...parts, ...this.bytes.describe()];
   }
 
   private get reservesForCalls(): boolean {
@@ -321,11 +370,18 @@
   }
 }
 
-/** Returns the first queued request that may take the next free slot. */
-export function findNextItem<T extends ClassifiedItem>(
+/**
+ * Returns the first queued request that may take the next free slot.
+ *
+ * @param hasRoom returns whether the worker has memory for a request.
+ */
+function findNextItem<T extends ClassifiedItem>(
   queue: readonly T[],
   state: SlotState | undefined,
+  hasRoom: (request: AdmissionRequest) => boolean,
 ): T | undefined {
-  if (!state) return queue[0];
-  return queue.find(({workClass}) => !findHold(workClass, state));
+  return queue.find(
+    ({workClass, request}) =>
+      !(state && findHold(workClass, state)) && hasRoom(request),
+  );
 }
--- a/src/coordination/admission/worker-admission.ts
+++ b/src/coordination/admission/worker-admission.ts
@@ -28,12 +28,16 @@
   readonly targetAt?: number;
   /** Whether a request that is running on another worker waits for it. */
   readonly isNested?: boolean;
+  /** Approximate bytes of the request; 0 if absent. */
+  readonly bytes?: number;
 }
 
 /** Permit for one request in flight at the worker. */
 export interface Slot {
   /** Releases the slot; later calls have no effect. */
   release(outcome: SlotOutcome): void;
+  /** Records bytes of a body whose length wasn't known at admission. */
+  recordBytes?(bytes: number): void;
 }
 
 /** Admission to one worker. */
@@ -50,6 +54,8 @@
   recordProbeAnswer(answer: ProbeAnswer): void;
   /** Records that no connection for a probe could be established. */
   recordUnreachable(): void;
+  /** Records that the worker crashed, after the runs that it ended. */
+  recordCrash?(): void;
   /** Records a load report of the worker. */
   recordLoadReport?(figures: UpstreamLoadReport): void;
   /**
--- a/src/coordination/crash-quarantine.ts
+++ b/src/coordination/crash-quarantine.ts
@@ -114,6 +114,7 @@
     private readonly quarantine: CrashQuarantine,
     /** Probes whether the worker accepts connections, within the budget. */
     private readonly probeWorker: () => Promise<void>,
+    private readonly handleCrash: () => void = () => {},
   ) {}
 
   /**
@@ -229,6 +230,7 @@
   private async recordCrash(group: LossGroup): Promise<void> {
     if (group !== this.group) return;
     this.group = undefined;
+    this.handleCrash();
     await this.quarantine.recordCrash(
       this.service,
       [...group.fingerprints],
--- a/src/coordination/gate.ts
+++ b/src/coordination/gate.ts
@@ -22,6 +22,7 @@
 import {LocalWorker} from './local-worker.js';
 import {NestedCalls} from './nested-calls.js';
 import type {Slot} from './admission/worker-admission.js';
+import {addBytes, countRestBytes} from './admission/request-bytes.js';
 
 const SERVER_ERROR = 500;
 
@@ -125,15 +126,20 @@
     handleAdmitted: () => void = () => {},
   ): Promise<AttemptAnswer> {
     const worker = this.findWorker(request, version);
+    const rules = this.state.findProfile(request.service)?.admission;
     try {
-      if (this.state.findProfile(request.service)?.admission.reservesForCalls) {
+      if (rules?.reservesForCalls) {
         this.parents.admit(request, performance.now());
       }
       const run = await this.startRun(worker, request);
       try {
-        const slot = await worker.admission.admit(request, signal);
+        const measured = rules?.boundsWorkerBytes ? addBytes(request) : request;
+        const slot = await worker.admission.admit(measured, signal);
         handleAdmitted();
-        return await this.runInSlot(worker, request, signal, slot, run);
+        const sent = rules?.boundsWorkerBytes
+          ? countRestBytes(request, slot)
+          : request;
+        return await this.runInSlot(worker, sent, signal, slot, run);
       } catch (error) {
         run.end();
         throw error;
--- a/src/coordination/local-worker.ts
+++ b/src/coordination/local-worker.ts
@@ -70,8 +70,11 @@
     connection.watchLoadReports?.(figures =>
       this.admission.recordLoadReport?.(figures),
     );
-    this.crashWatch = new CrashWatch(announcement.service, quarantine, () =>
-      this.prober.probeNow(),
+    this.crashWatch = new CrashWatch(
+      announcement.service,
+      quarantine,
+      () => this.prober.probeNow(),
+      () => this.admission.recordCrash?.(),
     );
     this.prober = new Prober({
       sendProbe: (path, signal) => connection.sendProbe(path, signal),
--- a/src/directory-gate.ts
+++ b/src/directory-gate.ts
@@ -14,6 +14,7 @@
 } from './coordination/observed-connection.js';
 import type {ReportEstimate} from './coordination/admission/estimate-log.js';
 import {SlotAdmission} from './coordination/admission/slot-admission.js';
+import {ByteBounds} from './coordination/admission/worker-bytes.js';
 import type {WorkerConnection} from './coordination/local-worker.js';
 import type {Announcement} from './protocol/announcement.js';
 import type {CrashTable} from './state/crash-table.js';
@@ -68,13 +69,14 @@
         readCondition: () => readCondition(gate.findLoad(worker.service)),
       },
     );
+  const byteBounds = new ByteBounds();
   const gate: Gate = new Gate(
     openConnection,
     state,
     dataCentre,
     new CrashQuarantine(crashTable, options.publishCrashes),
     {
-      createAdmission: ({service, slots}, limits) => {
+      createAdmission: ({service, slots, version}, limits) => {
         const admission = new SlotAdmission(
           slots,
           limits,
@@ -85,6 +87,7 @@
             count: options.count,
             report: (text, context) =>
               options.report(text, {service, ...context}),
+            byteBound: byteBounds.find(service, version),
           },
         );
         admission.handleLoadChange = options.handleLoadChange;
--- a/src/protocol/configuration.ts
+++ b/src/protocol/configuration.ts
@@ -140,6 +140,8 @@
   reservesForCalls: z.boolean().default(false),
   /** Whether requests with slack wait in the gate's queue instead of retrying. */
   queuesPatientWork: z.boolean().default(false),
+  /** Whether the bytes that a worker holds are bounded after crashes. */
+  boundsWorkerBytes: z.boolean().default(false),
 });
 
 /** Refusals of requests that can't be served. */
