--- a/src/coordination/admission/slot-admission.ts
+++ b/src/coordination/admission/slot-admission.ts
@@ -277,12 +277,13 @@
     const running = this.inFlight;
     const pace = this.figures.pace;
     let isReleased = false;
+    let servedAt: number | undefined;
     this.publisher.publish(this.load);
     return {
       release: outcome => {
         if (isReleased) return;
         isReleased = true;
-        const elapsedMs = this.now() - now;
+        const elapsedMs = (servedAt ?? this.now()) - now;
         // The pace may change while a request runs, so that at its start and
         // that at its end are averaged.
         const meanPace = (pace + this.figures.pace) / 2;
@@ -293,6 +294,7 @@
         } else end();
       },
       recordBytes: bytes => use.addBytes(bytes),
+      endServiceTime: () => (servedAt ??= this.now()),
     };
   }
 
--- a/src/coordination/admission/worker-admission.ts
+++ b/src/coordination/admission/worker-admission.ts
@@ -38,6 +38,8 @@
   release(outcome: SlotOutcome): void;
   /** Records bytes of a body whose length wasn't known at admission. */
   recordBytes?(bytes: number): void;
+  /** Records that the rest of the run takes as long as its answer's reader. */
+  endServiceTime?(): void;
 }
 
 /** Admission to one worker. */
--- a/src/coordination/admission/worker-bytes.ts
+++ b/src/coordination/admission/worker-bytes.ts
@@ -18,6 +18,11 @@
 const CLEAR_FACTOR = 1.5;
 /** Part of the bound from which a run or a crash counts as one at the bound. */
 const NEAR_PART = 0.9;
+/**
+ * The same for a run while another request was held back: requests of equal
+ * size fill at least this part of a bound that admits one of them.
+ */
+const HELD_BACK_PART = 0.5;
 /** Lower limit of the bound; such bytes exhaust no worker's memory. */
 const MIN_BOUND_BYTES = 64 * 1024;
 /** Rise of the bound per second of runs at it, far below the last crash. */
@@ -92,8 +97,15 @@
    * Raises the bound after a run that ended well: at once to the bytes of a
    * request that exceeded it by itself, else slowly.
    */
-  recordSuccess(ownBytes: number, heldBytes: number, now: number): void {
-    if (this.value === Infinity || heldBytes < NEAR_PART * this.value) return;
+  recordSuccess(
+    ownBytes: number,
+    heldBytes: number,
+    hasHeldBack: boolean,
+    now: number,
+  ): void {
+    if (this.value === Infinity) return;
+    const nearPart = hasHeldBack ? HELD_BACK_PART : NEAR_PART;
+    if (heldBytes < nearPart * this.value) return;
     this.value = Math.max(this.value, ownBytes);
     const elapsedMs = Math.min(MAX_RISE_MS, now - this.roseAt);
     const isNearCrash = this.value >= NEAR_PART * this.crashBytes;
@@ -138,6 +150,8 @@
 /** Bytes of the requests that one worker holds. */
 export class WorkerBytes {
   private heldBytes = 0;
+  /** Whether a request was held back since the last run that ended well. */
+  private hasHeldBack = false;
   private loss: Loss | undefined;
   private readonly log: EstimateLog;
 
@@ -166,6 +180,7 @@
       const mayPass = !hasHeld || bytes <= SMALL_PART * this.bound.value;
       if (mayPass && this.hasRoom(bytes)) return true;
       hasHeld = true;
+      this.hasHeldBack = true;
       return false;
     };
   }
@@ -192,7 +207,9 @@
         const mostBytes = Math.max(heldAtStart, this.heldBytes);
         this.heldBytes -= ownBytes;
         if (outcome !== SlotOutcome.SUCCESS || !this.isEnabled()) return;
-        this.bound.recordSuccess(ownBytes, mostBytes, now);
+        const {hasHeldBack} = this;
+        this.hasHeldBack = false;
+        this.bound.recordSuccess(ownBytes, mostBytes, hasHeldBack, now);
         this.reportBound(now);
       },
     };
--- a/src/coordination/gate.ts
+++ b/src/coordination/gate.ts
@@ -23,6 +23,7 @@
 import {NestedCalls} from './nested-calls.js';
 import type {Slot} from './admission/worker-admission.js';
 import {addBytes, countRestBytes} from './admission/request-bytes.js';
+import {watchReader} from './admission/unread-answer.js';
 
 const SERVER_ERROR = 500;
 
@@ -126,7 +127,7 @@
     handleAdmitted: () => void = () => {},
   ): Promise<AttemptAnswer> {
     const worker = this.findWorker(request, version);
-    const rules = this.state.findProfile(request.service)?.admission;
+    const rules = this.findRules(request);
     try {
       if (rules?.reservesForCalls) {
         this.parents.admit(request, performance.now());
@@ -183,6 +184,12 @@
     return worker;
   }
 
+  private findRules({
+    service,
+  }: ServiceRequest): Profile['admission'] | undefined {
+    return this.state.findProfile(service)?.admission;
+  }
+
   private startRun(
     worker: LocalWorker,
     request: ServiceRequest,
@@ -222,6 +229,12 @@
     if (rest) {
       rest.once('end', () => worker.crashWatch.recordAnswer(run));
       rest.once('close', end);
+      if (this.findRules(request)?.boundsWorkerBytes) {
+        watchReader(rest, {
+          handleSlow: () => slot.endServiceTime?.(),
+          handleUnread: end,
+        });
+      }
     } else {
       worker.crashWatch.recordAnswer(run);
       end();
