--- a/src/test/worker-bytes_test.ts
+++ b/src/test/worker-bytes_test.ts
@@ -130,13 +130,14 @@
   return isStarted;
 }
 
-/** Runs lookups, then crashes the worker while it holds the given requests. */
+/** Runs usual requests, then crashes the worker while it holds the given requests. */
 async function recordCrash(
   bench: Bench,
   held: readonly number[],
+  usualBytes = LOOKUP_BYTES,
 ): Promise<void> {
   for (let count = 0; count < 50; count++) {
-    (await bench.admit(LOOKUP_BYTES)).release(SlotOutcome.SUCCESS);
+    (await bench.admit(usualBytes)).release(SlotOutcome.SUCCESS);
   }
   const slots = await Promise.all(held.map(bytes => bench.admit(bytes)));
   bench.endProcess(slots);
@@ -174,17 +175,26 @@
   // and against a bound that is forgotten with the process that crashed.
   it.each([
     {name: 'with large requests bounds', held: [4, 4, 4], expected: false},
-    {name: 'with usual requests says nothing', held: [0, 0], expected: true},
+    {name: 'with lookups says nothing', held: [0, 0], expected: true},
+    {
+      name: 'with usual uploads says nothing',
+      held: [4],
+      usual: 4,
+      expected: true,
+    },
     {name: 'bounds the next process', held: [4, 4, 4], process: 'v1'},
     {name: 'says nothing of a new version', held: [4, 4, 4], process: 'v2'},
-  ])('$name', async ({held, process, expected = process === 'v2'}) => {
-    const bench = new Bench(true);
-    const sizes = held.map(mib => mib * MIB || LOOKUP_BYTES);
-    await recordCrash(bench, sizes);
-    if (process) bench.createAdmission(process);
-    await bench.admit(6 * MIB);
-    expect(await isAdmitted(bench, 6 * MIB)).toBe(expected);
-  });
+  ])(
+    '$name',
+    async ({held, usual = 0, process, expected = process === 'v2'}) => {
+      const bench = new Bench(true);
+      const sizes = held.map(mib => mib * MIB || LOOKUP_BYTES);
+      await recordCrash(bench, sizes, usual * MIB || LOOKUP_BYTES);
+      if (process) bench.createAdmission(process);
+      await bench.admit(6 * MIB);
+      expect(await isAdmitted(bench, 6 * MIB)).toBe(expected);
+    },
+  );
 });
 
 describe('at a bound of 9 MiB', () => {
