Bound what a node holds for clients that don't read

Cause: five faults. CallerConnection paused a connection at 40 unanswered requests, but Node.js resumes it at the end of each message, so that the pause had no effect; the other listeners had no bound at all. Node.js parses a whole read, some 1,400 short requests, and keeps two messages for each until the system has closed the connection. The parser's limit on heads was 1 MiB whatever the configuration said. Each chunk of one byte cost some hundred bytes.

Change: src/transport/limits/ for all listeners: a ledger for each connection, bounds for each connection and for the node, a server that runs the requests of a connection one after the other. Settings limits.held_per_connection (16MiB) and limits.held_per_node (32MiB), counters connections.closed-LIMIT, a log line. Requests of HTTP/1.1 without Host are refused by us with 400 as Node.js did, so that they are counted.

--- a/src/directory-node.ts
+++ b/src/directory-node.ts
@@ -40,6 +40,7 @@
 import {WorkerTable} from './state/worker-table.js';
 import {createCallerServer} from './transport/caller-listener.js';
 import {GateClient} from './transport/gate-client.js';
+import {HeldBudget} from './transport/limits/held-budget.js';
 import {LineWriter} from './transport/line-writer.js';
 import {LoopWatch} from './transport/loop-watch.js';
 import type {LogContext} from './transport/logger.js';
@@ -51,7 +52,6 @@
   servePeerCall,
 } from './transport/peer-exchange.js';
 import {createPeerServer} from './transport/peer-listener.js';
-import {startListening} from './transport/start-listening.js';
 
 const STDOUT = 1;
 /** Fractions of the grace time: for callers to leave, and for work to end. */
@@ -75,6 +75,7 @@
       this.log(text, {mostLateMs: Math.round(mostLateMs)});
     },
   });
+  private readonly heldBudget: HeldBudget;
   private readonly state = new StateStore(undefined);
   private readonly workers = new WorkerTable();
   private readonly records: DirectoryRecords;
@@ -120,6 +121,7 @@
     };
     this.subset = new WorkerSubset(node.id, node.dataCentre);
     this.port = this.createPort();
+    this.heldBudget = new HeldBudget(settings.limits, this.port);
     this.records = this.createRecords();
     this.gateClient = new GateClient(node.id, DIRECTORY_CONNECTIONS);
     this.gate = createDirectoryGate({
@@ -195,20 +197,19 @@
   /** Starts listening, looks up the other nodes and begins to serve. */
   async start(): Promise<void> {
     const {node} = this.settings;
-    await startListening(this.peerServer, node.peerAddress);
+    const budget = this.heldBudget;
+    await budget.startServer(this.peerServer, 'peers', node.peerAddress);
     await this.peers.start(
       node.beaconAddress,
       beacon => this.directory.handleBeacon(beacon),
       name => this.directory.findDescription(name),
     );
-    await startListening(this.callerServer, node.callerAddress);
-    for (const {server, address} of this.adapter.createServers(this.port)) {
-      await startListening(server, address);
+    await budget.startServer(this.callerServer, 'callers', node.callerAddress);
+    for (const one of this.adapter.createServers(this.port)) {
+      await budget.startServer(one.server, one.name, one.address);
     }
-    await startListening(
-      createMetricsServer(this.metrics),
-      node.metricsAddress,
-    );
+    const metricsServer = createMetricsServer(this.metrics);
+    await budget.startServer(metricsServer, 'metrics', node.metricsAddress);
     this.state.events.on('changed', () => this.worker.refresh());
     this.gate.events.on('workersChanged', () => this.updateWorkers());
     this.workers.events.on('changed', () => this.updateVersions());
--- a/src/node-adapter.ts
+++ b/src/node-adapter.ts
@@ -38,6 +38,8 @@
 
 /** A server of the adapter with the address that it listens on. */
 export interface AdapterServer {
+  /** Name in logs. */
+  readonly name: string;
   readonly address: string;
   readonly server: Server;
 }
--- a/src/node-process.ts
+++ b/src/node-process.ts
@@ -48,6 +48,10 @@
   registerCrashService,
 } from './transport/crash-service.js';
 import {GateClient} from './transport/gate-client.js';
+import {
+  DEFAULT_HELD_LIMITS,
+  HeldBudget,
+} from './transport/limits/held-budget.js';
 import type {LogContext, Logger} from './transport/logger.js';
 import {createLogger} from './transport/logger.js';
 import {registerMembershipService} from './transport/membership-service.js';
@@ -56,7 +60,6 @@
 import {PeerClients} from './transport/peer-client.js';
 import {createPeerServer} from './transport/peer-listener.js';
 import {reportProcess} from './transport/process-report.js';
-import {startListening} from './transport/start-listening.js';
 import {createStatsdSender} from './transport/statsd-sender.js';
 import {UpstreamClient} from './transport/upstream-client.js';
 
@@ -255,11 +258,14 @@
   /** Starts listening, joins the other nodes and begins to serve. */
   async start(): Promise<void> {
     const {node} = this.settings;
-    await startListening(
-      this.peerServer,
-      node.peerListenAddress ?? node.peerAddress,
-    );
-    await startListening(this.callerServer, this.identity.callerAddress);
+    const budget = new HeldBudget(DEFAULT_HELD_LIMITS, {
+      count: name => this.metrics.count(name),
+      log: (text, context) => this.logger.write('info', text, context),
+    });
+    const peerAddress = node.peerListenAddress ?? node.peerAddress;
+    await budget.startServer(this.peerServer, 'peers', peerAddress);
+    const {callerAddress} = this.identity;
+    await budget.startServer(this.callerServer, 'callers', callerAddress);
     this.gate.events.on('workersChanged', () =>
       this.membership.updateWorkers(this.gate.listWorkers()),
     );
--- a/src/protocol/directory-settings.ts
+++ b/src/protocol/directory-settings.ts
@@ -4,10 +4,11 @@
  * template, so every value that a deployment limits has a key here.
  */
 import * as z from 'zod';
-import {buildDurationSchema} from './quantities.js';
+import {buildDurationSchema, buildSizeSchema} from './quantities.js';
 import {addressSchema, nodeSettingsSchema} from './settings.js';
 
 const MINUTE_MS = 60_000;
+const MIB = 1024 * 1024;
 
 export const directorySettingsSchema = z.strictObject({
   node: z.strictObject({
@@ -48,6 +49,10 @@
       grace: buildDurationSchema(100, 10 * MINUTE_MS).prefault('5s'),
       /** Interval between reports of the worker. */
       reportInterval: buildDurationSchema(10, MINUTE_MS).prefault('2s'),
+      /** Maximum memory held for one connection to this node. */
+      heldPerConnection: buildSizeSchema(MIB, 1024 * MIB).prefault('16MiB'),
+      /** Maximum memory held for all connections to this node together. */
+      heldPerNode: buildSizeSchema(MIB, 1024 * MIB).prefault('32MiB'),
     })
     .prefault({}),
   logging: z
--- a/src/protocol/service-request.ts
+++ b/src/protocol/service-request.ts
@@ -4,6 +4,7 @@
  * stream of the rest, so that memory per request is bounded.
  */
 import type {Readable} from 'node:stream';
+import {ChunkList} from './chunk-list.js';
 
 /** Number of bytes of a body that are buffered, so that they can be resent. */
 export const HELD_BODY_BYTES = 64 * 1024;
@@ -83,8 +84,7 @@
   limitBytes = HELD_BODY_BYTES,
 ): Promise<Body> {
   return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
+    const chunks = new ChunkList();
     const removeListeners = (): void => {
       stream.off('data', handleData);
       stream.off('end', handleEnd);
@@ -92,16 +92,15 @@
       stream.off('close', handleClose);
     };
     const handleData = (chunk: Buffer): void => {
-      chunks.push(chunk);
-      size += chunk.length;
-      if (size < limitBytes) return;
+      chunks.add(chunk);
+      if (chunks.size < limitBytes) return;
       stream.pause();
       removeListeners();
-      resolve({held: Buffer.concat(chunks), rest: stream});
+      resolve({held: chunks.take(), rest: stream});
     };
     const handleEnd = (): void => {
       removeListeners();
-      resolve({held: chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks)});
+      resolve({held: chunks.take()});
     };
     const handleClose = (): void => {
       reject(stream.errored ?? new Error('body stream closed before its end'));
--- a/src/transport/caller-connection.ts
+++ b/src/transport/caller-connection.ts
@@ -17,6 +17,8 @@
  * the node notices at once that its caller has left.
  */
 const MAX_WAITING = 32;
+/** Bytes of their heads; with requests that wait, no more are read then. */
+const MAX_HEAD_BYTES = 256 * 1024;
 
 /**
  * Time before a caller's time limit at which a request is given up that others
@@ -30,6 +32,7 @@
 interface PipelinedRequest {
   readonly response: ServerResponse;
   readonly run: RunRequest;
+  readonly headBytes: number;
   abort: AbortController | undefined;
 }
 
@@ -37,18 +40,26 @@
 export class CallerConnection {
   /** Unanswered requests in the order in which they were sent. */
   private readonly requests: PipelinedRequest[] = [];
+  private headBytes = 0;
   private readonly started = new WeakSet<ServerResponse>();
   private isPaused = false;
+  private isPauseScheduled = false;
   private isAccepting = true;
 
   constructor(
     private readonly socket: Socket,
     /** Called for each request that is read too late to run. */
     private readonly handleDiscarded: (response: ServerResponse) => void,
+    private readonly maxRunning = MAX_RUNNING,
   ) {
     socket.once('close', () => this.cancelAll());
   }
 
+  /** Whether any request is unanswered. */
+  get isBusy(): boolean {
+    return this.requests.length > 0;
+  }
+
   /** Whether the next request that is read may run. */
   get isOpen(): boolean {
     return this.isAccepting;
@@ -58,20 +69,28 @@
    * Runs a request now, once earlier ones are answered, or never. Once the
    * connection closes, a request is read and discarded: unread bytes would reset
    * the connection, and with it the last answer.
+   *
+   * @param headBytes size of the request's target and headers.
    */
-  accept(response: ServerResponse, run: RunRequest): void {
+  accept(response: ServerResponse, run: RunRequest, headBytes = 0): void {
+    // One read can bring thousands more after the connection was closed.
+    if (this.socket.destroyed) return;
     if (!this.isAccepting) {
       response.req.resume();
       this.handleDiscarded(response);
       return;
     }
-    const request: PipelinedRequest = {response, run, abort: undefined};
+    const request: PipelinedRequest = {
+      response,
+      run,
+      headBytes,
+      abort: undefined,
+    };
     this.requests.push(request);
+    this.headBytes += headBytes;
     response.once('close', () => this.remove(request));
     this.runNext();
-    if (!this.isFull()) return;
-    this.isPaused = true;
-    this.socket.pause();
+    if (this.isFull()) this.schedulePause();
   }
 
   /** Marks a request as passed on, so that it may have run. */
@@ -126,11 +145,31 @@
   }
 
   private isFull(): boolean {
-    return this.requests.length >= MAX_RUNNING + MAX_WAITING;
+    const {length} = this.requests;
+    if (length >= this.maxRunning + MAX_WAITING) return true;
+    // A request that runs may still need its body.
+    return length > this.maxRunning && this.headBytes >= MAX_HEAD_BYTES;
+  }
+
+  /**
+   * Pauses reading behind what was read at once. Node.js resumes the connection
+   * at the end of each message, in the next tick, so that a pause while the
+   * message is being read, or in that tick, has no effect.
+   */
+  private schedulePause(): void {
+    this.isPaused = true;
+    if (this.isPauseScheduled) return;
+    this.isPauseScheduled = true;
+    process.nextTick(() => {
+      process.nextTick(() => {
+        this.isPauseScheduled = false;
+        if (this.isPaused) this.socket.pause();
+      });
+    });
   }
 
   private runNext(): void {
-    for (const request of this.requests.slice(0, MAX_RUNNING)) {
+    for (const request of this.requests.slice(0, this.maxRunning)) {
       if (request.abort !== undefined) {
         if (isClosing(request.response)) return;
         continue;
@@ -144,6 +183,7 @@
     const index = this.requests.indexOf(request);
     if (index < 0) return;
     this.requests.splice(index, 1);
+    this.headBytes -= request.headBytes;
     if (!request.response.writableFinished) cancel(request);
     if (isClosing(request.response)) this.stopAccepting();
     if (this.socket.destroyed || !this.isAccepting) return;
--- a/src/transport/caller-listener.ts
+++ b/src/transport/caller-listener.ts
@@ -21,6 +21,7 @@
 } from '../protocol/service-request.js';
 import {writeAnswer, writeRefusal} from './answer-writer.js';
 import {CallerConnection} from './caller-connection.js';
+import {isWithoutHost, measureHead} from './limits/connection-ledger.js';
 import {readWholeBody} from './message-body.js';
 import {runAfterReads, runUnlessClosed} from './run-after-reads.js';
 
@@ -101,25 +102,36 @@
     keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
     connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
     noDelay: true,
+    // Refused here, so that its request is counted like any other.
+    requireHostHeader: false,
   });
   const service = restana({
     server,
     prioRequestsProcessing: false,
     defaultRoute: (message, response) => {
       const {maxHeader = MAX_HEADER_BYTES} = handlers.findLimits() ?? {};
-      const isTooLarge = measureHeaders(message) > maxHeader;
+      const headBytes = measureHead(message);
+      const fault = findHeadFault(message, headBytes > maxHeader);
       const connection = findConnection(message.socket);
-      connection.accept(response, abort => {
-        if (isTooLarge) {
-          refuseLargeHead(handlers, response);
+      const run = (abort: AbortController): void => {
+        if (fault !== undefined) {
+          refuseHead(handlers, response, fault);
           return;
         }
         runUnlessClosed(message.socket, () => {
           void serveRequest(handlers, {message, response, connection, abort});
         });
-      });
+      };
+      connection.accept(response, run, headBytes);
     },
   });
+  const headLimits = new WeakMap<Socket, number>();
+  // Node.js applies the limit in force at the beginning of a connection.
+  server.prependListener('connection', (socket: Socket) => {
+    const limit = findParserLimit(handlers.findLimits());
+    Object.assign(server, {maxHeaderSize: limit});
+    headLimits.set(socket, limit);
+  });
   const connections = new WeakMap<Socket, CallerConnection>();
   const findConnection = (socket: Socket): CallerConnection => {
     const known = connections.get(socket);
@@ -146,7 +158,13 @@
     const handle = (): void => {
       const hasHead = pending.get(socket) !== response;
       if (code === HEAD_TIMEOUT && hasHead) return;
-      handleParseError(handlers, error, {socket, response, connection});
+      const {maxHeader = 0} = handlers.findLimits() ?? {};
+      const isOutdated = (headLimits.get(socket) ?? 0) <= maxHeader;
+      const found =
+        code === HEADER_OVERFLOW && isOutdated
+          ? Object.assign(error, {code: OUTDATED_LIMIT})
+          : error;
+      handleParseError(handlers, found, {socket, response, connection});
     };
     const schedule = (): void => {
       // Bytes of a refusal would be read as the answer to an earlier request.
@@ -173,8 +191,26 @@
   return server;
 }
 
-/** Error code of the HTTP parser for a head above its fixed limit. */
+/**
+ * Bytes by which a head may exceed the limit and still be read, so that its
+ * refusal comes after the answers to earlier requests.
+ */
+const HEADER_MARGIN_BYTES = 16 * 1024;
+
+/**
+ * Returns the limit of the HTTP parser, which keeps what it has read of a head.
+ * Without a configuration, any limit may be the right one.
+ */
+function findParserLimit(limits: CallerLimits | undefined): number {
+  if (!limits) return MAX_HEADER_BYTES;
+  return Math.min(limits.maxHeader + HEADER_MARGIN_BYTES, MAX_HEADER_BYTES);
+}
+
+/** Error code of the HTTP parser for a head above its limit. */
 const HEADER_OVERFLOW = 'HPE_HEADER_OVERFLOW';
+const MISSING_HOST = 'MISSING_HOST_HEADER';
+/** For a head within a limit that was raised after the connection began. */
+const OUTDATED_LIMIT = 'OUTDATED_HEADER_LIMIT';
 /** Error code of the HTTP server for a head that did not come in time. */
 const HEAD_TIMEOUT = 'ERR_HTTP_REQUEST_TIMEOUT';
 /** Time for a caller to read the last answer before its connection is cut. */
@@ -183,6 +219,8 @@
 /** HTTP status for each error code of the HTTP parser. */
 const STATUS_BY_PARSE_ERROR: Readonly<Record<string, number>> = {
   [HEADER_OVERFLOW]: 431,
+  // The request has not run, and fits on a new connection.
+  [OUTDATED_LIMIT]: 503,
   [HEAD_TIMEOUT]: 408,
 };
 const DEFAULT_PARSE_ERROR_STATUS = 400;
@@ -206,12 +244,22 @@
   };
 }
 
-/** Refuses a request whose head is above the limit of the configuration. */
-function refuseLargeHead(
+/** Returns the fault of a head that the parser took; undefined if none. */
+function findHeadFault(
+  message: IncomingMessage,
+  isTooLarge: boolean,
+): string | undefined {
+  if (isTooLarge) return HEADER_OVERFLOW;
+  return isWithoutHost(message) ? MISSING_HOST : undefined;
+}
+
+/** Refuses a request for its head. */
+function refuseHead(
   handlers: CallerHandlers,
   response: ServerResponse,
+  fault: string,
 ): void {
-  const {status, headers, body} = buildRefusal(handlers, HEADER_OVERFLOW);
+  const {status, headers, body} = buildRefusal(handlers, fault);
   response.shouldKeepAlive = false;
   response.writeHead(status, headers).end(body);
 }
@@ -275,11 +323,6 @@
   socket.once('close', () => clearTimeout(timer));
 }
 
-/** Measures a request's target and headers, as the HTTP parser does. */
-function measureHeaders({url = '', rawHeaders}: IncomingMessage): number {
-  return rawHeaders.reduce((sum, text) => sum + text.length, url.length);
-}
-
 /** A request on its connection. */
 interface Exchange {
   readonly message: IncomingMessage;
--- a/src/transport/connection-closer.ts
+++ b/src/transport/connection-closer.ts
@@ -13,7 +13,11 @@
 
 /** Controls keep-alive of the connections of one server. */
 export class ConnectionCloser {
-  private readonly activeResponses = new Set<ServerResponse>();
+  /**
+   * Responses without an end, by connection. Node.js emits no event for those
+   * that still wait for earlier ones when their connection closes.
+   */
+  private readonly active = new Map<Socket, Set<ServerResponse>>();
   /** The latest request of each connection; earlier ones may be unanswered. */
   private readonly lastResponses = new WeakMap<Socket, ServerResponse>();
   private readonly keepAliveHeader: string | undefined;
@@ -36,9 +40,9 @@
   /** Starts to close each connection after the last answer it waits for. */
   start(): void {
     this.isClosing = true;
-    for (const response of this.activeResponses) {
-      const {socket} = response.req;
-      if (this.lastResponses.get(socket) === response) endAfterAnswer(response);
+    for (const [socket, responses] of this.active) {
+      const last = this.lastResponses.get(socket);
+      if (last && responses.has(last)) endAfterAnswer(last);
     }
   }
 
@@ -56,16 +60,33 @@
     let lastBusyAt = startedAt;
     for (;;) {
       const now = performance.now();
-      if (this.activeResponses.size > 0) lastBusyAt = now;
+      if (this.isBusy()) lastBusyAt = now;
       if (now - lastBusyAt >= quietMs) return true;
       if (now - startedAt >= timeoutMs) return false;
       await waitMs(POLL_INTERVAL_MS);
     }
   }
 
+  private isBusy(): boolean {
+    for (const {size} of this.active.values()) if (size > 0) return true;
+    return false;
+  }
+
+  private findResponses(socket: Socket): Set<ServerResponse> {
+    const known = this.active.get(socket);
+    if (known) return known;
+    const responses = new Set<ServerResponse>();
+    // Also later ones of a read that goes on after the close are let go.
+    if (socket.destroyed) return responses;
+    this.active.set(socket, responses);
+    socket.once('close', () => this.active.delete(socket));
+    return responses;
+  }
+
   private handleResponse(socket: Socket, response: ServerResponse): void {
-    this.activeResponses.add(response);
-    response.once('close', () => this.activeResponses.delete(response));
+    const responses = this.findResponses(socket);
+    responses.add(response);
+    response.once('close', () => responses.delete(response));
     const previous = this.lastResponses.get(socket);
     this.lastResponses.set(socket, response);
     if (this.isClosing) {
--- /dev/null
+++ b/src/transport/limits/held-budget.ts
@@ -0,0 +1,164 @@
+/**
+ * Limits what clients make a node hold in memory: bounds for each connection,
+ * and one for all connections of all listeners of the node. At the first, the
+ * connection is closed; at the second, those that hold most are, until the rest
+ * is well within the bound, so that callers that read their answers come last.
+ * What requests hold is checked with each request, since one read can bring some
+ * thousands; answers and heads grow with the network and are checked regularly.
+ */
+import type {Server} from 'node:http';
+import type {Socket} from 'node:net';
+import {startListening} from '../start-listening.js';
+import {ConnectionLedger} from './connection-ledger.js';
+
+/**
+ * Requests of a connection without an answer. Listeners stop reading at 40, but
+ * one read of Node.js can bring more than a thousand.
+ */
+const MAX_REQUESTS = 128;
+const CHECK_INTERVAL_MS = 100;
+/** The largest read of Node.js, which may follow a head within its limit. */
+const READ_BYTES = 64 * 1024;
+const DEFAULT_HEADER_BYTES = 16 * 1024;
+/** Fraction of the node's bound that is left when it was reached. */
+const REST_FRACTION = 0.75;
+const MIB = 1024 * 1024;
+
+/** Bounds in bytes. */
+export interface HeldLimits {
+  readonly heldPerConnection: number;
+  readonly heldPerNode: number;
+}
+
+/** Bounds of a node whose settings have none. */
+export const DEFAULT_HELD_LIMITS: HeldLimits = {
+  heldPerConnection: 16 * MIB,
+  heldPerNode: 32 * MIB,
+};
+
+/** The limit at which a connection is closed. */
+type HeldLimit = 'requests' | 'connection' | 'node' | 'between-requests';
+
+/** Where closed connections are counted and logged. */
+export interface HeldReport {
+  count(name: string): void;
+  log(text: string, context: Readonly<Record<string, string | number>>): void;
+}
+
+/** Follows the connections of a node's listeners and closes some of them. */
+export class HeldBudget {
+  private readonly ledgers = new Map<Socket, ConnectionLedger>();
+  /** Bytes of requests, of which some may have been answered since. */
+  private requestBytes = 0;
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(
+    private readonly limits: HeldLimits,
+    private readonly report: HeldReport,
+  ) {}
+
+  /** Starts a server whose connections are within the limits. */
+  async startServer(
+    server: Server,
+    listener: string,
+    address: string,
+  ): Promise<void> {
+    this.watch(server, listener);
+    await startListening(server, address);
+  }
+
+  private watch(server: Server, listener: string): void {
+    server.on('connection', (socket: Socket) => {
+      const {maxHeaderSize = DEFAULT_HEADER_BYTES} = server as {
+        maxHeaderSize?: number;
+      };
+      this.open(new ConnectionLedger(socket, listener, maxHeaderSize));
+    });
+    server.prependListener('request', (message, response) => {
+      const ledger = this.ledgers.get(message.socket);
+      if (!ledger) return;
+      this.requestBytes += ledger.add(message, response);
+      const {requestCount, requestBytes} = ledger;
+      if (requestCount > MAX_REQUESTS)
+        this.close(ledger, 'requests', requestBytes);
+      else if (requestBytes > this.limits.heldPerConnection)
+        this.close(ledger, 'connection', requestBytes);
+      else if (this.requestBytes > this.limits.heldPerNode) this.check();
+      if (message.socket.destroyed) stopParser(message.socket);
+    });
+  }
+
+  private open(ledger: ConnectionLedger): void {
+    this.ledgers.set(ledger.socket, ledger);
+    ledger.socket.once('close', () => this.remove(ledger));
+    this.timer ??= setInterval(() => this.check(), CHECK_INTERVAL_MS).unref();
+  }
+
+  private remove({socket, requestBytes}: ConnectionLedger): void {
+    if (!this.ledgers.delete(socket)) return;
+    this.requestBytes -= requestBytes;
+    if (this.ledgers.size > 0) return;
+    clearInterval(this.timer);
+    this.timer = undefined;
+  }
+
+  private close(
+    ledger: ConnectionLedger,
+    limit: HeldLimit,
+    bytes: number,
+  ): void {
+    const {socket, listener} = ledger;
+    const {remoteAddress = ''} = socket;
+    this.remove(ledger);
+    // Also drops what the system still holds for a client that doesn't read.
+    socket.resetAndDestroy();
+    this.report.count(`connections.closed-${limit}`);
+    this.report.log('connection closed at a limit', {
+      listener,
+      remoteAddress,
+      limit,
+      bytes,
+    });
+  }
+
+  /** Measures all connections and closes those beyond the limits. */
+  private check(): void {
+    const {heldPerConnection, heldPerNode} = this.limits;
+    const held: Array<[ConnectionLedger, number]> = [];
+    let total = 0;
+    this.requestBytes = 0;
+    for (const ledger of this.ledgers.values()) {
+      const bytes = ledger.measure();
+      this.requestBytes += ledger.requestBytes;
+      const {socket, headBytes, maxHeadBytes} = ledger;
+      if (bytes > heldPerConnection) this.close(ledger, 'connection', bytes);
+      else if (headBytes > maxHeadBytes + READ_BYTES && !socket.writableEnded)
+        this.close(ledger, 'between-requests', headBytes);
+      else {
+        held.push([ledger, bytes]);
+        total += bytes;
+      }
+    }
+    if (total <= heldPerNode) return;
+    held.sort(([, one], [, other]) => other - one);
+    for (const [ledger, bytes] of held) {
+      if (total <= heldPerNode * REST_FRACTION) return;
+      this.close(ledger, 'node', bytes);
+      total -= bytes;
+    }
+  }
+}
+
+/** Tells the parser of Node.js that no further request follows. */
+const NO_MORE_REQUESTS = 2;
+
+/**
+ * Ends the reading of what came with the last request of a closed connection.
+ * Node.js would make messages of all of it and keep them until the system has
+ * closed the connection, after it has read from all others. The parser is not
+ * part of its documented interface; without it, only memory is lost.
+ */
+function stopParser(socket: Socket): void {
+  const {parser} = socket as {parser?: {onIncoming?: () => number} | null};
+  if (parser?.onIncoming) parser.onIncoming = () => NO_MORE_REQUESTS;
+}
--- /dev/null
+++ b/src/transport/limits/ordered-server.ts
@@ -0,0 +1,45 @@
+/**
+ * An HTTP server that runs one request of a connection at a time and leaves
+ * unread what a client sent far ahead. Without this, Node.js reads on until unread answers fill its buffer, and a
+ * handler that answers later has by then begun thousands of them.
+ */
+import type {
+  IncomingMessage,
+  RequestListener,
+  Server,
+  ServerOptions,
+  ServerResponse,
+} from 'node:http';
+import {createServer} from 'node:http';
+import type {Socket} from 'node:net';
+import {CallerConnection} from '../caller-connection.js';
+import {isWithoutHost, measureHead} from './connection-ledger.js';
+
+const STATUS_BAD_REQUEST = 400;
+
+/** Creates the server without starting to listen. */
+export function createOrderedServer(
+  options: ServerOptions,
+  serve: RequestListener,
+): Server {
+  const connections = new WeakMap<Socket, CallerConnection>();
+  return createServer(
+    {...options, requireHostHeader: false},
+    (message: IncomingMessage, response: ServerResponse) => {
+      const {socket} = message;
+      let connection = connections.get(socket);
+      if (!connection) {
+        connection = new CallerConnection(socket, () => {}, 1);
+        connections.set(socket, connection);
+      }
+      const runNow = (): void => {
+        if (isWithoutHost(message))
+          response.writeHead(STATUS_BAD_REQUEST, {connection: 'close'}).end();
+        else void serve(message, response);
+      };
+      // Other connections are read in between, however much was sent ahead.
+      const run = connection.isBusy ? () => void setImmediate(runNow) : runNow;
+      connection.accept(response, run, measureHead(message));
+    },
+  );
+}
--- a/src/transport/message-body.ts
+++ b/src/transport/message-body.ts
@@ -2,6 +2,7 @@
  * Reads the complete body of a message to the node itself, or of an answer to
  * its own call. The size limit keeps a sender from filling the node's memory.
  */
+import {ChunkList} from '../protocol/chunk-list.js';
 import {Reason, RefusalError} from '../protocol/reasons.js';
 
 /**
@@ -14,12 +15,10 @@
   body: AsyncIterable<Buffer>,
   maxBytes: number,
 ): Promise<Buffer> {
-  const chunks: Buffer[] = [];
-  let size = 0;
+  const chunks = new ChunkList();
   for await (const chunk of body) {
-    size += chunk.length;
-    if (size > maxBytes) throw new RefusalError(Reason.BODY_TOO_LARGE);
-    chunks.push(chunk);
+    chunks.add(chunk);
+    if (chunks.size > maxBytes) throw new RefusalError(Reason.BODY_TOO_LARGE);
   }
-  return Buffer.concat(chunks);
+  return chunks.take();
 }
--- a/src/transport/metrics.ts
+++ b/src/transport/metrics.ts
@@ -5,8 +5,8 @@
  * has its own counter.
  */
 import type {Server} from 'node:http';
-import {createServer} from 'node:http';
 import {Counter, Histogram, Registry} from 'prom-client';
+import {createOrderedServer} from './limits/ordered-server.js';
 
 /** Upper bounds in seconds, from a local answer to a usual deadline. */
 const LATENCY_BUCKETS_S = [
@@ -95,7 +95,7 @@
 
 /** Creates a server that answers any request with the metrics as text. */
 export function createMetricsServer(metrics: Metrics): Server {
-  return createServer((message, response) => {
+  return createOrderedServer({}, (message, response) => {
     void metrics
       .formatText()
       .then(text => response.end(text))
--- a/src/transport/peer-listener.ts
+++ b/src/transport/peer-listener.ts
@@ -4,7 +4,6 @@
  * attempt is acknowledged repeatedly while it runs, so that its sender can tell a
  * silent connection from a slow worker.
  */
-import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {AttemptAnswer} from '../protocol/attempt.js';
 import {AttemptError} from '../protocol/attempt.js';
@@ -18,6 +17,7 @@
 import {formatWorkerLoad} from '../protocol/worker-load.js';
 import {writeAnswer, writeRefusal} from './answer-writer.js';
 import {ATTEMPT_PATH} from './gate-client.js';
+import {createOrderedServer} from './limits/ordered-server.js';
 import {copyEndToEndHeaders, findHeader} from './message-headers.js';
 import {parseTarget} from './request-reader.js';
 import {runUnlessClosed} from './run-after-reads.js';
@@ -56,7 +56,7 @@
 
 /** Creates the server without starting to listen. */
 export function createPeerServer(handlers: PeerHandlers): Server {
-  return createServer(
+  return createOrderedServer(
     {
       maxHeaderSize: MAX_PEER_HEADER_BYTES,
       keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
--- a/src/transport/request-reader.ts
+++ b/src/transport/request-reader.ts
@@ -4,7 +4,7 @@
  */
 import {createHash, randomUUID} from 'node:crypto';
 import type {IncomingMessage} from 'node:http';
-import {Transform} from 'node:stream';
+import type {Transform} from 'node:stream';
 import type {Profile, RouteRule} from '../protocol/configuration.js';
 import {
   CALLER_ID,
@@ -21,6 +21,7 @@
   ServiceRequest,
 } from '../protocol/service-request.js';
 import {EMPTY_BODY, readHeldBody} from '../protocol/service-request.js';
+import {createReadAhead} from './limits/read-ahead.js';
 import {copyEndToEndHeaders, findHeader} from './message-headers.js';
 import {BodyPauseTimer} from './body-pause-timer.js';
 
@@ -219,13 +220,9 @@
 /** Pipes the rest of a body through a stream that fails above the limit. */
 function applySizeLimit(body: Body, maxBytes: number): Transform {
   let size = body.held.length;
-  const limited = new Transform({
-    readableHighWaterMark: READ_AHEAD_BYTES,
-    transform(chunk: Buffer, encoding, callback) {
-      size += chunk.length;
-      if (size > maxBytes) callback(buildTooLargeRefusal());
-      else callback(null, chunk);
-    },
+  const limited = createReadAhead(READ_AHEAD_BYTES, chunkSize => {
+    size += chunkSize;
+    return size > maxBytes ? buildTooLargeRefusal() : undefined;
   });
   const rest = body.rest!;
   rest.on('error', error => limited.destroy(error));
