--- a/src/directory-node.ts
+++ b/src/directory-node.ts
@@ -41,6 +41,7 @@
 import {WorkerTable} from './state/worker-table.js';
 import {createCallerServer} from './transport/caller-listener.js';
 import {GateClient} from './transport/gate-client.js';
+import {HeldBudget} from './transport/limits/held-budget.js';
 import {LineWriter} from './transport/line-writer.js';
 import {LoopWatch} from './transport/loop-watch.js';
 import type {LogContext} from './transport/logger.js';
@@ -52,9 +53,7 @@
   servePeerCall,
 } from './transport/peer-exchange.js';
 import {createPeerServer} from './transport/peer-listener.js';
-import {startListening} from './transport/start-listening.js';
 
-const STDOUT = 1;
 /** Fractions of the grace time: for callers to leave, and for work to end. */
 const LINGER_FRACTION = 0.42;
 const DRAIN_FRACTION = 0.5;
@@ -66,7 +65,7 @@
 /** A node that finds the others through a directory. */
 export class DirectoryNode {
   private readonly identity: NodeIdentity;
-  private readonly writer = new LineWriter(STDOUT);
+  private readonly writer = new LineWriter(process.stdout.fd);
   private readonly logger;
   private readonly metrics = new Metrics();
   private readonly loopWatch = new LoopWatch({
@@ -76,6 +75,7 @@
       this.log(text, {mostLateMs: Math.round(mostLateMs)});
     },
   });
+  private readonly heldBudget: HeldBudget;
   private readonly state = new StateStore(undefined);
   private readonly workers = new WorkerTable();
   private readonly records: DirectoryRecords;
@@ -121,6 +121,7 @@
     };
     this.subset = new DirectorySubset(node, this.state, this.workers);
     this.port = this.createPort();
+    this.heldBudget = new HeldBudget(settings.limits, this.port);
     this.records = this.createRecords();
     this.gateClient = new GateClient(node.id, DIRECTORY_CONNECTIONS);
     this.gate = createDirectoryGate({
@@ -196,20 +197,21 @@
 
   /** Starts listening, looks up the other nodes and begins to serve. */
   async start(): Promise<void> {
-    const {node} = this.settings;
-    await startListening(this.peerServer, node.peerAddress);
+    const {heldBudget: budget, settings} = this;
+    const {node} = settings;
+    await budget.startServer(this.peerServer, 'peers', node.peerAddress);
     await this.peers.start(
       node.beaconAddress,
       beacon => this.directory.handleBeacon(beacon),
       name => this.directory.findDescription(name),
     );
-    await startListening(this.callerServer, node.callerAddress);
-    for (const {server, address} of this.adapter.createServers(this.port)) {
-      await startListening(server, address);
+    await budget.startServer(this.callerServer, 'callers', node.callerAddress);
+    for (const one of this.adapter.createServers(this.port)) {
+      await budget.startServer(one.server, one.name, one.address);
     }
     const route = buildRouteHandler(this.entry, this.state, this.splitter);
     const metricsServer = createMetricsServer(this.metrics, route);
-    await startListening(metricsServer, node.metricsAddress);
+    await budget.startServer(metricsServer, 'metrics', node.metricsAddress);
     this.state.events.on('changed', () => this.worker.refresh());
     this.gate.events.on('workersChanged', () => this.updateWorkers());
     this.workers.events.on('changed', () => this.updateVersions());
@@ -223,7 +225,7 @@
   /** Logs whether the settings changed; changes apply at the next start. */
   handleSettings(settings: DirectorySettings): void {
     const isSame = JSON.stringify(settings) === JSON.stringify(this.settings);
-    this.log('settings read again', {isSame: isSame ? 1 : 0});
+    this.log('settings read again', {isSame: Number(isSame)});
   }
 
   /** Stops after all running requests have ended or the grace time is over. */
--- a/src/transport/metrics.ts
+++ b/src/transport/metrics.ts
@@ -5,10 +5,10 @@
  * has its own counter.
  */
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
-import {createServer} from 'node:http';
 import {Counter, Histogram, Registry} from 'prom-client';
 import type {NodeAnswer} from './caller-listener.js';
 import {readQuery} from './caller-listener.js';
+import {createOrderedServer} from './limits/ordered-server.js';
 
 /** Upper bounds in seconds, from a local answer to a usual deadline. */
 const LATENCY_BUCKETS_S = [
@@ -107,7 +107,7 @@
   metrics: Metrics,
   describeRoute: (query: URLSearchParams) => NodeAnswer,
 ): Server {
-  return createServer((message, response) => {
+  return createOrderedServer({}, (message, response) => {
     const [path] = (message.url ?? '').split('?', 1);
     if (path === ROUTE_PATH) {
       writeRoute(message, response, describeRoute);
