--- a/src/transport/limits/ordered-server.ts
+++ b/src/transport/limits/ordered-server.ts
@@ -1,7 +1,8 @@
 /**
  * An HTTP server that runs one request of a connection at a time and leaves
- * unread what a client sent far ahead. Without this, Node.js reads on until unread answers fill its buffer, and a
- * handler that answers later has by then begun thousands of them.
+ * unread what a client sent far ahead. Without this, Node.js reads on until
+ * unread answers fill its buffer, and a handler that answers later has by then
+ * begun thousands of them.
  */
 import type {
   IncomingMessage,
