Check held bytes ten times a second again

Cause: with one check a second peers send heads of up to 1 MiB each between two checks.

What the checks cost is open (docs/MEASURES.md).

--- a/src/transport/limits/held-budget.ts
+++ b/src/transport/limits/held-budget.ts
@@ -16,13 +16,8 @@
  * one read of Node.js can bring more than a thousand.
  */
 const MAX_REQUESTS = 128;
-/** Interval of checks while requests arrive; they wake the process anyway. */
+/** Between checks many peers may each send a head of the largest size. */
 const CHECK_INTERVAL_MS = 100;
-/**
- * Interval of checks without requests. A wake-up costs half a millisecond of
- * processor time on small hosts; ten a second cost a tenth of a quiet node's.
- */
-const IDLE_CHECK_INTERVAL_MS = 1000;
 /** The largest read of Node.js, which may follow a head within its limit. */
 const READ_BYTES = 64 * 1024;
 const DEFAULT_HEADER_BYTES = 16 * 1024;
@@ -57,7 +52,6 @@
   /** Bytes of requests, of which some may have been answered since. */
   private requestBytes = 0;
   private timer: NodeJS.Timeout | undefined;
-  private checkedAt = -Infinity;
 
   constructor(
     private readonly limits: HeldLimits,
@@ -90,7 +84,7 @@
         this.close(ledger, 'requests', requestBytes);
       else if (requestBytes > this.limits.heldPerConnection)
         this.close(ledger, 'connection', requestBytes);
-      else if (this.isCheckDue()) this.check();
+      else if (this.requestBytes > this.limits.heldPerNode) this.check();
       if (message.socket.destroyed) stopParser(message.socket);
     });
   }
@@ -98,10 +92,7 @@
   private open(ledger: ConnectionLedger): void {
     this.ledgers.set(ledger.socket, ledger);
     ledger.socket.once('close', () => this.remove(ledger));
-    this.timer ??= setInterval(
-      () => this.check(),
-      IDLE_CHECK_INTERVAL_MS,
-    ).unref();
+    this.timer ??= setInterval(() => this.check(), CHECK_INTERVAL_MS).unref();
   }
 
   private remove({socket, requestBytes}: ConnectionLedger): void {
@@ -131,15 +122,9 @@
     });
   }
 
-  private isCheckDue(): boolean {
-    if (this.requestBytes > this.limits.heldPerNode) return true;
-    return performance.now() - this.checkedAt >= CHECK_INTERVAL_MS;
-  }
-
   /** Measures all connections and closes those beyond the limits. */
   private check(): void {
     const {heldPerConnection, heldPerNode} = this.limits;
-    this.checkedAt = performance.now();
     const held: Array<[ConnectionLedger, number]> = [];
     let total = 0;
     this.requestBytes = 0;
