--- a/review/stand-ins-2.js
+++ b/review/stand-ins-2.js
@@ -267,7 +267,7 @@
       service: this.machine.service,
       address: this.machine.workerAddress,
       zone: this.machine.zone,
-      version: 'v1',
+      version: this.machine.version ?? 'v1',
       slots: this.slots,
       state: this.state,
       cold_remaining_ms: Math.max(0, this.coldUntil - Date.now()),
