Test what clients that never finish make a node keep

Crowds for each state of a connection and each listener: silent, a part of a head or of a body, bodies in chunks of one byte, answers unread, more connections than descriptors, requests ahead that are each within the limits, and a stop while they stay.

--- a/src/measure/child-program.ts
+++ b/src/measure/child-program.ts
@@ -6,6 +6,8 @@
 import {spawn} from 'node:child_process';
 
 const MAX_KEPT_OUTPUT_CHARS = 200_000;
+/** Lowers the limit of the shell, which the program that replaces it keeps. */
+const LIMIT_SCRIPT = 'ulimit -n "$0" && exec "$@"';
 
 /** Running children, which are killed when the tool exits. */
 const running = new Set<ChildProcess>();
@@ -20,13 +22,25 @@
   readonly exited: Promise<number | null>;
   private readonly child: ChildProcess;
 
-  /** @param nodeFlags options of Node.js itself. */
+  /**
+   * @param nodeFlags options of Node.js itself.
+   * @param maxDescriptors open descriptors at most; as this process if omitted.
+   */
   constructor(
     file: string,
     args: readonly string[],
     nodeFlags: readonly string[] = [],
+    maxDescriptors?: number,
   ) {
-    this.child = spawn(process.execPath, [...nodeFlags, file, ...args], {
+    const words = [...nodeFlags, file, ...args];
+    const [program, ...rest] =
+      maxDescriptors === undefined
+        ? [process.execPath, ...words]
+        : [
+            ...['/bin/sh', '-c', LIMIT_SCRIPT, String(maxDescriptors)],
+            ...[process.execPath, ...words],
+          ];
+    this.child = spawn(program!, rest, {
       stdio: ['ignore', 'pipe', 'pipe'],
       env: {...process.env, ROARR_LOG: 'true'},
     });
