Bound the answers that a gate keeps by their heads too

Cause: the registry counted bodies only, and its list of answers was shortened only when they exceeded 8 MiB. Attempts that expired stayed in that list. Queries for unknown attempts were registered without a limit.

Change: HeldAnswers counts head, body and 1 KiB for each answer, in the order of their age; expiry removes the answer with its attempt. A full registry answers a query for an unknown attempt with may-have-run. Ended attempts keep no promise.

Why it works: each answer adds to the count at least what its objects take, and nothing else refers to it.

--- a/src/state/attempt-registry.ts
+++ b/src/state/attempt-registry.ts
@@ -7,6 +7,7 @@
 import {Reason, RefusalError} from '../protocol/reasons.js';
 import type {SealResult} from '../protocol/seal.js';
 import {SealOutcome} from '../protocol/seal.js';
+import {HeldAnswers} from './held-answers.js';
 
 /** Handle of a registered attempt; call exactly one method to end it. */
 export interface AttemptHandle {
@@ -17,10 +18,10 @@
 }
 
 interface RegisteredAttempt {
-  result: SealResult;
+  outcome: SealOutcome;
   readonly at: number;
-  readonly ended: Promise<void>;
-  readonly markEnded: () => void;
+  /** Queries that wait for the end of the attempt. */
+  waiting?: Set<() => void>;
 }
 
 /**
@@ -28,6 +29,7 @@
  * longer is refused because its deadline has passed.
  */
 const RETENTION_MS = 600_000;
+/** Attempts that are kept, some 150 bytes each without an answer. */
 const MAX_ATTEMPTS = 200_000;
 /** Bytes of answers kept for entries that ask for an outcome. */
 const MAX_HELD_ANSWER_BYTES = 8 * 1024 * 1024;
@@ -35,8 +37,17 @@
 /** Registers the attempts at one gate that must not run twice. */
 export class AttemptRegistry {
   private readonly registered = new Map<string, RegisteredAttempt>();
-  private readonly attemptsWithAnswer: RegisteredAttempt[] = [];
-  private answerBytes = 0;
+  private readonly answers = new HeldAnswers(MAX_HELD_ANSWER_BYTES);
+
+  constructor(
+    private readonly now: () => number = () => performance.now(),
+    private readonly maxAttempts = MAX_ATTEMPTS,
+  ) {}
+
+  /** Memory of the answers that are kept, in bytes. */
+  get answerBytes(): number {
+    return this.answers.bytes;
+  }
 
   /**
    * Registers an attempt before it runs.
@@ -47,75 +58,75 @@
   register(attemptId: string): AttemptHandle {
     this.expire();
     if (this.registered.has(attemptId)) throw new RefusalError(Reason.SEALED);
-    if (this.registered.size >= MAX_ATTEMPTS)
+    if (this.registered.size >= this.maxAttempts)
       throw new RefusalError(Reason.QUEUE_FULL);
-    const registered = createRegisteredAttempt({outcome: SealOutcome.RUNNING});
-    this.registered.set(attemptId, registered);
-    const end = (result: SealResult): void => {
-      registered.result = result;
-      registered.markEnded();
-    };
+    const attempt = this.add(attemptId, SealOutcome.RUNNING);
     return {
       markRan: answer => {
-        end({outcome: SealOutcome.RAN, ...this.holdAnswer(answer)});
-        if (registered.result.answer) this.attemptsWithAnswer.push(registered);
+        this.answers.add(attemptId, answer);
+        endAttempt(attempt, SealOutcome.RAN);
       },
-      markNotRun: () => end({outcome: SealOutcome.NOT_RUN}),
-      markMayHaveRun: () => end({outcome: SealOutcome.MAY_HAVE_RUN}),
+      markNotRun: () => endAttempt(attempt, SealOutcome.NOT_RUN),
+      markMayHaveRun: () => endAttempt(attempt, SealOutcome.MAY_HAVE_RUN),
     };
   }
 
-  /** Seals an unknown attempt, or waits for a running one to end. */
+  /**
+   * Seals an unknown attempt, or waits for a running one to end. A full registry
+   * can't seal, so that the attempt may yet run.
+   */
   async seal(attemptId: string, waitMs: number): Promise<SealResult> {
-    const registered = this.registered.get(attemptId);
-    if (!registered) {
-      const sealed = createRegisteredAttempt({outcome: SealOutcome.NOT_RUN});
-      this.registered.set(attemptId, sealed);
-      return sealed.result;
+    this.expire();
+    const attempt = this.registered.get(attemptId);
+    if (!attempt) {
+      if (this.registered.size >= this.maxAttempts)
+        return {outcome: SealOutcome.MAY_HAVE_RUN};
+      this.add(attemptId, SealOutcome.NOT_RUN);
+      return {outcome: SealOutcome.NOT_RUN};
     }
-    if (registered.result.outcome === SealOutcome.RUNNING) {
-      await waitAtMost(registered.ended, waitMs);
+    if (attempt.outcome === SealOutcome.RUNNING) {
+      await waitForEnd(attempt, waitMs);
     }
-    return registered.result;
+    const answer = this.answers.find(attemptId);
+    return {outcome: attempt.outcome, ...(answer ? {answer} : {})};
   }
 
-  private holdAnswer(answer: AttemptAnswer): Pick<SealResult, 'answer'> {
-    if (answer.body.rest) return {};
-    this.answerBytes += answer.body.held.length;
-    while (
-      this.answerBytes > MAX_HELD_ANSWER_BYTES &&
-      this.attemptsWithAnswer.length > 0
-    ) {
-      const oldest = this.attemptsWithAnswer.shift()!;
-      this.answerBytes -= oldest.result.answer?.body.held.length ?? 0;
-      oldest.result = {outcome: oldest.result.outcome};
-    }
-    return {answer};
+  private add(attemptId: string, outcome: SealOutcome): RegisteredAttempt {
+    const attempt: RegisteredAttempt = {outcome, at: this.now()};
+    this.registered.set(attemptId, attempt);
+    return attempt;
   }
 
   /** Removes attempts past the retention time, in order of their age. */
   private expire(): void {
-    const before = performance.now() - RETENTION_MS;
-    for (const [id, registered] of this.registered) {
-      if (registered.at > before) return;
-      if (registered.result.outcome === SealOutcome.RUNNING) return;
+    const before = this.now() - RETENTION_MS;
+    for (const [id, {at, outcome}] of this.registered) {
+      if (at > before || outcome === SealOutcome.RUNNING) return;
       this.registered.delete(id);
+      this.answers.remove(id);
     }
   }
 }
 
-function createRegisteredAttempt(result: SealResult): RegisteredAttempt {
-  let markEnded: () => void = () => {};
-  const ended = new Promise<void>(resolve => (markEnded = resolve));
-  return {result, at: performance.now(), ended, markEnded};
+function endAttempt(attempt: RegisteredAttempt, outcome: SealOutcome): void {
+  const {waiting} = attempt;
+  attempt.outcome = outcome;
+  delete attempt.waiting;
+  for (const handleEnd of waiting ?? []) handleEnd();
 }
 
-function waitAtMost(ended: Promise<void>, limitMs: number): Promise<void> {
+function waitForEnd(
+  attempt: RegisteredAttempt,
+  limitMs: number,
+): Promise<void> {
   return new Promise(resolve => {
-    const timer = setTimeout(resolve, limitMs);
-    void ended.then(() => {
+    const waiting = (attempt.waiting ??= new Set());
+    const end = (): void => {
       clearTimeout(timer);
+      waiting.delete(end);
       resolve();
-    });
+    };
+    const timer = setTimeout(end, limitMs);
+    waiting.add(end);
   });
 }
