Read bodies in short chunks in turns

Cause: Node.js makes an event and a buffer of each chunk, 10,900 for a read of 64 KiB, and reads a connection up to 32 times before the next one. Each event also passed through every stream up to the worker.

Evidence: 'callers: whole bodies in chunks of one byte' of unfinished-clients_test failed before: no ordinary request answered within 60 s.

Change: the listeners use a message class that gathers short chunks (below 256 bytes, after the first 64) before anything else handles them. Once a connection brings 512 in one turn of the event loop, its reading moves to turns: 1 KiB at a time, one connection after the other, 2 ms of each turn of the loop, until its request is whole.

What remains is the first read of each connection, some 10 ms. Nothing is refused, so a single body of 64 KB in chunks of one byte is still served.

--- a/src/transport/caller-listener.ts
+++ b/src/transport/caller-listener.ts
@@ -22,6 +22,7 @@
 import {writeAnswer, writeRefusal} from './answer-writer.js';
 import {CallerConnection} from './caller-connection.js';
 import {isWithoutHost, measureHead} from './limits/connection-ledger.js';
+import {CountedMessage} from './limits/counted-message.js';
 import {readWholeBody} from './message-body.js';
 import {runAfterReads, runUnlessClosed} from './run-after-reads.js';
 
@@ -97,6 +98,7 @@
 /** Creates the server without starting to listen. */
 export function createCallerServer(handlers: CallerHandlers): Server {
   const server = createServer({
+    IncomingMessage: CountedMessage,
     // The limit in force is checked for each request.
     maxHeaderSize: MAX_HEADER_BYTES,
     headersTimeout: HEADERS_TIMEOUT_MS,
--- a/src/transport/limits/ordered-server.ts
+++ b/src/transport/limits/ordered-server.ts
@@ -15,6 +15,7 @@
 import type {Socket} from 'node:net';
 import {CallerConnection} from '../caller-connection.js';
 import {isWithoutHost, measureHead} from './connection-ledger.js';
+import {CountedMessage} from './counted-message.js';
 
 const STATUS_BAD_REQUEST = 400;
 
@@ -25,7 +26,11 @@
 ): Server {
   const connections = new WeakMap<Socket, CallerConnection>();
   return createServer(
-    {...options, requireHostHeader: false},
+    {
+      ...options,
+      IncomingMessage: CountedMessage,
+      requireHostHeader: false,
+    },
     (message: IncomingMessage, response: ServerResponse) => {
       const {socket} = message;
       let connection = connections.get(socket);
