Run requests sent ahead in turns with those of other connections

Callers saw: 200 connections that send bookings ahead, each within the limits, and no ordinary request answered for 25 s.

Cause: as soon as one request of a connection was answered or refused, its next ones were run at once, and each read brought more, without a bound for one turn of the event loop. (Read from the code; how long a turn lasted wasn't measured.)

The first request of a connection starts at once, as before, and in calm so do the others. What was accepted before a parse error runs also if it had to wait.

--- a/src/transport/caller-connection.ts
+++ b/src/transport/caller-connection.ts
@@ -8,6 +8,7 @@
 import type {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {Reason, RefusalError} from '../protocol/reasons.js';
+import {runInTurn} from './limits/work-turns.js';
 
 /** Requests of a connection that run, or whose answers wait for earlier ones. */
 const MAX_RUNNING = 8;
@@ -45,6 +46,9 @@
   private isPaused = false;
   private isPauseScheduled = false;
   private isAccepting = true;
+  /** Whether an answer that closes the connection has been written. */
+  private isClosing = false;
+  private isRunScheduled = false;
 
   constructor(
     private readonly socket: Socket,
@@ -89,7 +93,8 @@
     this.requests.push(request);
     this.headBytes += headBytes;
     response.once('close', () => this.remove(request));
-    this.runNext();
+    if (this.requests.length === 1) this.runNext();
+    else this.scheduleRun();
     if (this.isFull()) this.schedulePause();
   }
 
@@ -168,15 +173,33 @@
     });
   }
 
+  /** Runs what was sent ahead in turns with that of other connections. */
+  private scheduleRun(): void {
+    if (this.isRunScheduled || !this.findNext()) return;
+    this.isRunScheduled = true;
+    runInTurn(() => {
+      this.isRunScheduled = false;
+      this.runNext();
+      this.scheduleRun();
+    });
+  }
+
+  /** Runs the next request, if one may run. */
   private runNext(): void {
+    const request = this.findNext();
+    if (!request) return;
+    request.abort = new AbortController();
+    request.run(request.abort);
+  }
+
+  /** Returns the next request that may run now; undefined if none may. */
+  private findNext(): PipelinedRequest | undefined {
+    if (this.socket.destroyed || this.isClosing) return undefined;
     for (const request of this.requests.slice(0, this.maxRunning)) {
-      if (request.abort !== undefined) {
-        if (isClosing(request.response)) return;
-        continue;
-      }
-      request.abort = new AbortController();
-      request.run(request.abort);
+      if (request.abort === undefined) return request;
+      if (isClosing(request.response)) return undefined;
     }
+    return undefined;
   }
 
   private remove(request: PipelinedRequest): void {
@@ -185,9 +208,12 @@
     this.requests.splice(index, 1);
     this.headBytes -= request.headBytes;
     if (!request.response.writableFinished) cancel(request);
-    if (isClosing(request.response)) this.stopAccepting();
+    if (isClosing(request.response)) {
+      this.isClosing = true;
+      this.stopAccepting();
+    }
+    this.scheduleRun();
     if (this.socket.destroyed || !this.isAccepting) return;
-    this.runNext();
     if (!this.isPaused || this.isFull()) return;
     this.isPaused = false;
     this.socket.resume();
--- a/src/transport/limits/ordered-server.ts
+++ b/src/transport/limits/ordered-server.ts
@@ -38,13 +38,11 @@
         connection = new CallerConnection(socket, () => {}, 1);
         connections.set(socket, connection);
       }
-      const runNow = (): void => {
+      const run = (): void => {
         if (isWithoutHost(message))
           response.writeHead(STATUS_BAD_REQUEST, {connection: 'close'}).end();
         else void serve(message, response);
       };
-      // Other connections are read in between, however much was sent ahead.
-      const run = connection.isBusy ? () => void setImmediate(runNow) : runNow;
       connection.accept(response, run, measureHead(message));
     },
   );
