Count bodies that are not whole, within the memory of the host

Cause: the ledger counted heads, requests and answers. Its bound was a constant, whatever memory the process has.

Evidence: the four rows of held-budget_test that reach a bound fail before (no connection is closed in 30 s).

Change: a request counts the bytes of its body as they arrive; what is passed on counts only with the buffered start and what is read ahead. A check follows each eighth of the node's bound. A connection that isn't read counts with a window of 64 KiB, since what the system has received counts on the users' hosts. The bound is a quarter of limits.process_memory_mb (template: memory_mb), 32 MiB without it; of a connection at most half of that. Requests without a body stay within 32 MiB, as they lie in the heap.

Why it works: all that grows with what a client sends is in the one ledger, and it is checked before an eighth more has come.

After: all 7 rows pass; the rows 'half a body' of unfinished-clients_test pass.

--- a/src/node-process.ts
+++ b/src/node-process.ts
@@ -49,10 +49,7 @@
   registerCrashService,
 } from './transport/crash-service.js';
 import {GateClient} from './transport/gate-client.js';
-import {
-  DEFAULT_HELD_LIMITS,
-  HeldBudget,
-} from './transport/limits/held-budget.js';
+import {HeldBudget} from './transport/limits/held-budget.js';
 import type {LogContext, Logger} from './transport/logger.js';
 import {createLogger} from './transport/logger.js';
 import {registerMembershipService} from './transport/membership-service.js';
@@ -262,10 +259,13 @@
   /** Starts listening, joins the other nodes and begins to serve. */
   async start(): Promise<void> {
     const {node} = this.settings;
-    const budget = new HeldBudget(DEFAULT_HELD_LIMITS, {
-      count: name => this.metrics.count(name),
-      log: (text, context) => this.logger.write('info', text, context),
-    });
+    const budget = new HeldBudget(
+      {},
+      {
+        count: name => this.metrics.count(name),
+        log: (text, context) => this.logger.write('info', text, context),
+      },
+    );
     const peerAddress = node.peerListenAddress ?? node.peerAddress;
     await budget.startServer(this.peerServer, 'peers', peerAddress);
     const {callerAddress} = this.identity;
--- a/src/protocol/directory-settings.ts
+++ b/src/protocol/directory-settings.ts
@@ -51,8 +51,13 @@
       reportInterval: buildDurationSchema(10, MINUTE_MS).prefault('2s'),
       /** Maximum memory held for one connection to this node. */
       heldPerConnection: buildSizeSchema(MIB, 1024 * MIB).prefault('16MiB'),
-      /** Maximum memory held for all connections to this node together. */
-      heldPerNode: buildSizeSchema(MIB, 1024 * MIB).prefault('32MiB'),
+      /**
+       * Maximum memory held for all connections to this node together; by
+       * default a quarter of `processMemoryMb`, 32 MiB without it.
+       */
+      heldPerNode: buildSizeSchema(MIB, 1024 * MIB).optional(),
+      /** Memory of the process in units of 1,000,000 bytes. */
+      processMemoryMb: z.number().min(0).optional(),
     })
     .prefault({}),
   scheduling: z
--- a/src/transport/limits/connection-ledger.ts
+++ b/src/transport/limits/connection-ledger.ts
@@ -1,11 +1,14 @@
 /**
  * Bytes that a node holds for one connection: requests without an answer, of
- * which Node.js keeps the messages until the answer is read, answers that wait
- * for their receiver, and the part of a head that has arrived. Counting costs a
- * few additions for each request; the rest is measured when a budget asks.
+ * which Node.js keeps the messages until the answer is read, their bodies,
+ * answers that wait for their receiver, the part of a head that has arrived, and
+ * what the system may have received while the connection isn't read. Counting
+ * costs a few additions for each request; the rest is measured when a budget
+ * asks.
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import {CountedMessage} from './counted-message.js';
 
 /**
  * Memory of a request without an answer, besides its head. Measured are 1.5 KB
@@ -13,6 +16,11 @@
  * what a listener keeps with them.
  */
 export const REQUEST_COST_BYTES = 4096;
+/**
+ * Bytes that the system receives for a connection that isn't read: a usual
+ * window. They are no memory of the process, but some hosts count them.
+ */
+const UNREAD_WINDOW_BYTES = 64 * 1024;
 
 interface OpenRequest {
   readonly response: ServerResponse;
@@ -70,12 +78,16 @@
       this.readUpTo = this.socket.bytesRead;
       if (this.current.complete) this.current = undefined;
     }
-    const answerBytes = this.open.reduce(
-      (sum, {response}) => sum + response.writableLength,
+    const messageBytes = this.open.reduce(
+      (sum, {response}) =>
+        sum + response.writableLength + measureBody(response.req),
       0,
     );
     const heldHead = Math.min(this.headBytes, this.maxHeadBytes);
-    return this.openBytes + answerBytes + heldHead;
+    const {socket} = this;
+    const unread =
+      socket.readableLength + (socket.isPaused() ? UNREAD_WINDOW_BYTES : 0);
+    return this.openBytes + messageBytes + heldHead + unread;
   }
 
   /** Removes requests whose answers were read; answers leave in order. */
@@ -97,6 +109,10 @@
   return message.httpVersion === '1.1' && message.headers.host === undefined;
 }
 
+function measureBody(message: IncomingMessage): number {
+  return message instanceof CountedMessage ? message.heldBytes : 0;
+}
+
 /** Measures a request's target and headers, as the HTTP parser does. */
 export function measureHead({url = '', rawHeaders}: IncomingMessage): number {
   let bytes = url.length;
--- a/src/transport/limits/held-budget.ts
+++ b/src/transport/limits/held-budget.ts
@@ -3,13 +3,17 @@
  * and one for all connections of all listeners of the node. At the first, the
  * connection is closed; at the second, those that hold most are, until the rest
  * is well within the bound, so that callers that read their answers come last.
- * What requests hold is checked with each request, since one read can bring some
- * thousands; answers and heads grow with the network and are checked regularly.
+ * What requests and bodies hold is checked as they come, since one read can bring
+ * some thousands of requests; answers and heads grow with the network and are
+ * checked regularly.
  */
 import type {Server} from 'node:http';
 import type {Socket} from 'node:net';
 import {startListening} from '../start-listening.js';
 import {ConnectionLedger} from './connection-ledger.js';
+import {CountedMessage} from './counted-message.js';
+import type {HeldLimits, ProcessSettings} from './process-limits.js';
+import {computeHeldLimits} from './process-limits.js';
 
 /**
  * Requests of a connection without an answer. Listeners stop reading at 40, but
@@ -23,19 +27,10 @@
 const DEFAULT_HEADER_BYTES = 16 * 1024;
 /** Fraction of the node's bound that is left when it was reached. */
 const REST_FRACTION = 0.75;
-const MIB = 1024 * 1024;
-
-/** Bounds in bytes. */
-export interface HeldLimits {
-  readonly heldPerConnection: number;
-  readonly heldPerNode: number;
-}
-
-/** Bounds of a node whose settings have none. */
-export const DEFAULT_HELD_LIMITS: HeldLimits = {
-  heldPerConnection: 16 * MIB,
-  heldPerNode: 32 * MIB,
-};
+/** Requests lie in the heap, which is a part of the memory of a process. */
+const MAX_REQUEST_BYTES = 32 * 1024 * 1024;
+/** Fraction of the node's bound that bodies may bring between two checks. */
+const UNCHECKED_FRACTION = 0.125;
 
 /** The limit at which a connection is closed. */
 type HeldLimit = 'requests' | 'connection' | 'node' | 'between-requests';
@@ -49,14 +44,19 @@
 /** Follows the connections of a node's listeners and closes some of them. */
 export class HeldBudget {
   private readonly ledgers = new Map<Socket, ConnectionLedger>();
+  private readonly limits: HeldLimits;
+  /** Bytes of bodies since the last check. */
+  private uncheckedBytes = 0;
   /** Bytes of requests, of which some may have been answered since. */
   private requestBytes = 0;
   private timer: NodeJS.Timeout | undefined;
 
   constructor(
-    private readonly limits: HeldLimits,
+    settings: ProcessSettings,
     private readonly report: HeldReport,
-  ) {}
+  ) {
+    this.limits = computeHeldLimits(settings);
+  }
 
   /** Starts a server whose connections are within the limits. */
   async startServer(
@@ -78,24 +78,37 @@
     server.prependListener('request', (message, response) => {
       const ledger = this.ledgers.get(message.socket);
       if (!ledger) return;
+      if (message instanceof CountedMessage)
+        message.handleBytes = this.handleBodyBytes;
       this.requestBytes += ledger.add(message, response);
       const {requestCount, requestBytes} = ledger;
       if (requestCount > MAX_REQUESTS)
         this.close(ledger, 'requests', requestBytes);
       else if (requestBytes > this.limits.heldPerConnection)
         this.close(ledger, 'connection', requestBytes);
-      else if (this.requestBytes > this.limits.heldPerNode) this.check();
+      else if (this.requestBytes > this.maxRequestBytes) this.check();
       if (message.socket.destroyed) stopParser(message.socket);
     });
   }
 
+  private get maxRequestBytes(): number {
+    return Math.min(this.limits.heldPerNode, MAX_REQUEST_BYTES);
+  }
+
+  private readonly handleBodyBytes = (bytes: number): void => {
+    this.uncheckedBytes += bytes;
+    const {heldPerNode} = this.limits;
+    if (this.uncheckedBytes > heldPerNode * UNCHECKED_FRACTION) this.check();
+  };
+
   private open(ledger: ConnectionLedger): void {
     this.ledgers.set(ledger.socket, ledger);
     ledger.socket.once('close', () => this.remove(ledger));
     this.timer ??= setInterval(() => this.check(), CHECK_INTERVAL_MS).unref();
   }
 
-  private remove({socket, requestBytes}: ConnectionLedger): void {
+  private remove(ledger: ConnectionLedger): void {
+    const {socket, requestBytes} = ledger;
     if (!this.ledgers.delete(socket)) return;
     this.requestBytes -= requestBytes;
     if (this.ledgers.size > 0) return;
@@ -125,6 +138,7 @@
   /** Measures all connections and closes those beyond the limits. */
   private check(): void {
     const {heldPerConnection, heldPerNode} = this.limits;
+    this.uncheckedBytes = 0;
     const held: Array<[ConnectionLedger, number]> = [];
     let total = 0;
     this.requestBytes = 0;
--- a/src/transport/peer-listener.ts
+++ b/src/transport/peer-listener.ts
@@ -17,6 +17,7 @@
 import {formatWorkerLoad} from '../protocol/worker-load.js';
 import {writeAnswer, writeRefusal} from './answer-writer.js';
 import {ATTEMPT_PATH} from './gate-client.js';
+import {watchHeldBody} from './limits/counted-message.js';
 import {createOrderedServer} from './limits/ordered-server.js';
 import {copyEndToEndHeaders, findHeader} from './message-headers.js';
 import {parseTarget} from './request-reader.js';
@@ -170,6 +171,8 @@
   const epoch = find(headerNames.KEY_HOME_EPOCH);
   const key = find(headerNames.IDEMPOTENCY_KEY);
   const idempotent = find(headerNames.IDEMPOTENT) === '1';
+  const body = hasBody ? await readHeldBody(message) : EMPTY_BODY;
+  watchHeldBody(message, body.held.length);
   return {
     id: find(headerNames.ATTEMPT_ID),
     entryNodeId: find(headerNames.ENTRY_NODE),
@@ -191,7 +194,7 @@
       ...(targetMs ? {targetAt: now + Number(targetMs)} : {}),
       ...(key && !idempotent ? {key} : {}),
       fingerprint: find(headerNames.FINGERPRINT),
-      body: hasBody ? await readHeldBody(message) : EMPTY_BODY,
+      body,
     },
   };
 }
--- a/src/transport/request-reader.ts
+++ b/src/transport/request-reader.ts
@@ -21,6 +21,7 @@
   ServiceRequest,
 } from '../protocol/service-request.js';
 import {EMPTY_BODY, readHeldBody} from '../protocol/service-request.js';
+import {watchHeldBody} from './limits/counted-message.js';
 import {createReadAhead} from './limits/read-ahead.js';
 import {copyEndToEndHeaders, findHeader} from './message-headers.js';
 import {BodyPauseTimer} from './body-pause-timer.js';
@@ -208,6 +209,7 @@
   maxBytes: number,
 ): Transform {
   const rest = applySizeLimit(body, maxBytes);
+  watchHeldBody(body.rest, body.held.length, rest);
   pauseTimer.failed.catch((error: Error) => rest.destroy(error));
   rest.once('close', () => pauseTimer.stop());
   return rest;
