Give each listener a part of the descriptors

Callers saw: 700 connections that send one byte and stay, at any address of a process with 600 descriptors, and no ordinary request answered, at most addresses for as long as they stay: neither could the node accept a caller nor reach a worker.

Cause: connections of all listeners shared the descriptors of the process with each other and with the node's own connections, and none was closed for another.

Change: callers' connections may take half of the descriptors that are not for files, peers a quarter, each other listener 1/32; the rest is the node's own. The number is the least of limits.process_descriptors (template: max_fds), the system's limit and, without the former, 4096. When a listener is full, a new connection takes the place of the one that has waited longest without a whole request: first one that never sent any, then one between requests or within a request, then one that doesn't read its answer. One that waits for an answer is never closed; if all do, the new one is. An error of a listening socket is counted instead of ending the process.

Why it works: clients that do nothing yield to any that do something, and what the node needs for itself isn't theirs to take.

--- a/src/protocol/directory-settings.ts
+++ b/src/protocol/directory-settings.ts
@@ -58,6 +58,8 @@
       heldPerNode: buildSizeSchema(MIB, 1024 * MIB).optional(),
       /** Memory of the process in units of 1,000,000 bytes. */
       processMemoryMb: z.number().min(0).optional(),
+      /** Open descriptors of the process; 4096 or the system's, if absent. */
+      processDescriptors: z.number().min(0).optional(),
     })
     .prefault({}),
   scheduling: z
--- a/src/transport/limits/connection-ledger.ts
+++ b/src/transport/limits/connection-ledger.ts
@@ -36,6 +36,7 @@
   private current: IncomingMessage | undefined;
   /** Bytes read up to the end of the last message, or a little later. */
   private readUpTo = 0;
+  private requestTotal = 0;
 
   constructor(
     readonly socket: Socket,
@@ -55,6 +56,18 @@
     return this.open.length;
   }
 
+  /** Whether its client has sent a whole request and waits for the answer. */
+  get isAwaitingAnswer(): boolean {
+    this.removeAnswered();
+    const last = this.open.at(-1);
+    return last?.response.req.complete === true;
+  }
+
+  /** Whether a request has been read. */
+  get hasRequest(): boolean {
+    return this.requestTotal > 0;
+  }
+
   /** Bytes since the last message: a part of a head, or empty lines. */
   get headBytes(): number {
     return this.current ? 0 : this.socket.bytesRead - this.readUpTo;
@@ -63,6 +76,7 @@
   /** Adds a request; returns by how many bytes the requests have grown. */
   add(message: IncomingMessage, response: ServerResponse): number {
     const before = this.openBytes;
+    this.requestTotal += 1;
     this.removeAnswered();
     const bytes = REQUEST_COST_BYTES + measureHead(message);
     this.open.push({response, bytes});
--- a/src/transport/limits/held-budget.ts
+++ b/src/transport/limits/held-budget.ts
@@ -1,16 +1,20 @@
 /**
- * Limits what clients make a node hold in memory: bounds for each connection,
- * and one for all connections of all listeners of the node. At the first, the
- * connection is closed; at the second, those that hold most are, until the rest
- * is well within the bound, so that callers that read their answers come last.
- * What requests and bodies hold is checked as they come, since one read can bring
- * some thousands of requests; answers and heads grow with the network and are
- * checked regularly.
+ * Limits what clients make a node hold: memory, in bounds for each connection
+ * and one for all connections of all listeners, and descriptors, in a number of
+ * connections for each listener. At the bound of a connection it is closed; at
+ * that of the node those that hold most are, until the rest is well within the
+ * bound, so that callers that read their answers come last. What requests and
+ * bodies hold is checked as they come, since one read can bring some thousands
+ * of requests; answers and heads grow with the network and are checked
+ * regularly. A connection is also closed once its client has been silent within
+ * a request, or has taken nothing of an answer, for too long.
  */
 import type {Server} from 'node:http';
 import type {Socket} from 'node:net';
+import {runAfterReads} from '../run-after-reads.js';
 import {startListening} from '../start-listening.js';
 import {ConnectionLedger} from './connection-ledger.js';
+import {ConnectionSlots} from './connection-slots.js';
 import {CountedMessage} from './counted-message.js';
 import type {HeldLimits, ProcessSettings} from './process-limits.js';
 import {computeHeldLimits} from './process-limits.js';
@@ -31,9 +35,17 @@
 const MAX_REQUEST_BYTES = 32 * 1024 * 1024;
 /** Fraction of the node's bound that bodies may bring between two checks. */
 const UNCHECKED_FRACTION = 0.125;
+/** Time without progress of a request or of an answer that is not read. */
+const SILENCE_LIMIT_MS = 30_000;
 
 /** The limit at which a connection is closed. */
-type HeldLimit = 'requests' | 'connection' | 'node' | 'between-requests';
+type HeldLimit =
+  | 'requests'
+  | 'connection'
+  | 'node'
+  | 'between-requests'
+  | 'listener'
+  | 'silent';
 
 /** Where closed connections are counted and logged. */
 export interface HeldReport {
@@ -45,6 +57,7 @@
 export class HeldBudget {
   private readonly ledgers = new Map<Socket, ConnectionLedger>();
   private readonly limits: HeldLimits;
+  private readonly slots: ConnectionSlots;
   /** Bytes of bodies since the last check. */
   private uncheckedBytes = 0;
   /** Bytes of requests, of which some may have been answered since. */
@@ -56,6 +69,7 @@
     private readonly report: HeldReport,
   ) {
     this.limits = computeHeldLimits(settings);
+    this.slots = new ConnectionSlots(this.limits.findMaxConnections);
   }
 
   /** Starts a server whose connections are within the limits. */
@@ -65,7 +79,13 @@
     address: string,
   ): Promise<void> {
     this.watch(server, listener);
+    this.watchSilence(server);
     await startListening(server, address);
+    // Without a listener, a connection that can't be accepted ends the process.
+    server.on('error', error => {
+      this.report.count('connections.not-accepted');
+      this.report.log('connection not accepted', {listener, error: `${error}`});
+    });
   }
 
   private watch(server: Server, listener: string): void {
@@ -78,6 +98,7 @@
     server.prependListener('request', (message, response) => {
       const ledger = this.ledgers.get(message.socket);
       if (!ledger) return;
+      this.slots.recordRequest(ledger);
       if (message instanceof CountedMessage)
         message.handleBytes = this.handleBodyBytes;
       this.requestBytes += ledger.add(message, response);
@@ -91,6 +112,23 @@
     });
   }
 
+  /** Closes connections whose clients are silent within a request. */
+  private watchSilence(server: Server): void {
+    server.setTimeout(SILENCE_LIMIT_MS);
+    server.on('timeout', socket => {
+      const {bytesRead} = socket;
+      runAfterReads(() => {
+        const ledger = this.ledgers.get(socket);
+        if (!ledger || socket.bytesRead !== bytesRead) return;
+        const waitsForNode = ledger.isAwaitingAnswer || socket.isPaused();
+        if (waitsForNode && socket.writableLength === 0) return;
+        // Between requests, the end of the time is no fault of the client.
+        if (ledger.requestCount === 0 && ledger.hasRequest) socket.destroy();
+        else this.close(ledger, 'silent', ledger.measure());
+      });
+    });
+  }
+
   private get maxRequestBytes(): number {
     return Math.min(this.limits.heldPerNode, MAX_REQUEST_BYTES);
   }
@@ -103,6 +141,8 @@
 
   private open(ledger: ConnectionLedger): void {
     this.ledgers.set(ledger.socket, ledger);
+    const closed = this.slots.add(ledger);
+    if (closed) this.close(closed, 'listener', closed.measure());
     ledger.socket.once('close', () => this.remove(ledger));
     this.timer ??= setInterval(() => this.check(), CHECK_INTERVAL_MS).unref();
   }
@@ -110,6 +150,7 @@
   private remove(ledger: ConnectionLedger): void {
     const {socket, requestBytes} = ledger;
     if (!this.ledgers.delete(socket)) return;
+    this.slots.remove(ledger);
     this.requestBytes -= requestBytes;
     if (this.ledgers.size > 0) return;
     clearInterval(this.timer);
@@ -121,11 +162,13 @@
     limit: HeldLimit,
     bytes: number,
   ): void {
-    const {socket, listener} = ledger;
+    const {socket, listener, requestCount, hasRequest} = ledger;
     const {remoteAddress = ''} = socket;
     this.remove(ledger);
-    // Also drops what the system still holds for a client that doesn't read.
-    socket.resetAndDestroy();
+    // Clients that keep a connection can tell its end from a fault. A reset also
+    // drops what the system still holds for a client that doesn't read.
+    if (hasRequest && requestCount === 0) socket.destroy();
+    else socket.resetAndDestroy();
     this.report.count(`connections.closed-${limit}`);
     this.report.log('connection closed at a limit', {
       listener,
--- a/src/transport/limits/ordered-server.ts
+++ b/src/transport/limits/ordered-server.ts
@@ -18,6 +18,10 @@
 import {CountedMessage} from './counted-message.js';
 
 const STATUS_BAD_REQUEST = 400;
+/** Time for the head of a request, and for a whole request. */
+const HEADERS_TIMEOUT_MS = 10_000;
+const REQUEST_TIMEOUT_MS = 60_000;
+const TIMEOUT_CHECK_INTERVAL_MS = 2000;
 
 /** Creates the server without starting to listen. */
 export function createOrderedServer(
@@ -27,6 +31,9 @@
   const connections = new WeakMap<Socket, CallerConnection>();
   return createServer(
     {
+      headersTimeout: HEADERS_TIMEOUT_MS,
+      requestTimeout: REQUEST_TIMEOUT_MS,
+      connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
       ...options,
       IncomingMessage: CountedMessage,
       requireHostHeader: false,
