Close connections whose client is silent within a request

Callers saw: nothing at first; connections that are silent, half a body or answers that nobody reads took descriptors and memory of a node: for good at the callers' address (unread answers) and the peers' (bodies), for 60 to 300 s, the defaults of Node.js, at the others.

Cause: only the callers' listener had times for heads and pauses within bodies, and none for answers that are not read.

The start of an attempt's body may pause for 10 s, as at the callers' address.

Why it works: each state in which a node waits for a client now has an end that the client can't put off without sending or reading.

--- a/src/transport/caller-listener.ts
+++ b/src/transport/caller-listener.ts
@@ -181,7 +181,8 @@
   server.on('timeout', socket => {
     const {bytesRead} = socket;
     runAfterReads(() => {
-      if (socket.bytesRead === bytesRead) socket.destroy();
+      const isIdle = !findConnection(socket).isBusy;
+      if (isIdle && socket.bytesRead === bytesRead) socket.destroy();
     });
   });
   for (const route of handlers.nodeRoutes) {
--- a/src/transport/peer-listener.ts
+++ b/src/transport/peer-listener.ts
@@ -10,12 +10,17 @@
 import {MAX_HEADER_BYTES} from '../protocol/configuration.js';
 import * as headerNames from '../protocol/headers.js';
 import {Reason, RefusalError, toRefusal} from '../protocol/reasons.js';
-import type {Headers, ServiceRequest} from '../protocol/service-request.js';
+import type {
+  Body,
+  Headers,
+  ServiceRequest,
+} from '../protocol/service-request.js';
 import {EMPTY_BODY, readHeldBody} from '../protocol/service-request.js';
 import {Verdict} from '../protocol/verdict.js';
 import type {WorkerLoad} from '../protocol/worker-load.js';
 import {formatWorkerLoad} from '../protocol/worker-load.js';
 import {writeAnswer, writeRefusal} from './answer-writer.js';
+import {BodyPauseTimer} from './body-pause-timer.js';
 import {ATTEMPT_PATH} from './gate-client.js';
 import {watchHeldBody} from './limits/counted-message.js';
 import {createOrderedServer} from './limits/ordered-server.js';
@@ -26,6 +31,8 @@
 /** The largest headers of a caller, and those that the entry adds. */
 const MAX_PEER_HEADER_BYTES = MAX_HEADER_BYTES + 32 * 1024;
 const KEEP_ALIVE_TIMEOUT_MS = 120_000;
+/** Longest pause within the start of a body, which its sender has at hand. */
+const MAX_BODY_PAUSE_MS = 10_000;
 
 /** An attempt as a gate receives it. */
 export interface ReceivedAttempt {
@@ -171,7 +178,7 @@
   const epoch = find(headerNames.KEY_HOME_EPOCH);
   const key = find(headerNames.IDEMPOTENCY_KEY);
   const idempotent = find(headerNames.IDEMPOTENT) === '1';
-  const body = hasBody ? await readHeldBody(message) : EMPTY_BODY;
+  const body = hasBody ? await readBodyStart(message) : EMPTY_BODY;
   watchHeldBody(message, body.held.length);
   return {
     id: find(headerNames.ATTEMPT_ID),
@@ -198,3 +205,18 @@
     },
   };
 }
+
+/**
+ * Reads the buffered start of a body. Acknowledgements keep the connection
+ * active meanwhile, so that a sender that is silent would keep it for good.
+ *
+ * @throws RefusalError with reason `body-too-slow`.
+ */
+async function readBodyStart(message: IncomingMessage): Promise<Body> {
+  const pauseTimer = new BodyPauseTimer(message, MAX_BODY_PAUSE_MS);
+  try {
+    return await Promise.race([readHeldBody(message), pauseTimer.failed]);
+  } finally {
+    pauseTimer.stop();
+  }
+}
