Let single requests go before those of connections with many

Callers saw: while 20 connections sent bookings ahead, each within the limits, all lookups of others got 503 (queue-timeout), for as long as the crowd sent.

Cause, traced: a gate orders its queue by priority. Bookings have a higher one than lookups and filled the 6 slots and the queue of 48, so that a lookup either found the queue full or waited for its 0.6 s. On the users' platform all callers of a host have one name, so that no queue told them apart.

Change: the entry marks the requests of a connection that has more than four unanswered, and tells the gate. There they come after all others, whatever their priority, and in a full queue the last of them yields to a request that isn't marked. Nested calls still come first.

Why it works: the place of a request no longer depends on how many others a caller sends. What it doesn't change: callers with four or fewer requests on each of many connections still compete by priority alone.

--- a/src/coordination/admission/slot-admission.ts
+++ b/src/coordination/admission/slot-admission.ts
@@ -162,10 +162,7 @@
     if (this.hasSlotFor(item, now)) return this.takeSlot(item, now);
     const waitMs = this.computeWait(item, now);
     const maxWaitMs = this.computeMaxWait(item, now);
-    if (
-      waitMs > maxWaitMs ||
-      !this.allocation.hasQueueSpace(item, this.queue.list(), this.limits)
-    ) {
+    if (waitMs > maxWaitMs || !this.reserveQueueSpace(item, now)) {
       const mostMs = Math.round(maxWaitMs);
       throw this.buildOverloadRefusal(item, now, `may wait ${mostMs} ms`);
     }
@@ -248,6 +245,20 @@
     return Math.min(this.limits.queueWait, maxWaitMs);
   }
 
+  /**
+   * Returns whether a request may join the queue. In a full queue, the last
+   * request of a connection with several yields to one of any other.
+   */
+  private reserveQueueSpace(item: RankedRequest, now: number): boolean {
+    const list = this.queue.list();
+    if (this.allocation.hasQueueSpace(item, list, this.limits)) return true;
+    const last = list.at(-1);
+    if (!last?.request.isBulk || item.request.isBulk) return false;
+    this.queue.remove(last);
+    this.refuseQueued(last, now);
+    return true;
+  }
+
   private enqueue(
     item: RankedRequest,
     signal: AbortSignal,
--- a/src/coordination/admission/wait-policy.ts
+++ b/src/coordination/admission/wait-policy.ts
@@ -11,6 +11,12 @@
 
 /** Rank added to a request that can no longer meet its target. */
 const LATE_RANK = 1_000_000;
+/**
+ * Rank added to a request of a connection with several. Callers that send
+ * without waiting for answers would otherwise have all slots, and one with a
+ * single request of a lower priority none.
+ */
+const BULK_RANK = 10_000;
 /** Rank of nested requests. */
 const NESTED_RANK = -1;
 /** Factor by which a service time may exceed the expected one. */
@@ -43,10 +49,11 @@
 
   /** Returns the properties that determine the queue position. */
   computeOrder(request: AdmissionRequest, now: number): RankedItem {
-    const {rank, targetAt, deadline, isNested} = request;
+    const {rank, targetAt, deadline, isNested, isBulk} = request;
     if (isNested) return {rank: NESTED_RANK, dueAt: deadline};
     const late = this.isLate(request, now) ? LATE_RANK : 0;
-    return {rank: rank + late, dueAt: targetAt ?? deadline};
+    const bulk = isBulk ? BULK_RANK : 0;
+    return {rank: rank + late + bulk, dueAt: targetAt ?? deadline};
   }
 
   /**
--- a/src/coordination/admission/worker-admission.ts
+++ b/src/coordination/admission/worker-admission.ts
@@ -28,6 +28,8 @@
   readonly targetAt?: number;
   /** Whether a request that is running on another worker waits for it. */
   readonly isNested?: boolean;
+  /** Whether its caller has several unanswered requests on one connection. */
+  readonly isBulk?: boolean;
   /** Approximate bytes of the request; 0 if absent. */
   readonly bytes?: number;
 }
--- a/src/protocol/headers.ts
+++ b/src/protocol/headers.ts
@@ -52,6 +52,8 @@
 export const ROUTE = 'sequoiaspool-route';
 /** Has the value 1 when the body is streamed after admission. */
 export const STREAMED = 'sequoiaspool-streamed';
+/** Has the value 1 when its connection has several unanswered requests. */
+export const BULK = 'sequoiaspool-bulk';
 /** Identifies identical requests across resends, for crash quarantine. */
 export const FINGERPRINT = 'sequoiaspool-fingerprint';
 /** Has the value 1 on a probe that a gate sends to its upstream. */
--- a/src/protocol/service-request.ts
+++ b/src/protocol/service-request.ts
@@ -51,6 +51,8 @@
   readonly awaitedUntil?: number;
   /** Whether a request that occupies another worker sent this request. */
   readonly isNested?: boolean;
+  /** Whether its caller has several unanswered requests on one connection. */
+  readonly isBulk?: boolean;
   /** Value of `Idempotency-Key`, for a request that is not idempotent. */
   readonly key?: string;
   /** Digest of service, method, path and the buffered start of the body. */
--- a/src/transport/caller-connection.ts
+++ b/src/transport/caller-connection.ts
@@ -18,6 +18,8 @@
  * the node notices at once that its caller has left.
  */
 const MAX_WAITING = 32;
+/** Unanswered requests that a caller may have without yielding to others. */
+const MAX_SINGLE = 4;
 /** Bytes of their heads; with requests that wait, no more are read then. */
 const MAX_HEAD_BYTES = 256 * 1024;
 
@@ -98,6 +100,11 @@
     if (this.isFull()) this.schedulePause();
   }
 
+  /** Whether more requests are unanswered than of callers that wait. */
+  get isBulk(): boolean {
+    return this.requests.length > MAX_SINGLE;
+  }
+
   /** Marks a request as passed on, so that it may have run. */
   markStarted(response: ServerResponse): void {
     this.started.add(response);
--- a/src/transport/caller-listener.ts
+++ b/src/transport/caller-listener.ts
@@ -343,6 +343,7 @@
   const {protocol} = handlers;
   const id = protocol.readId(message);
   const extra: Headers = {};
+  const {isBulk} = connection;
   if (handlers.isStopping()) response.shouldKeepAlive = false;
   response.on('error', () => {});
   try {
@@ -353,7 +354,10 @@
       response,
       request.awaitedUntil ?? request.deadline,
     );
-    const answer = await handlers.handleRequest(request, abort.signal);
+    const answer = await handlers.handleRequest(
+      isBulk ? {...request, isBulk} : request,
+      abort.signal,
+    );
     Object.assign(extra, protocol.buildAnswerHeaders(id, answer));
     // The answer came before the whole body was read; the rest stays unread.
     if (!message.complete) response.shouldKeepAlive = false;
--- a/src/transport/gate-client.ts
+++ b/src/transport/gate-client.ts
@@ -162,6 +162,7 @@
     }
     if (request.idempotent) headers[headerNames.IDEMPOTENT] = '1';
     if (request.isNested) headers[headerNames.NESTED] = '1';
+    if (request.isBulk) headers[headerNames.BULK] = '1';
     if (request.body.rest) headers[headerNames.STREAMED] = '1';
     if (attempt.version) headers[headerNames.SERVICE_VERSION] = attempt.version;
     if (attempt.keyHomeEpoch !== undefined) {
--- a/src/transport/peer-listener.ts
+++ b/src/transport/peer-listener.ts
@@ -198,6 +198,7 @@
       idempotent,
       rank: Number(find(headerNames.PEER_RANK)) || 0,
       ...(find(headerNames.NESTED) === '1' ? {isNested: true} : {}),
+      ...(find(headerNames.BULK) === '1' ? {isBulk: true} : {}),
       ...(targetMs ? {targetAt: now + Number(targetMs)} : {}),
       ...(key && !idempotent ? {key} : {}),
       fingerprint: find(headerNames.FINGERPRINT),
