--- a/src/state/attempt-registry.ts
+++ b/src/state/attempt-registry.ts
@@ -29,7 +29,7 @@
  * longer is refused because its deadline has passed.
  */
 const RETENTION_MS = 600_000;
-/** Attempts that are kept, some 150 bytes each without an answer. */
+/** Attempts that are kept, each with its id, outcome and time. */
 const MAX_ATTEMPTS = 200_000;
 /** Bytes of answers kept for entries that ask for an outcome. */
 const MAX_HELD_ANSWER_BYTES = 8 * 1024 * 1024;
