Recognize resends of large bodies whatever pieces they arrive in

Cause, read from the code and shown by a test: the digest covered as much of a body as was buffered. That is at least 64 KiB, and how much more depends on the pieces in which the network delivers it. Crash quarantine uses the same digest.

Change: the digest covers the first 64 KiB, which are always buffered.

--- a/src/transport/request-reader.ts
+++ b/src/transport/request-reader.ts
@@ -20,7 +20,11 @@
   Headers,
   ServiceRequest,
 } from '../protocol/service-request.js';
-import {EMPTY_BODY, readHeldBody} from '../protocol/service-request.js';
+import {
+  EMPTY_BODY,
+  HELD_BODY_BYTES,
+  readHeldBody,
+} from '../protocol/service-request.js';
 import {watchHeldBody} from './limits/counted-message.js';
 import {createReadAhead} from './limits/read-ahead.js';
 import {copyEndToEndHeaders, findHeader} from './message-headers.js';
@@ -237,7 +241,10 @@
   return rest.pipe(limited);
 }
 
-/** Computes a digest that is equal for a request and its resends. */
+/**
+ * Computes a digest that is equal for a request and its resends. How much of a
+ * body is buffered depends on the pieces in which it arrives.
+ */
 export function computeFingerprint(
   target: ServiceTarget,
   method: string,
@@ -247,6 +254,6 @@
   const hash = createHash('sha1');
   const length = findHeader(headers, 'content-length') ?? '';
   hash.update(`${target.service}\n${method}\n${target.path}\n${length}\n`);
-  hash.update(body.held);
+  hash.update(body.held.subarray(0, HELD_BODY_BYTES));
   return hash.digest('base64url');
 }
