Check parts of heads every 10 ms while they may fill a node

Callers saw: on this machine 300 connections that send heads of 1,040 KB to the peers' address bring a node to 202 to 236 MiB, where its test allows 192.

Cause: no event tells of the parts of a head, so that they are measured every 100 ms; until the first check such a crowd has sent some 100 MiB.

Change: when the connections opened since the last check could hold more in heads than the node's bound, or all heads hold an eighth of it, the next check comes after 10 ms. Nodes without such heads check as often as before.

--- a/src/transport/limits/held-budget.ts
+++ b/src/transport/limits/held-budget.ts
@@ -24,8 +24,12 @@
  * one read of Node.js can bring more than a thousand.
  */
 const MAX_REQUESTS = 128;
-/** Between checks many peers may each send a head of the largest size. */
 const CHECK_INTERVAL_MS = 100;
+/**
+ * Interval while many heads may be on their way. No event tells of their parts,
+ * and those of a peer may have 1 MiB each.
+ */
+const HEADS_INTERVAL_MS = 10;
 /** The largest read of Node.js, which may follow a head within its limit. */
 const READ_BYTES = 64 * 1024;
 const DEFAULT_HEADER_BYTES = 16 * 1024;
@@ -33,7 +37,7 @@
 const REST_FRACTION = 0.75;
 /** Requests lie in the heap, which is a part of the memory of a process. */
 const MAX_REQUEST_BYTES = 32 * 1024 * 1024;
-/** Fraction of the node's bound that bodies may bring between two checks. */
+/** Fraction of the node's bound that may come between two checks. */
 const UNCHECKED_FRACTION = 0.125;
 /** Time without progress of a request or of an answer that is not read. */
 const SILENCE_LIMIT_MS = 30_000;
@@ -60,6 +64,9 @@
   private readonly slots: ConnectionSlots;
   /** Bytes of bodies since the last check. */
   private uncheckedBytes = 0;
+  /** Bytes that heads of connections opened since the last check may have. */
+  private newHeadBytes = 0;
+  private headsTimer: NodeJS.Timeout | undefined;
   /** Bytes of requests, of which some may have been answered since. */
   private requestBytes = 0;
   private timer: NodeJS.Timeout | undefined;
@@ -144,6 +151,8 @@
     const closed = this.slots.add(ledger);
     if (closed) this.close(closed, 'listener', closed.measure());
     ledger.socket.once('close', () => this.remove(ledger));
+    this.newHeadBytes += ledger.maxHeadBytes;
+    if (this.newHeadBytes > this.limits.heldPerNode) this.checkSoon();
     this.timer ??= setInterval(() => this.check(), CHECK_INTERVAL_MS).unref();
   }
 
@@ -178,10 +187,19 @@
     });
   }
 
+  private checkSoon(): void {
+    this.headsTimer ??= setTimeout(() => {
+      this.headsTimer = undefined;
+      this.check();
+    }, HEADS_INTERVAL_MS).unref();
+  }
+
   /** Measures all connections and closes those beyond the limits. */
   private check(): void {
     const {heldPerConnection, heldPerNode} = this.limits;
     this.uncheckedBytes = 0;
+    this.newHeadBytes = 0;
+    let heldHeads = 0;
     const held: Array<[ConnectionLedger, number]> = [];
     let total = 0;
     this.requestBytes = 0;
@@ -195,8 +213,10 @@
       else {
         held.push([ledger, bytes]);
         total += bytes;
+        heldHeads += Math.min(headBytes, maxHeadBytes);
       }
     }
+    if (heldHeads > heldPerNode * UNCHECKED_FRACTION) this.checkSoon();
     if (total <= heldPerNode) return;
     held.sort(([, one], [, other]) => other - one);
     for (const [ledger, bytes] of held) {
