Log how much of its time each step of a stop left, and what it cut

An operator at a gate that breaks off work of other nodes saw only that the step 'attempts ended' was not complete: not when it ended, how much of the time for the stop was left, nor whose attempts it closed. So a stop that was too short could not be told from work that was too long.

Each step now logs the time since the stop began and until its end, and the requests of callers and attempts of other nodes that still run. Each attempt that is cut off has a line with its request, attempt and entry.

--- a/src/directory-node.ts
+++ b/src/directory-node.ts
@@ -190,8 +190,8 @@
       peerServer: this.peerServer,
       closeClients: () => this.closeClients(),
       servesWhileCallersLeave: true,
-      handleStep: (step, isComplete) =>
-        this.logger.write('info', 'stop', {step, isComplete}),
+      handleStep: (name, step) => this.log('stop', {step: name, ...step}),
+      handleCut: attempt => this.log('attempt cut by a stop', {...attempt}),
     });
   }
 
--- a/src/node-process.ts
+++ b/src/node-process.ts
@@ -248,8 +248,9 @@
       callerServer: this.callerServer,
       peerServer: this.peerServer,
       closeClients: () => this.closeClients(),
-      handleStep: (step, isComplete) =>
-        this.logger.write('info', step, {isComplete}),
+      handleStep: (name, step) => this.logger.write('info', name, {...step}),
+      handleCut: attempt =>
+        this.logger.write('info', 'attempt cut by a stop', {...attempt}),
     });
     this.plannedStop.beforeRefusing.push(() =>
       this.keyHomes.leave(settings.stop),
--- a/src/node-stop.ts
+++ b/src/node-stop.ts
@@ -3,7 +3,8 @@
  * serving meanwhile, so that no request is aborted, whether it is running,
  * queued or in transit on an open connection.
  */
-import type {Server} from 'node:http';
+import type {Server, ServerResponse} from 'node:http';
+import {ATTEMPT_ID, ENTRY_NODE, PEER_REQUEST_ID} from './protocol/headers.js';
 import type {NodeSettings} from './protocol/settings.js';
 import type {NodeAnswer} from './transport/caller-listener.js';
 import {ConnectionCloser} from './transport/connection-closer.js';
@@ -21,6 +22,27 @@
 /** A task of another module that a stop waits for. */
 export type StopTask = () => Promise<void>;
 
+/** A step of a stop that has ended; times are in milliseconds. */
+export interface StopStep {
+  /** Whether the step ended by itself, and not at its time limit. */
+  readonly isComplete: boolean;
+  /** Time since the stop began. */
+  readonly elapsedMs: number;
+  /** Time until the stop cuts off what still runs; negative after it. */
+  readonly leftMs: number;
+  /** Requests of callers that have no complete answer yet. */
+  readonly requests: number;
+  /** Attempts and calls of other nodes that have no complete answer yet. */
+  readonly attempts: number;
+}
+
+/** An attempt of another node that a stop cuts off. */
+export interface CutAttempt {
+  readonly requestId: string;
+  readonly attemptId: string;
+  readonly entryNode: string;
+}
+
 /** Membership of this node, as a stop uses it. */
 export interface LeavingMember {
   /** Notifies the other nodes that this node accepts no more attempts. */
@@ -43,8 +65,10 @@
    * need the time.
    */
   readonly servesWhileCallersLeave?: boolean;
-  /** Called after each step, with whether it completed in time. */
-  readonly handleStep: (step: string, isComplete: boolean) => void;
+  /** Called after each step. */
+  readonly handleStep: (name: string, step: StopStep) => void;
+  /** Called for each attempt of another node that is cut off. */
+  readonly handleCut: (attempt: CutAttempt) => void;
 }
 
 /** Runs the planned stop of a node. */
@@ -87,8 +111,7 @@
    */
   hasTimeFor(deadline: number): boolean {
     if (this.beganAt === undefined) return true;
-    const {lingerTime, drainTimeout} = this.options.settings;
-    return deadline <= this.beganAt + lingerTime + drainTimeout;
+    return deadline <= this.endsAt;
   }
 
   /** Whether other nodes were notified and the gate refuses attempts. */
@@ -102,7 +125,7 @@
     this.callerConnections.start();
     if (this.options.servesWhileCallersLeave) await this.waitForCallers();
     await this.options.membership.leave();
-    this.options.handleStep('peers told', true);
+    this.reportStep('peers told', true);
     await this.runTasks('before refusing', this.beforeRefusing);
     this.refuseAttempts();
     await this.releaseCallers();
@@ -112,17 +135,34 @@
     await waitWithTimeout(this.options.closeClients(), CLOSE_TIMEOUT_MS);
   }
 
+  /** Time at which the stop cuts off what runs, as `performance.now()`. */
+  private get endsAt(): number {
+    const {lingerTime, drainTimeout} = this.options.settings;
+    return (this.beganAt ?? 0) + lingerTime + drainTimeout;
+  }
+
+  private reportStep(name: string, isComplete: boolean): void {
+    const now = performance.now();
+    this.options.handleStep(name, {
+      isComplete,
+      elapsedMs: Math.round(now - (this.beganAt ?? now)),
+      leftMs: Math.round(this.endsAt - now),
+      requests: this.callerConnections.listActive().length,
+      attempts: this.peerConnections.listActive().length,
+    });
+  }
+
   private refuseAttempts(): void {
     this.isRefusing = true;
     this.peerConnections.start();
-    this.options.handleStep('attempts refused', true);
+    this.reportStep('attempts refused', true);
   }
 
   private async waitForCallers(): Promise<void> {
-    const {callerServer, settings, handleStep} = this.options;
+    const {callerServer, settings} = this.options;
     const {lingerTime} = settings;
     const haveLeft = await waitForNoConnections(callerServer, lingerTime);
-    handleStep('callers left', haveLeft);
+    this.reportStep('callers left', haveLeft);
   }
 
   /**
@@ -130,39 +170,51 @@
    * that leave early leave it to the requests.
    */
   private findTimeLeft(): number {
-    const {lingerTime, drainTimeout} = this.options.settings;
-    const endsAt = (this.beganAt ?? 0) + lingerTime + drainTimeout;
-    return Math.max(drainTimeout, endsAt - performance.now());
+    const {drainTimeout} = this.options.settings;
+    return Math.max(drainTimeout, this.endsAt - performance.now());
   }
 
   private async releaseCallers(): Promise<void> {
-    const {callerServer, handleStep} = this.options;
+    const {callerServer} = this.options;
     if (!this.options.servesWhileCallersLeave) await this.waitForCallers();
     const hasAnswered = await drainServer(callerServer, this.findTimeLeft());
-    handleStep('answered', hasAnswered);
+    this.reportStep('answered', hasAnswered);
   }
 
   private async runTasks(
     step: string,
     tasks: readonly StopTask[],
   ): Promise<void> {
-    const {settings, handleStep} = this.options;
+    const {drainTimeout} = this.options.settings;
     for (const task of tasks) {
-      handleStep(step, await waitWithTimeout(task(), settings.drainTimeout));
+      this.reportStep(step, await waitWithTimeout(task(), drainTimeout));
     }
   }
 
   private async drainAttempts(): Promise<void> {
-    const {peerServer, settings, handleStep} = this.options;
+    const {peerServer, settings, handleCut} = this.options;
     const haveEnded = await this.peerConnections.waitUntilQuiet(
       QUIET_PERIOD_MS,
       settings.drainTimeout,
     );
-    handleStep('attempts ended', haveEnded);
+    this.reportStep('attempts ended', haveEnded);
+    for (const response of this.peerConnections.listActive()) {
+      handleCut(describeAttempt(response));
+    }
     await closeServer(peerServer);
   }
 }
 
+/** Reads what identifies an attempt; empty for other calls of a node. */
+function describeAttempt({req}: ServerResponse): CutAttempt {
+  const find = (name: string): string => String(req.headers[name] ?? '');
+  return {
+    requestId: find(PEER_REQUEST_ID),
+    attemptId: find(ATTEMPT_ID),
+    entryNode: find(ENTRY_NODE),
+  };
+}
+
 /** Builds the readiness answer; a node is ready from its join to its stop. */
 export function describeReadiness(
   isStopping: boolean,
--- a/src/test/node-stop_test.ts
+++ b/src/test/node-stop_test.ts
@@ -70,9 +70,10 @@
     peerServer,
     closeClients: async () => {},
     servesWhileCallersLeave,
-    handleStep: (step, isComplete) => {
-      steps.push(isComplete ? step : `${step} in vain`);
+    handleStep: (name, {isComplete}) => {
+      steps.push(isComplete ? name : `${name} in vain`);
     },
+    handleCut: () => {},
   });
   return {steps, stop, callerServer, peerServer};
 }
--- a/src/transport/connection-closer.ts
+++ b/src/transport/connection-closer.ts
@@ -67,6 +67,11 @@
     }
   }
 
+  /** Lists the responses that are not complete, also those that must wait. */
+  listActive(): ServerResponse[] {
+    return [...this.active.values()].flatMap(responses => [...responses]);
+  }
+
   private isBusy(): boolean {
     for (const {size} of this.active.values()) if (size > 0) return true;
     return false;
