Give running work all the time of a stop, whatever the steps before it took

Callers saw: a node without callers of its own was stopped while its worker was at work on bookings of other nodes. At half of the grace time it closed their connections; the callers got 502, though the work would have ended in time.

Cause: the steps of a stop had a time each, counted from their own beginning. A node whose callers have left spends nothing on their step, and the attempts of other nodes ended at 0.5 of the grace time in place of 0.92. The other way round, callers and attempts that never end came to 1.42 of it, beyond the kill.

Change: a stop has one end, counted from its beginning; each step may take what is left until then. What may follow it is bounded so that it fits before the kill. stop-limits.ts has the limits of both interfaces.

Why it works: no step can end before the stop does, and none after it. A request was accepted by the same end before (hasTimeFor), so that the answer to it and the time that it gets now agree.

--- a/src/directory-node.ts
+++ b/src/directory-node.ts
@@ -39,6 +39,7 @@
 import {Explanations} from './state/explanations.js';
 import {StateStore} from './state/state-store.js';
 import {WorkerTable} from './state/worker-table.js';
+import {computeGraceLimits} from './stop-limits.js';
 import {createCallerServer} from './transport/caller-listener.js';
 import {GateClient} from './transport/gate-client.js';
 import {HeldBudget} from './transport/limits/held-budget.js';
@@ -54,9 +55,6 @@
 } from './transport/peer-exchange.js';
 import {createPeerServer} from './transport/peer-listener.js';
 
-/** Fractions of the grace time: for callers to leave, and for work to end. */
-const LINGER_FRACTION = 0.42;
-const DRAIN_FRACTION = 0.5;
 /** Interval between acknowledgements; two fit into the acknowledge timeout. */
 const ACKNOWLEDGE_INTERVAL_MS = 240;
 /** Added to the callers' idle timeout, so that callers close first. */
@@ -179,12 +177,8 @@
     this.entry = this.createEntry();
     this.callerServer = this.createCallerServer();
     this.peerServer = this.createPeerServer();
-    const {grace} = settings.limits;
     this.plannedStop = new NodeStop({
-      settings: {
-        lingerTime: grace * LINGER_FRACTION,
-        drainTimeout: grace * DRAIN_FRACTION,
-      },
+      limits: computeGraceLimits(settings.limits.grace),
       membership: this.directory,
       callerServer: this.callerServer,
       peerServer: this.peerServer,
--- a/src/node-process.ts
+++ b/src/node-process.ts
@@ -42,6 +42,7 @@
 import type {HandleStep} from './state/explanations.js';
 import {Explanations} from './state/explanations.js';
 import {WorkerTable} from './state/worker-table.js';
+import {computeStopLimits} from './stop-limits.js';
 import {createSealHandler} from './transport/attempt-service.js';
 import {createCallerServer} from './transport/caller-listener.js';
 import {
@@ -243,7 +244,7 @@
       acknowledgeIntervalMs: settings.connections.acknowledgeInterval,
     });
     this.plannedStop = new NodeStop({
-      settings: settings.stop,
+      limits: computeStopLimits(settings.stop),
       membership: this.membership,
       callerServer: this.callerServer,
       peerServer: this.peerServer,
--- a/src/node-stop.ts
+++ b/src/node-stop.ts
@@ -1,11 +1,14 @@
 /**
  * Planned stop of a node. The node first notifies peers and callers and keeps
  * serving meanwhile, so that no request is aborted, whether it is running,
- * queued or in transit on an open connection.
+ * queued or in transit on an open connection. The stop has one end, counted
+ * from its beginning, and each step may take what is left until then: a step
+ * with a time of its own would cut running work early whenever the steps before
+ * it were short.
  */
 import type {Server, ServerResponse} from 'node:http';
 import {ATTEMPT_ID, ENTRY_NODE, PEER_REQUEST_ID} from './protocol/headers.js';
-import type {NodeSettings} from './protocol/settings.js';
+import type {StopLimits} from './stop-limits.js';
 import type {NodeAnswer} from './transport/caller-listener.js';
 import {ConnectionCloser} from './transport/connection-closer.js';
 import {
@@ -14,8 +17,6 @@
   waitForNoConnections,
 } from './transport/server-drain.js';
 
-/** Timeout for closing the connections that are no longer in use. */
-const CLOSE_TIMEOUT_MS = 1000;
 /** Time for attempts to arrive that peers sent before they knew of the stop. */
 const QUIET_PERIOD_MS = 200;
 
@@ -52,7 +53,7 @@
 
 /** Dependencies and settings of a stop. */
 export interface NodeStopOptions {
-  readonly settings: NodeSettings['stop'];
+  readonly limits: StopLimits;
   readonly membership: LeavingMember;
   readonly callerServer: Server;
   readonly peerServer: Server;
@@ -90,10 +91,10 @@
   private isRefusing = false;
 
   constructor(private readonly options: NodeStopOptions) {
-    const {callerServer, peerServer, settings} = options;
+    const {callerServer, peerServer, limits} = options;
     this.callerConnections = new ConnectionCloser(
       callerServer,
-      settings.lingerTime,
+      limits.lingerTime,
     );
     this.peerConnections = new ConnectionCloser(peerServer);
   }
@@ -128,17 +129,18 @@
     this.reportStep('peers told', true);
     await this.runTasks('before refusing', this.beforeRefusing);
     this.refuseAttempts();
-    await this.releaseCallers();
+    if (!this.options.servesWhileCallersLeave) await this.waitForCallers();
+    await this.drainCallers();
     await this.runTasks('before exit', this.beforeExit);
     await this.drainAttempts();
     this.options.membership.stop();
-    await waitWithTimeout(this.options.closeClients(), CLOSE_TIMEOUT_MS);
+    const {closeClients, limits} = this.options;
+    await waitWithTimeout(closeClients(), limits.closeTime);
   }
 
   /** Time at which the stop cuts off what runs, as `performance.now()`. */
   private get endsAt(): number {
-    const {lingerTime, drainTimeout} = this.options.settings;
-    return (this.beganAt ?? 0) + lingerTime + drainTimeout;
+    return (this.beganAt ?? 0) + this.options.limits.workTime;
   }
 
   private reportStep(name: string, isComplete: boolean): void {
@@ -159,24 +161,19 @@
   }
 
   private async waitForCallers(): Promise<void> {
-    const {callerServer, settings} = this.options;
-    const {lingerTime} = settings;
-    const haveLeft = await waitForNoConnections(callerServer, lingerTime);
+    const {callerServer, limits} = this.options;
+    const timeoutMs = this.findTimeLeft(limits.lingerTime);
+    const haveLeft = await waitForNoConnections(callerServer, timeoutMs);
     this.reportStep('callers left', haveLeft);
   }
 
-  /**
-   * Returns the time in milliseconds that running requests still have. Callers
-   * that leave early leave it to the requests.
-   */
-  private findTimeLeft(): number {
-    const {drainTimeout} = this.options.settings;
-    return Math.max(drainTimeout, this.endsAt - performance.now());
+  /** Returns the time in milliseconds until the end, at most `maxMs`. */
+  private findTimeLeft(maxMs = Infinity): number {
+    return Math.min(maxMs, Math.max(0, this.endsAt - performance.now()));
   }
 
-  private async releaseCallers(): Promise<void> {
+  private async drainCallers(): Promise<void> {
     const {callerServer} = this.options;
-    if (!this.options.servesWhileCallersLeave) await this.waitForCallers();
     const hasAnswered = await drainServer(callerServer, this.findTimeLeft());
     this.reportStep('answered', hasAnswered);
   }
@@ -185,17 +182,18 @@
     step: string,
     tasks: readonly StopTask[],
   ): Promise<void> {
-    const {drainTimeout} = this.options.settings;
+    const {taskTime} = this.options.limits;
     for (const task of tasks) {
-      this.reportStep(step, await waitWithTimeout(task(), drainTimeout));
+      const timeoutMs = this.findTimeLeft(taskTime);
+      this.reportStep(step, await waitWithTimeout(task(), timeoutMs));
     }
   }
 
   private async drainAttempts(): Promise<void> {
-    const {peerServer, settings, handleCut} = this.options;
+    const {peerServer, handleCut} = this.options;
     const haveEnded = await this.peerConnections.waitUntilQuiet(
       QUIET_PERIOD_MS,
-      settings.drainTimeout,
+      this.findTimeLeft(),
     );
     this.reportStep('attempts ended', haveEnded);
     for (const response of this.peerConnections.listActive()) {
--- a/src/test/node-stop_test.ts
+++ b/src/test/node-stop_test.ts
@@ -10,12 +10,21 @@
 import {afterEach, describe, expect, it} from 'vitest';
 import {waitFor} from '../measure/wait-for.js';
 import {NodeStop} from '../node-stop.js';
+import type {StopLimits} from '../stop-limits.js';
 
 /** Timeout of the steps, far longer than an unblocked step takes. */
 const STEP_TIMEOUT_MS = 60_000;
 /** Timeout of a stop that nothing blocks; less than one step timeout. */
 const STOP_TIMEOUT_MS = STEP_TIMEOUT_MS / 2;
 
+/** Limits of a stop during which work runs, and the time of that work. */
+const WORK_LIMITS: StopLimits = {
+  lingerTime: 500,
+  workTime: 2000,
+  closeTime: 500,
+};
+const WORK_MS = 0.8 * WORK_LIMITS.workTime;
+
 let servers: Server[] = [];
 let sockets: Socket[] = [];
 
@@ -29,7 +38,9 @@
 async function startServer(): Promise<Server> {
   const server = createServer((message, response) => {
     if (message.url === '/slow') return;
-    response.end('done');
+    if (message.url === '/work')
+      setTimeout(() => response.end('done'), WORK_MS);
+    else response.end('done');
   });
   servers.push(server);
   await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
@@ -56,12 +67,21 @@
   readonly peerServer: Server;
 }
 
-async function createStop(servesWhileCallersLeave: boolean): Promise<StopRun> {
+const DEFAULT_LIMITS: StopLimits = {
+  lingerTime: STEP_TIMEOUT_MS,
+  workTime: 2 * STEP_TIMEOUT_MS,
+  closeTime: STEP_TIMEOUT_MS,
+};
+
+async function createStop(
+  servesWhileCallersLeave: boolean,
+  limits = DEFAULT_LIMITS,
+): Promise<StopRun> {
   const callerServer = await startServer();
   const peerServer = await startServer();
   const steps: string[] = [];
   const stop = new NodeStop({
-    settings: {lingerTime: STEP_TIMEOUT_MS, drainTimeout: STEP_TIMEOUT_MS},
+    limits,
     membership: {
       leave: async () => void steps.push('left'),
       stop: () => {},
@@ -103,6 +123,51 @@
     await waitFor('the stop to end', () => hasEnded, STOP_TIMEOUT_MS);
   });
 
+  // Guards against a step of a stop that ends at a time of its own, and cuts
+  // off work of others, though earlier steps left it much time.
+  it.each([
+    {serves: true, hasCaller: false, worksFor: 'peer'},
+    {serves: true, hasCaller: true, worksFor: 'peer'},
+    {serves: true, hasCaller: true, worksFor: 'caller'},
+    {serves: false, hasCaller: false, worksFor: 'peer'},
+    {serves: false, hasCaller: true, worksFor: 'peer'},
+    {serves: false, hasCaller: true, worksFor: 'caller'},
+  ] as const)('lets work end within its time: %o', async row => {
+    const {serves, hasCaller, worksFor} = row;
+    const run = await createStop(serves, WORK_LIMITS);
+    if (hasCaller) await openIdleConnection(run.callerServer);
+    const server = worksFor === 'peer' ? run.peerServer : run.callerServer;
+    const arrived = new Promise(resolve => server.once('request', resolve));
+    const answer = fetch(`http://127.0.0.1:${findPort(server)}/work`);
+    await arrived;
+    let hasEnded = false;
+    void run.stop.run().then(() => (hasEnded = true));
+    expect(await (await answer).text()).toBe('done');
+    await waitFor('the stop to end', () => hasEnded, STOP_TIMEOUT_MS);
+  });
+
+  // Guards against steps that together last longer than the whole stop, after
+  // which the process is killed.
+  it.each([
+    {serves: true, worksFor: ['peer']},
+    {serves: true, worksFor: ['caller']},
+    {serves: true, worksFor: ['caller', 'peer']},
+    {serves: false, worksFor: ['caller', 'peer']},
+  ])('cuts off work at its end: %o', async ({serves, worksFor}) => {
+    const run = await createStop(serves, WORK_LIMITS);
+    for (const client of worksFor) {
+      const server = client === 'peer' ? run.peerServer : run.callerServer;
+      const arrived = new Promise(resolve => server.once('request', resolve));
+      const endless = request({port: findPort(server), path: '/slow'});
+      endless.on('error', () => {}).end();
+      await arrived;
+    }
+    const beganAt = performance.now();
+    await run.stop.run();
+    const {workTime, closeTime} = WORK_LIMITS;
+    expect(performance.now() - beganAt).toBeLessThan(workTime + closeTime);
+  });
+
   const deadlines = [
     {name: 'before the stop', hasBegun: false, deadlineMs: 1e9, hasTime: true},
     {name: 'within its time', hasBegun: true, deadlineMs: 0, hasTime: true},
