Keep the callers' listener open in a stop while work runs that may call

Callers saw: a worker that was at work on a booking of another node when its own node was stopped answered 500, since a call that it made meanwhile failed.

Cause: the calls of a worker come in by its node's listener for callers. That closed as soon as the callers had left, at once where there were none, while the worker still worked for other nodes; a call on a new connection was refused by the system.

Evidence: planned-stop_test, 'calls of a worker at work are served', failed on the code before (500 in place of 200).

Change: before its listener closes, a stop waits for the requests of callers and of other nodes that run then. Those that come later are not waited for here, so that callers who keep coming don't prolong a stop.

Why it works: every call is made for a request that runs, so none can find the listener closed before the end of the stop, but for calls of requests that callers sent after the linger time.

--- a/src/node-stop.ts
+++ b/src/node-stop.ts
@@ -130,6 +130,7 @@
     await this.runTasks('before refusing', this.beforeRefusing);
     this.refuseAttempts();
     if (!this.options.servesWhileCallersLeave) await this.waitForCallers();
+    await this.waitForWork();
     await this.drainCallers();
     await this.runTasks('before exit', this.beforeExit);
     await this.drainAttempts();
@@ -172,6 +173,19 @@
     return Math.min(maxMs, Math.max(0, this.endsAt - performance.now()));
   }
 
+  /**
+   * Waits for the requests that run now. The worker may make calls for them on
+   * new connections to the callers' listener, which must not close before.
+   */
+  private async waitForWork(): Promise<void> {
+    const timeoutMs = this.findTimeLeft();
+    const haveEnded = await Promise.all([
+      this.callerConnections.waitForActive(timeoutMs),
+      this.peerConnections.waitForActive(timeoutMs),
+    ]);
+    this.reportStep('work ended', haveEnded.every(Boolean));
+  }
+
   private async drainCallers(): Promise<void> {
     const {callerServer} = this.options;
     const hasAnswered = await drainServer(callerServer, this.findTimeLeft());
--- a/src/transport/connection-closer.ts
+++ b/src/transport/connection-closer.ts
@@ -67,6 +67,22 @@
     }
   }
 
+  /**
+   * Waits until the requests that are active now have ended; later ones are not
+   * waited for.
+   *
+   * @returns false when the timeout expired first.
+   */
+  async waitForActive(timeoutMs: number): Promise<boolean> {
+    const deadline = performance.now() + timeoutMs;
+    const responses = this.listActive();
+    while (responses.some(isActive)) {
+      if (performance.now() >= deadline) return false;
+      await waitMs(POLL_INTERVAL_MS);
+    }
+    return true;
+  }
+
   /** Lists the responses that are not complete, also those that must wait. */
   listActive(): ServerResponse[] {
     return [...this.active.values()].flatMap(responses => [...responses]);
@@ -103,6 +119,11 @@
   }
 }
 
+/** Also a response that waits for an earlier one ends with its connection. */
+function isActive({closed, req}: ServerResponse): boolean {
+  return !closed && !req.socket.destroyed;
+}
+
 function endAfterAnswer(response: ServerResponse): void {
   response.shouldKeepAlive = false;
   if (!response.headersSent) response.removeHeader('keep-alive');
