Take the calls of running requests until the end of a stop

Cause: a stopping node refuses what has a deadline beyond the end of the stop, so that its caller goes elsewhere. A call has the deadline of its request, which was accepted before the stop; its worker can't go elsewhere.

Evidence: planned-stop_test, 'with all the time of their request', failed on the code before (500 in place of 200).

Change: such a request is taken if its route is known as one of calls and a request runs here that can have made it. Others are refused as before. stop-admission.ts has both rules.

Why it works: the call ends with its request, and that one was promised its time. A request that is no call, on a route that callers use, is still refused.

--- a/src/coordination/nested-calls.ts
+++ b/src/coordination/nested-calls.ts
@@ -83,16 +83,21 @@
 
   /** Records a received request; returns whether it is a nested call. */
   observe(route: string, deadline: number): boolean {
-    const hasParent = this.hasRequestRunningUntil(deadline - MAX_READ_DELAY_MS);
+    const hasParent = this.hasParent(deadline);
     const stats = this.findRouteStats(route);
     stats.requests += 1;
     const weight = Math.max(MIN_SAMPLE_WEIGHT, 1 / stats.requests);
     stats.externalFraction +=
       weight * ((hasParent ? 0 : 1) - stats.externalFraction);
-    const {requests, externalFraction} = stats;
-    const isNestedRoute =
-      requests >= MIN_REQUESTS && externalFraction < MAX_EXTERNAL_FRACTION;
-    return hasParent && isNestedRoute;
+    return hasParent && isNestedRoute(stats);
+  }
+
+  /** Whether a request is a nested call; doesn't record it. */
+  isNested(route: string, deadline: number): boolean {
+    const stats = this.statsByRoute.get(route);
+    return (
+      stats !== undefined && isNestedRoute(stats) && this.hasParent(deadline)
+    );
   }
 
   private findRouteStats(route: string): RouteStats {
@@ -125,10 +130,14 @@
     return found;
   }
 
-  private hasRequestRunningUntil(time: number): boolean {
+  private hasParent(callDeadline: number): boolean {
     for (const {deadline} of this.runs) {
-      if (deadline >= time) return true;
+      if (deadline >= callDeadline - MAX_READ_DELAY_MS) return true;
     }
     return false;
   }
 }
+
+function isNestedRoute({requests, externalFraction}: RouteStats): boolean {
+  return requests >= MIN_REQUESTS && externalFraction < MAX_EXTERNAL_FRACTION;
+}
--- a/src/directory-node.ts
+++ b/src/directory-node.ts
@@ -27,7 +27,7 @@
 import type {NodeIdentity} from './protocol/node-identity.js';
 import {createIncarnation} from './protocol/node-identity.js';
 import type {CrashPush} from './protocol/peer-messages.js';
-import {Reason, RefusalError, toRefusal} from './protocol/reasons.js';
+import {toRefusal} from './protocol/reasons.js';
 import type {
   ServiceAnswer,
   ServiceRequest,
@@ -39,6 +39,7 @@
 import {Explanations} from './state/explanations.js';
 import {StateStore} from './state/state-store.js';
 import {WorkerTable} from './state/worker-table.js';
+import {checkAttempt, checkRequest} from './stop-admission.js';
 import {computeGraceLimits} from './stop-limits.js';
 import {createCallerServer} from './transport/caller-listener.js';
 import {GateClient} from './transport/gate-client.js';
@@ -329,11 +330,7 @@
     };
     return createPeerServer({
       handleAttempt: async (attempt, signal, handleAdmitted) => {
-        const {deadline} = attempt.request;
-        const isRefusing =
-          this.plannedStop.isRefusingAttempts ||
-          !this.plannedStop.hasTimeFor(deadline);
-        if (isRefusing) throw new RefusalError(Reason.NODE_STOPPING);
+        checkAttempt(this.plannedStop, attempt.request);
         return this.path.runAttempt(attempt, signal, handleAdmitted);
       },
       handleCall: (message, response) =>
@@ -349,10 +346,7 @@
     const startedAt = performance.now();
     let verdict: Verdict = Verdict.RAN;
     try {
-      // What can't be finished is refused while that is true.
-      if (!this.plannedStop.hasTimeFor(request.deadline)) {
-        throw new RefusalError(Reason.NODE_STOPPING);
-      }
+      checkRequest(this.plannedStop, this.gate.nestedCalls, request);
       const answer = await this.entry.handleRequest(request, signal);
       this.metrics.count(`verdicts.${verdict}`);
       return answer;
