Go on with a settings file that can't be read at a SIGHUP

Callers saw: their connections closed, when a node was told that its settings changed while the file could not be read; in the middle of a stop, too.

Cause: the handler of the signal threw, which ends the process.

Evidence: both rows of 'a settings file ...' in planned-stop_test failed on the code before: the process was gone.

Change: the fault is logged ('settings not read'), and what runs goes on.

Why it works: settings hold from the next start on, so that a node needs nothing of the file meanwhile.

After: 2 of 2 rows hold.

--- a/src/directory-node.ts
+++ b/src/directory-node.ts
@@ -217,10 +217,18 @@
     this.log('started', {incarnation: this.identity.incarnation});
   }
 
-  /** Logs whether the settings changed; changes apply at the next start. */
-  handleSettings(settings: DirectorySettings): void {
-    const isSame = JSON.stringify(settings) === JSON.stringify(this.settings);
-    this.log('settings read again', {isSame: Number(isSame)});
+  /**
+   * Logs whether the settings changed; changes apply at the next start. A file
+   * that can't be read then changes nothing for what runs now.
+   */
+  handleSettings(readSettings: () => DirectorySettings): void {
+    try {
+      const changed = JSON.stringify(readSettings());
+      const isSame = changed === JSON.stringify(this.settings);
+      this.log('settings read again', {isSame: Number(isSame)});
+    } catch (error) {
+      this.logger.write('warn', 'settings not read', {error: String(error)});
+    }
   }
 
   /** Stops after all running requests have ended or the grace time is over. */
