Refuse at the own interface what a stop would cut off

Callers saw: at the product's own interface a stopping node took requests whose time limit lies beyond the end of the stop, and cut those off that still ran.

Cause: only the node with a directory compared deadlines with that end.

Evidence: planned-stop_test, 'a stop that is shorter than the time limit of a request', row of 60,000 ms: taken before (200), refused now.

Change: both interfaces use stop-admission.ts. Attempts with a key go to their key home as before.

Why it works: the refusal is true, comes at once, and costs no retry budget, so that the request is served elsewhere.

--- a/src/node-process.ts
+++ b/src/node-process.ts
@@ -29,7 +29,7 @@
 import {AttemptService} from './protocol/attempts_pb.js';
 import type {NodeIdentity} from './protocol/node-identity.js';
 import {createIncarnation, parseAddress} from './protocol/node-identity.js';
-import {Reason, RefusalError, toRefusal} from './protocol/reasons.js';
+import {toRefusal} from './protocol/reasons.js';
 import type {
   ServiceAnswer,
   ServiceRequest,
@@ -42,6 +42,7 @@
 import type {HandleStep} from './state/explanations.js';
 import {Explanations} from './state/explanations.js';
 import {WorkerTable} from './state/worker-table.js';
+import {checkAttempt, checkRequest} from './stop-admission.js';
 import {computeStopLimits} from './stop-limits.js';
 import {createSealHandler} from './transport/attempt-service.js';
 import {createCallerServer} from './transport/caller-listener.js';
@@ -233,9 +234,7 @@
         if (attempt.keyHomeEpoch !== undefined) {
           return this.keyHomes.handleAttempt(attempt, signal, handleAdmitted);
         }
-        if (this.plannedStop.isRefusingAttempts) {
-          throw new RefusalError(Reason.NODE_STOPPING);
-        }
+        checkAttempt(this.plannedStop, attempt.request);
         return this.path.runAttempt(attempt, signal, handleAdmitted);
       },
       handleCall: connectNodeAdapter({
@@ -309,6 +308,7 @@
     request: ServiceRequest,
     signal: AbortSignal,
   ): Promise<ServiceAnswer> {
+    checkRequest(this.plannedStop, this.gate.nestedCalls, request);
     const answer = this.keyHomes.hasKey(request)
       ? await this.handleKeyedRequest(request, signal)
       : await this.entry.handleRequest(request, signal);
--- a/src/test/planned-stop_test.ts
+++ b/src/test/planned-stop_test.ts
@@ -188,3 +188,38 @@
     expect(await host!.node!.exited).toBe(0);
   });
 });
+
+// Guards against requests that are accepted during a stop and cut off without an
+// answer at its end, in a deployment whose drain timeout is below their limits.
+describe('a stop that is shorter than the time limit of a request', () => {
+  it.each([
+    {timeLimitMs: 500, status: 200},
+    {timeLimitMs: 60_000, status: 503},
+  ])('of $timeLimitMs ms: $status', async ({timeLimitMs, status}) => {
+    await fixture.stop();
+    fixture = await startFixture({
+      workers: 2,
+      configuration: WARM_CONFIGURATION,
+      nodeSettings: {stop: {drainTimeout: '5s', lingerTime: '2s'}},
+    });
+    const [host] = fixture.deployment.hosts;
+    const agent = new Agent({keepAlive: true, maxSockets: 1});
+    await sendCall(host!, '/kona-desk/tickets/1', agent);
+    sendStopSignal(host!);
+    await waitUntilStopping(host!);
+    const headers = {'connect-timeout-ms': String(timeLimitMs)};
+    const url = `http://${host!.callerAddress}/kona-desk/tickets/2`;
+    const answer = await fetch(url, {headers});
+    const body = (await answer.json()) as {verdict?: string; reason?: string};
+    expect(answer.status).toBe(status);
+    if (status === 503) {
+      const {verdict, reason} = body;
+      expect({verdict, reason}).toEqual({
+        verdict: 'not-run',
+        reason: 'node-stopping',
+      });
+    }
+    agent.destroy();
+    expect(await host!.node!.exited).toBe(0);
+  });
+});
