Count the descriptors of a platform that counts sockets by itself

Cause: on the users' platform a process is told max_fds 4100 or 8192, and its own limit of the system is 200. The node took the smaller of both, so that it let 25 connections of other nodes in. The peers' listener was full at once: 1,006 lines 'connection closed at a limit' in the first 18 s, each of which closed an idle connection of another node, whose next request then had an unknown outcome.

How the two are told apart: 'Of the max_fds descriptors, 200 are reserved for files, and sockets and pipes share the remainder' (DEPLOY.md). So a limit of the system that is just that part holds for files alone; sockets are counted by the platform, up to what it tells. Any other limit below the told number holds for sockets, too, and so does each limit where no number is told.

Change: computeHeldLimits decides so.

--- a/src/transport/limits/process-limits.ts
+++ b/src/transport/limits/process-limits.ts
@@ -53,12 +53,12 @@
   settings: ProcessSettings,
   systemDescriptors = readDescriptorLimit(),
 ): HeldLimits {
-  const {processMemoryMb, processDescriptors = DEFAULT_DESCRIPTORS} = settings;
+  const {processMemoryMb, processDescriptors} = settings;
   const {
     heldPerConnection = DEFAULT_CONNECTION_BYTES,
     heldPerNode = computeHeldBytes(processMemoryMb),
   } = settings;
-  const descriptors = Math.min(processDescriptors, systemDescriptors);
+  const descriptors = countDescriptors(processDescriptors, systemDescriptors);
   const files = Math.min(FILE_DESCRIPTORS, descriptors * MAX_FILE_FRACTION);
   return {
     heldPerNode,
@@ -71,6 +71,25 @@
   };
 }
 
+/**
+ * Counts the descriptors that a process may have. A platform may count sockets
+ * by itself, up to the number that it tells the process, and leave the system a
+ * limit for files alone: then that limit is just the part of files. Any other
+ * limit holds for sockets, too.
+ */
+function countDescriptors(
+  toldDescriptors: number | undefined,
+  systemDescriptors: number,
+): number {
+  if (toldDescriptors === undefined) {
+    return Math.min(DEFAULT_DESCRIPTORS, systemDescriptors);
+  }
+  const isForFilesAlone = systemDescriptors === FILE_DESCRIPTORS;
+  return isForFilesAlone
+    ? toldDescriptors
+    : Math.min(toldDescriptors, systemDescriptors);
+}
+
 function computeHeldBytes(processMemoryMb: number | undefined): number {
   if (processMemoryMb === undefined) return DEFAULT_HELD_BYTES;
   const bytes = Math.floor(processMemoryMb * BYTES_PER_MB * HELD_FRACTION);
