Announce the close of another node's connection in place of closing it idle

Callers saw: 502 for requests whose node sent them to another one on an idle connection, just when that one closed it for a newcomer at its full listener.

Cause: idle connections yield first at a full listener. A node may be sending its next request there, whose outcome is then unknown.

Evidence: rows [idle, idle] and [idle, waiting] of 'when the listener for peers is full' failed before: the idle one was closed.

Change: idle connections of nodes don't yield. From three quarters of the listener's connections on, answers there announce the close, which nodes heed, so that a quarter stays for newcomers. A crowd at the peers' address that sends one request each and stays gets no more than those three quarters. A listener logs its number of connections each time that it has doubled.

Why it works: a node never sends on a connection whose last answer announced its close, and no other idle one is closed before its own idle time is over.

--- a/src/test/connection-limits_test.ts
+++ b/src/test/connection-limits_test.ts
@@ -126,10 +126,14 @@
 
 type State = keyof typeof STATES;
 
-function createLedger(slots: ConnectionSlots, state: State): ConnectionLedger {
+function createLedger(
+  slots: ConnectionSlots,
+  state: State,
+  listener = 'callers',
+): ConnectionLedger {
   const {isAnswered, isPart, isUnread}: Record<string, boolean> = STATES[state];
   const socket = {writableLength: isUnread ? 1 : 0} as Socket;
-  const ledger = new ConnectionLedger(socket, 'callers', 0);
+  const ledger = new ConnectionLedger(socket, listener, 0);
   slots.add(ledger);
   if (state === 'silent') return ledger;
   const message = {rawHeaders: [], complete: !isPart};
@@ -176,3 +180,39 @@
     expect(slots.add(next)).toBeUndefined();
   });
 });
+
+/** The connection that yields; undefined for the newest one. */
+const PEER_CASES: ReadonlyArray<[State[], number | undefined]> = [
+  [['idle', 'silent'], 1],
+  [['idle', 'sending'], 1],
+  [['idle', 'unread'], 1],
+  [['idle', 'idle'], undefined],
+  [['idle', 'waiting'], undefined],
+];
+
+// Guards against idle connections that close under the next request of another
+// node, whose outcome is then unknown.
+describe('when the listener for peers is full', () => {
+  it.each(PEER_CASES)('of %s, number %s yields', (states, index) => {
+    const slots = new ConnectionSlots(() => states.length);
+    const ledgers = states.map(state => createLedger(slots, state, 'peers'));
+    const next = new ConnectionLedger({} as Socket, 'peers', 0);
+    const yielding = index === undefined ? next : ledgers[index];
+    expect(slots.add(next)).toBe(yielding);
+  });
+});
+
+describe('a connection closes after its answer', () => {
+  it.each([
+    {listener: 'peers', count: 6, isToClose: false},
+    {listener: 'peers', count: 7, isToClose: true},
+    {listener: 'callers', count: 8, isToClose: false},
+  ])('of $listener with $count of 8: $isToClose', row => {
+    const {listener, count, isToClose} = row;
+    const slots = new ConnectionSlots(() => 8);
+    const ledgers = Array.from({length: count}, () =>
+      createLedger(slots, 'waiting', listener),
+    );
+    expect(slots.isToClose(ledgers[0]!)).toBe(isToClose);
+  });
+});
--- a/src/transport/limits/held-budget.ts
+++ b/src/transport/limits/held-budget.ts
@@ -42,6 +42,9 @@
 /** Time without progress of a request or of an answer that is not read. */
 const SILENCE_LIMIT_MS = 30_000;
 
+/** Number of connections from which on a listener's are logged. */
+const FIRST_COUNT = 8;
+
 /** The limit at which a connection is closed. */
 type HeldLimit =
   | 'requests'
@@ -70,6 +73,8 @@
   /** Bytes of requests, of which some may have been answered since. */
   private requestBytes = 0;
   private timer: NodeJS.Timeout | undefined;
+  /** Numbers of connections that were logged, by listener. */
+  private readonly reportedCounts = new Map<string, number>();
 
   constructor(
     settings: ProcessSettings,
@@ -106,6 +111,7 @@
       const ledger = this.ledgers.get(message.socket);
       if (!ledger) return;
       this.slots.recordRequest(ledger);
+      if (this.slots.isToClose(ledger)) response.shouldKeepAlive = false;
       if (message instanceof CountedMessage)
         message.handleBytes = this.handleBodyBytes;
       this.requestBytes += ledger.add(message, response);
@@ -150,12 +156,24 @@
     this.ledgers.set(ledger.socket, ledger);
     const closed = this.slots.add(ledger);
     if (closed) this.close(closed, 'listener', closed.measure());
+    this.reportCount(ledger);
     ledger.socket.once('close', () => this.remove(ledger));
     this.newHeadBytes += ledger.maxHeadBytes;
     if (this.newHeadBytes > this.limits.heldPerNode) this.checkSoon();
     this.timer ??= setInterval(() => this.check(), CHECK_INTERVAL_MS).unref();
   }
 
+  /** Logs the number of a listener's connections each time that it doubles. */
+  private reportCount(ledger: ConnectionLedger): void {
+    const {listener} = ledger;
+    const count = this.slots.count(ledger);
+    const reported = this.reportedCounts.get(listener) ?? FIRST_COUNT / 2;
+    if (count < 2 * reported) return;
+    this.reportedCounts.set(listener, count);
+    const max = this.limits.findMaxConnections(listener);
+    this.report.log('most connections so far', {listener, count, max});
+  }
+
   private remove(ledger: ConnectionLedger): void {
     const {socket, requestBytes} = ledger;
     if (!this.ledgers.delete(socket)) return;
