Let idempotent requests sent ahead keep their priority

Callers saw: an urgent request on a connection with more than four unanswered ones waited behind every less urgent request of others, and was the first to be refused at a full queue.

Cause: all requests of such a connection yielded, whatever their kind.

Change: the requests of a connection yield once one that isn't idempotent was sent on it before an earlier one was answered, and while more than four are unanswered.

--- a/src/test/caller-connection_test.ts
+++ b/src/test/caller-connection_test.ts
@@ -114,3 +114,49 @@
     );
   });
 });
+
+/** Kinds of requests sent at once; `safe` ones are idempotent. */
+type Kind = 'safe' | 'unsafe';
+
+const repeatKind = (kind: Kind, count: number): Kind[] =>
+  Array.from({length: count}, () => kind);
+
+const MARK_CASES: ReadonlyArray<{
+  readonly name: string;
+  readonly kinds: readonly Kind[];
+  /** How many requests yield to those of others. */
+  readonly bulk: number;
+}> = [
+  {name: 'one that is safe', kinds: ['safe'], bulk: 0},
+  {name: 'one that is unsafe', kinds: ['unsafe'], bulk: 0},
+  {name: 'eight that are safe', kinds: repeatKind('safe', 8), bulk: 0},
+  {
+    name: 'safe ones behind an unsafe one',
+    kinds: ['unsafe', ...repeatKind('safe', 7)],
+    bulk: 0,
+  },
+  {name: 'four that are unsafe', kinds: repeatKind('unsafe', 4), bulk: 0},
+  {name: 'eight that are unsafe', kinds: repeatKind('unsafe', 8), bulk: 7},
+  {
+    name: 'an unsafe one behind safe ones',
+    kinds: [...repeatKind('safe', 5), 'unsafe', 'safe', 'safe'],
+    bulk: 3,
+  },
+];
+
+// Guards against requests that callers may send ahead and that then wait behind
+// all others, whatever their priority.
+describe('of requests sent at once on one connection', () => {
+  it.each(MARK_CASES)('$name: $bulk yield to others', ({kinds, bulk}) => {
+    const socket = new TestSocket() as unknown as Socket;
+    const connection = new CallerConnection(socket, () => {});
+    const responses = kinds.map(
+      () => new TestResponse() as unknown as ServerResponse,
+    );
+    for (const response of responses) connection.accept(response, () => {});
+    const marks = responses.map((response, index) =>
+      connection.markStarted(response, kinds[index] === 'safe'),
+    );
+    expect(marks.filter(Boolean).length).toBe(bulk);
+  });
+});
--- a/src/transport/caller-connection.ts
+++ b/src/transport/caller-connection.ts
@@ -18,7 +18,7 @@
  * the node notices at once that its caller has left.
  */
 const MAX_WAITING = 32;
-/** Unanswered requests that a caller may have without yielding to others. */
+/** Unanswered requests that any caller may have without yielding to others. */
 const MAX_SINGLE = 4;
 /** Bytes of their heads; with requests that wait, no more are read then. */
 const MAX_HEAD_BYTES = 256 * 1024;
@@ -45,6 +45,10 @@
   private readonly requests: PipelinedRequest[] = [];
   private headBytes = 0;
   private readonly started = new WeakSet<ServerResponse>();
+  /** Those that were sent before an earlier one was answered. */
+  private readonly sentAhead = new WeakSet<ServerResponse>();
+  /** Whether a request that isn't idempotent was among them. */
+  private sendsUnsafeAhead = false;
   private isPaused = false;
   private isPauseScheduled = false;
   private isAccepting = true;
@@ -92,6 +96,7 @@
       headBytes,
       abort: undefined,
     };
+    if (this.requests.length > 0) this.sentAhead.add(response);
     this.requests.push(request);
     this.headBytes += headBytes;
     response.once('close', () => this.remove(request));
@@ -100,14 +105,20 @@
     if (this.isFull()) this.schedulePause();
   }
 
-  /** Whether more requests are unanswered than of callers that wait. */
-  get isBulk(): boolean {
-    return this.requests.length > MAX_SINGLE;
-  }
-
-  /** Marks a request as passed on, so that it may have run. */
-  markStarted(response: ServerResponse): void {
+  /**
+   * Marks a request as passed on, so that it may have run.
+   *
+   * @returns whether it is a bulk request, which yields to those of others: its
+   *     connection has many unanswered ones, and requests that may not be
+   *     repeated are sent on it without waiting. Callers may send idempotent
+   *     requests ahead and yield to nobody for that.
+   */
+  markStarted(response: ServerResponse, isIdempotent: boolean): boolean {
     this.started.add(response);
+    if (!isIdempotent && this.sentAhead.has(response)) {
+      this.sendsUnsafeAhead = true;
+    }
+    return this.sendsUnsafeAhead && this.requests.length > MAX_SINGLE;
   }
 
   /** Whether a request was passed on, so that it may have run. */
--- a/src/transport/caller-listener.ts
+++ b/src/transport/caller-listener.ts
@@ -343,13 +343,12 @@
   const {protocol} = handlers;
   const id = protocol.readId(message);
   const extra: Headers = {};
-  const {isBulk} = connection;
   if (handlers.isStopping()) response.shouldKeepAlive = false;
   response.on('error', () => {});
   try {
     const request = await protocol.readRequest(message, id);
     response.once('close', () => releaseBody(message, request));
-    connection.markStarted(response);
+    const isBulk = connection.markStarted(response, request.idempotent);
     connection.watchTimeLimit(
       response,
       request.awaitedUntil ?? request.deadline,
