End a stop in time when other nodes can't be told of it

Callers saw nothing yet: each call to another node has a time limit. But the stop itself waited for them without one, and a call that failed ended it midway, with its connections open until the kill.

Evidence: both rows of 'ends in time when the other nodes ...' of node-stop_test failed before.

Change: telling the other nodes may take what is left of the stop, like each other step, and its line says whether it was complete.

--- a/src/node-stop.ts
+++ b/src/node-stop.ts
@@ -125,8 +125,7 @@
     this.beganAt = performance.now();
     this.callerConnections.start();
     if (this.options.servesWhileCallersLeave) await this.waitForCallers();
-    await this.options.membership.leave();
-    this.reportStep('peers told', true);
+    await this.leave();
     await this.runTasks('before refusing', this.beforeRefusing);
     this.refuseAttempts();
     if (!this.options.servesWhileCallersLeave) await this.waitForCallers();
@@ -155,6 +154,14 @@
     });
   }
 
+  private async leave(): Promise<void> {
+    const isTold = waitWithTimeout(
+      this.options.membership.leave(),
+      this.findTimeLeft(),
+    );
+    this.reportStep('peers told', await isTold);
+  }
+
   private refuseAttempts(): void {
     this.isRefusing = true;
     this.peerConnections.start();
--- a/src/test/node-stop_test.ts
+++ b/src/test/node-stop_test.ts
@@ -76,6 +76,7 @@
 async function createStop(
   servesWhileCallersLeave: boolean,
   limits = DEFAULT_LIMITS,
+  leave = async (): Promise<void> => {},
 ): Promise<StopRun> {
   const callerServer = await startServer();
   const peerServer = await startServer();
@@ -83,7 +84,10 @@
   const stop = new NodeStop({
     limits,
     membership: {
-      leave: async () => void steps.push('left'),
+      leave: () => {
+        steps.push('left');
+        return leave();
+      },
       stop: () => {},
     },
     callerServer,
@@ -168,6 +172,17 @@
     expect(performance.now() - beganAt).toBeLessThan(workTime + closeTime);
   });
 
+  it.each([
+    {name: 'never answer', leave: () => new Promise<void>(() => {})},
+    {name: 'refuse', leave: () => Promise.reject(new Error('refused'))},
+  ])('ends in time when the other nodes $name', async ({leave}) => {
+    const {stop} = await createStop(true, WORK_LIMITS, leave);
+    const beganAt = performance.now();
+    await stop.run();
+    const {workTime, closeTime} = WORK_LIMITS;
+    expect(performance.now() - beganAt).toBeLessThan(workTime + closeTime);
+  });
+
   const deadlines = [
     {name: 'before the stop', hasBegun: false, deadlineMs: 1e9, hasTime: true},
     {name: 'within its time', hasBegun: true, deadlineMs: 0, hasTime: true},
