Test a running attempt by the order of steps that a stop has now

The test waits for the step before the work, and is stricter: a call that comes in meanwhile is answered, the stop hasn't ended, and the steps after the work have their order.

--- a/src/test/node-stop_test.ts
+++ b/src/test/node-stop_test.ts
@@ -113,7 +113,7 @@
   });
 
   it('waits for a running attempt', async () => {
-    const {steps, stop, peerServer} = await createStop(true);
+    const {steps, stop, callerServer, peerServer} = await createStop(true);
     const arrived = new Promise(resolve => peerServer.once('request', resolve));
     const running = request({port: findPort(peerServer), path: '/slow'});
     running.on('error', () => {});
@@ -121,10 +121,23 @@
     await arrived;
     let hasEnded = false;
     void stop.run().then(() => (hasEnded = true));
-    await waitFor('callers to be answered', () => steps.includes('answered'));
-    expect(hasEnded).toBe(false);
+    await waitFor('the work to be waited for', () =>
+      steps.includes('attempts refused'),
+    );
+    // The worker's calls for it come in by the callers' listener.
+    const call = await fetch(`http://127.0.0.1:${findPort(callerServer)}/call`);
+    expect(await call.text()).toBe('done');
+    expect({hasEnded, last: steps.at(-1)}).toEqual({
+      hasEnded: false,
+      last: 'attempts refused',
+    });
     running.destroy();
     await waitFor('the stop to end', () => hasEnded, STOP_TIMEOUT_MS);
+    expect(steps.slice(-3)).toEqual([
+      'work ended',
+      'answered',
+      'attempts ended',
+    ]);
   });
 
   // Guards against a step of a stop that ends at a time of its own, and cuts
