--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -91,7 +91,10 @@
     .prefault({}),
   stop: z
     .strictObject({
-      /** Maximum time that a planned stop waits for running requests. */
+      /**
+       * Time that a planned stop has for handing over keys, and again for
+       * running requests; what the first leaves goes to the second.
+       */
       drainTimeout: buildDurationSchema(0, 10 * MINUTE_MS).prefault('30s'),
       /**
        * Time for which a stop keeps idle connections open for requests in
