--- a/review/stand-ins-3/requester.js
+++ b/review/stand-ins-3/requester.js
@@ -2,7 +2,7 @@
 /** Stand-in for a requester: sends one request and reads its whole answer. */
 import {Buffer} from 'node:buffer';
 import {request} from 'node:http';
-import {ROUTE_HOST} from './deployment.js';
+import {ROUTE_HOST, waitMs as pause} from './deployment.js';
 
 /**
  * Sends a request to a node's outbound address.
@@ -68,7 +68,16 @@
       sent.end(body);
       return;
     }
-    for (const part of chunks) sent.write(part);
-    sent.end();
+    void sendChunks(sent, chunks, options.pauseMs ?? 0);
   });
 }
+
+/** Sends the parts of a body, with a pause after each. */
+async function sendChunks(sent, chunks, pauseMs) {
+  for (const part of chunks) {
+    if (sent.destroyed) return;
+    sent.write(part);
+    if (pauseMs > 0) await pause(pauseMs);
+  }
+  sent.end();
+}
