--- a/review/12/case.js
+++ b/review/12/case.js
@@ -9,21 +9,25 @@
 import {sendRequest} from '../stand-ins-3/requester.js';
 import {readBody} from '../stand-ins-3/worker.js';
 
-const FREEZE_MS = 1500;
 const WORK_MS = 2500;
 const TIME_LIMIT_MS = 8000;
 const PART_BYTES = 20_000;
 const PARTS = 10;
 /** Requests of a round; the four workers that stay have room for all. */
 const REQUESTS = 9;
-/** Freezes of the same machine, one after the other. */
-const ROUNDS = 4;
+/** Freezes of the same machine, with requesters that send slowly or at once. */
+const ROUNDS = [
+  {pauseMs: 250, freezeMs: 1800},
+  {pauseMs: 0, freezeMs: 1500},
+  {pauseMs: 250, freezeMs: 1800},
+  {pauseMs: 0, freezeMs: 1500},
+];
 const CALM_MS = 6000;
-/** Pause of the slower requesters behind each part of a body. */
-const PAUSE_MS = 250;
 
 /** Worker and size of the body of each run. */
 const runs = [];
+/** Bodies of the answers that requesters took as a success. */
+const successes = new Map();
 
 async function run({id, message, response, worker, record}) {
   let body;
@@ -86,15 +90,16 @@
       waitMs: TIME_LIMIT_MS,
     });
     const {status, end, body, elapsedMs} = answer;
+    if (status === 200) successes.set(id, String(body));
     record.add(`answer ${id} ${status} ${end} "${body}" after ${elapsedMs} ms`);
   };
-  for (let round = 0; round < ROUNDS; round++) {
+  for (const [round, {pauseMs, freezeMs}] of ROUNDS.entries()) {
     const startedAt = performance.now();
     if (HAS_TROUBLE) frozen.signal('SIGSTOP');
     const requests = Array.from({length: REQUESTS}, (_, index) =>
-      send(round * REQUESTS + index, index % 3 === 0 ? PAUSE_MS : 0),
+      send(round * REQUESTS + index, pauseMs),
     );
-    await waitMs(FREEZE_MS - (performance.now() - startedAt));
+    await waitMs(freezeMs - (performance.now() - startedAt));
     if (HAS_TROUBLE) frozen.signal('SIGCONT');
     await Promise.all(requests);
     await waitMs(CALM_MS);
@@ -103,6 +108,6 @@
     .filter(({id, body}) => !body.equals(sent.get(id)))
     .map(
       ({id, body, worker}) =>
-        `UNASKED ${id}: ${worker} ran it with a body of ${body.length} bytes, sent were ${sent.get(id).length}`,
+        `UNASKED ${id}: ${worker} ran it with a body of ${body.length} bytes, sent were ${sent.get(id).length}; the requester was told "${successes.get(id) ?? 'no success'}"`,
     );
 });
