--- a/review/15/case.js
+++ b/review/15/case.js
@@ -14,7 +14,10 @@
 const PARENT_WORK_MS = 7500;
 const CALL_WORK_MS = 350;
 const CALL_PAUSE_MS = 30;
-const PARENTS = 16;
+const PARENTS = 8;
+const DESK_WORKERS = 2;
+/** Pause between the first sends, so that calls are not in step. */
+const STAGGER_MS = 45;
 /** Time after the SIGTERM until which requests may be cut at the end. */
 const EARLY_MS = 3000;
 
@@ -71,8 +74,8 @@
     {name: 'media', health_path: '/healthz', max_connections: 240},
   ],
   workerOptions: index => ({
-    service: index < 4 ? 'desk' : 'media',
-    slots: index < 4 ? 6 : 30,
+    service: index < DESK_WORKERS ? 'desk' : 'media',
+    slots: index < DESK_WORKERS ? 6 : 30,
   }),
   routes: [
     {
@@ -96,8 +99,10 @@
 await runCase(import.meta.url, options, async ({hosts}, record) => {
   for (const {worker, outbound} of hosts)
     outboundByPort.set(worker.options.port, outbound);
-  const [stopped, entry] = hosts;
-  const send = async id => {
+  const [stopped] = hosts;
+  const entry = hosts.at(-1);
+  const send = async (id, delayMs) => {
+    await waitMs(delayMs);
     record.add(`send ${id}`);
     const answer = await sendRequest(entry.outbound, {
       id,
@@ -109,7 +114,7 @@
     );
   };
   const parents = Array.from({length: PARENTS}, (_, index) =>
-    send(`q${index}`),
+    send(`q${index}`, index * STAGGER_MS),
   );
   await waitMs(700);
   const stoppedAt = performance.now();
