--- a/review/11/case.js
+++ b/review/11/case.js
@@ -1,115 +1,113 @@
 /* global performance */
 /**
- * One machine is stopped by SIGTERM in calm, while answers to its requesters are
- * being streamed. The requesters keep their connections and send the next
- * request as the answer's own headers allow.
+ * One machine freezes and wakes again while requesters send idempotent requests
+ * with chunked bodies. The workers check the body of what they run.
  */
-import {Agent} from 'node:http';
+import {Buffer} from 'node:buffer';
 import {HAS_TROUBLE, runCase} from '../stand-ins-3/case.js';
 import {waitMs} from '../stand-ins-3/deployment.js';
 import {sendRequest} from '../stand-ins-3/requester.js';
 import {readBody} from '../stand-ins-3/worker.js';
 
-const GRACE_MS = 6000;
-const LOSS_SLACK_MS = 200;
-const REQUESTERS = 12;
-const TIME_LIMIT_MS = 12_000;
-const PART_BYTES = 10_000;
-const PARTS = 16;
-const PART_MS = 40;
-/** Time without readiness after which requesters send a machine nothing new. */
-const TWO_MISSES_MS = 2000;
+const WORK_MS = 2500;
+const TIME_LIMIT_MS = 8000;
+const PART_BYTES = 20_000;
+const PARTS = 10;
+/** Requests of a round; the four workers that stay have room for all. */
+const REQUESTS = 9;
+/** Freezes of the same machine, with requesters that send slowly or at once. */
+const ROUNDS = [
+  {pauseMs: 250, freezeMs: 1800},
+  {pauseMs: 0, freezeMs: 1500},
+  {pauseMs: 250, freezeMs: 1800},
+  {pauseMs: 0, freezeMs: 1500},
+];
+const CALM_MS = 6000;
 
-const runs = new Map();
+/** Worker and size of the body of each run. */
+const runs = [];
+/** Bodies of the answers that requesters took as a success. */
+const successes = new Map();
 
-async function run({id, message, response, record}) {
-  await readBody(message);
-  runs.set(id, (runs.get(id) ?? 0) + 1);
-  record.add(`run ${id}`);
-  response.setHeader('Sequoiaspool-Response-Signature', `signed-${id}`);
-  response.setHeader('Content-Length', String(PARTS * PART_BYTES));
-  for (let part = 0; part < PARTS; part++) {
-    response.write('x'.repeat(PART_BYTES));
-    await waitMs(PART_MS);
+async function run({id, message, response, worker, record}) {
+  let body;
+  try {
+    body = await readBody(message);
+  } catch {
+    // An incomplete request, which a worker doesn't run.
+    record.add(`incomplete ${id} at ${worker.id}`);
+    return;
   }
-  response.end();
+  const framing = message.headers['transfer-encoding'] ?? 'length';
+  record.add(`run ${id} at ${worker.id}: ${body.length} bytes, ${framing}`);
+  runs.push({id, body, worker: worker.id});
+  await waitMs(WORK_MS);
+  response.setHeader('Sequoiaspool-Response-Signature', `signed-${id}`);
+  response.end(`stored ${body.length} bytes`);
 }
 
+/** Builds the body of a request; each part differs. */
+const buildChunks = id =>
+  Array.from({length: PARTS}, (_, part) =>
+    Buffer.alloc(PART_BYTES, `${id} part ${part} `),
+  );
+
 const options = {
-  hosts: 6,
-  slots: 12,
+  hosts: 11,
   run,
   services: [
     {name: 'desk', health_path: '/healthz', max_connections: 240},
     {name: 'other', health_path: '/healthz', max_connections: 240},
   ],
-  workerOptions: index => (index === 0 ? {service: 'other'} : {}),
+  workerOptions: index => (index < 6 ? {service: 'other'} : {}),
   routes: [
     {
-      name: 'files',
-      path_prefix: '/files/',
+      name: 'photos',
+      path_prefix: '/photos/',
       kind: 'idempotent',
-      timeout_ms: 12_000,
+      timeout_ms: 8000,
     },
   ],
 };
 
 await runCase(import.meta.url, options, async ({hosts}, record) => {
-  const [host] = hosts;
-  const results = [];
-  let count = 0;
-  let isSending = true;
-  const send = async requester => {
-    const agent = new Agent({keepAlive: true, maxSockets: 1});
-    await waitMs(requester * 50);
-    while (isSending) {
-      const id = `q${count++}`;
-      const sentAt = performance.now();
-      record.add(`send ${id} by requester ${requester}`);
-      const path = `/files/${id}`;
-      const answer = await sendRequest(host.outbound, {
-        id,
-        path,
-        agent,
-        waitMs: TIME_LIMIT_MS,
-      });
-      const {status, end, body, elapsedMs, headers} = answer;
-      const kept = `${headers.connection ?? ''} ${headers['keep-alive'] ?? ''}`;
-      record.add(
-        `answer ${id} ${status} ${end}, ${body.length} bytes, ${elapsedMs} ms, runs ${runs.get(id) ?? 0}, ${kept}`,
-      );
-      results.push({sentAt, ...answer});
-      if (status !== 200) await waitMs(100);
-    }
-    agent.destroy();
+  const [entry] = hosts;
+  const frozen = hosts.at(-1);
+  const sent = new Map();
+  const send = async (index, pauseMs) => {
+    const id = `q${index}`;
+    const chunks = buildChunks(id);
+    sent.set(id, Buffer.concat(chunks));
+    record.add(
+      `send ${id}, ${sent.get(id).length} bytes, a part each ${pauseMs} ms`,
+    );
+    const answer = await sendRequest(entry.outbound, {
+      id,
+      method: 'PUT',
+      path: `/photos/${id}`,
+      chunks,
+      pauseMs,
+      waitMs: TIME_LIMIT_MS,
+    });
+    const {status, end, body, elapsedMs} = answer;
+    if (status === 200) successes.set(id, String(body));
+    record.add(`answer ${id} ${status} ${end} "${body}" after ${elapsedMs} ms`);
   };
-  const requesters = Array.from({length: REQUESTERS}, (_, index) =>
-    send(index),
-  );
-  await waitMs(4000);
-  const stoppedAt = performance.now();
-  if (HAS_TROUBLE) {
-    host.signal('SIGTERM');
-    host.isWanted = false;
+  for (const [round, {pauseMs, freezeMs}] of ROUNDS.entries()) {
+    const startedAt = performance.now();
+    if (HAS_TROUBLE) frozen.signal('SIGSTOP');
+    const requests = Array.from({length: REQUESTS}, (_, index) =>
+      send(round * REQUESTS + index, pauseMs),
+    );
+    await waitMs(freezeMs - (performance.now() - startedAt));
+    if (HAS_TROUBLE) frozen.signal('SIGCONT');
+    await Promise.all(requests);
+    await waitMs(CALM_MS);
   }
-  await waitMs(TWO_MISSES_MS);
-  isSending = false;
-  await waitMs(GRACE_MS - TWO_MISSES_MS);
-  if (HAS_TROUBLE) host.child.kill('SIGKILL');
-  await Promise.all(requesters);
-  // LOST, planned work: a whole request was read and its connection ended
-  // without a complete answer, before its time limit; it was passed on, or the
-  // connection ended later than loss_slack_ms after the last byte was sent.
-  return results
-    .filter(({sentAt}) => sentAt < stoppedAt + GRACE_MS + 1000)
-    .filter(({end, status}) => end !== 'complete' || status === 0)
-    .filter(({elapsedMs}) => elapsedMs < TIME_LIMIT_MS)
-    .filter(({id, end, elapsedMs}) => {
-      if (end.includes('ECONNREFUSED')) return false;
-      return runs.has(id) || elapsedMs > LOSS_SLACK_MS;
-    })
-    .map(({id, sentAt, elapsedMs, end}) => {
-      const after = Math.round(sentAt - stoppedAt);
-      return `LOST ${id}: sent ${after} ms after the SIGTERM, ${end} after ${elapsedMs} ms, runs ${runs.get(id) ?? 0}`;
-    });
+  return runs
+    .filter(({id, body}) => !body.equals(sent.get(id)))
+    .map(
+      ({id, body, worker}) =>
+        `UNASKED ${id}: ${worker} ran it with a body of ${body.length} bytes, sent were ${sent.get(id).length}; the requester was told "${successes.get(id) ?? 'no success'}"`,
+    );
 });
--- a/review/12/case.js
+++ b/review/12/case.js
@@ -1,113 +1,144 @@
 /* global performance */
 /**
- * One machine freezes and wakes again while requesters send idempotent requests
- * with chunked bodies. The workers check the body of what they run.
+ * One machine is stopped by SIGTERM in calm, while its worker runs long requests
+ * that make short calls through it.
  */
-import {Buffer} from 'node:buffer';
 import {HAS_TROUBLE, runCase} from '../stand-ins-3/case.js';
 import {waitMs} from '../stand-ins-3/deployment.js';
 import {sendRequest} from '../stand-ins-3/requester.js';
 import {readBody} from '../stand-ins-3/worker.js';
 
-const WORK_MS = 2500;
-const TIME_LIMIT_MS = 8000;
-const PART_BYTES = 20_000;
-const PARTS = 10;
-/** Requests of a round; the four workers that stay have room for all. */
-const REQUESTS = 9;
-/** Freezes of the same machine, with requesters that send slowly or at once. */
-const ROUNDS = [
-  {pauseMs: 250, freezeMs: 1800},
-  {pauseMs: 0, freezeMs: 1500},
-  {pauseMs: 250, freezeMs: 1800},
-  {pauseMs: 0, freezeMs: 1500},
-];
-const CALM_MS = 6000;
+const GRACE_MS = 6000;
+const LOSS_SLACK_MS = 200;
+const PARENT_TIME_LIMIT_MS = 8000;
+const PARENT_WORK_MS = 7500;
+const CALL_WORK_MS = 350;
+const CALL_PAUSE_MS = 30;
+const PARENTS = 8;
+const DESK_WORKERS = 2;
+/** Pause between the first sends, so that calls are not in step. */
+const STAGGER_MS = 45;
+/** Time after the SIGTERM until which requests may be cut at the end. */
+const EARLY_MS = 3000;
 
-/** Worker and size of the body of each run. */
-const runs = [];
-/** Bodies of the answers that requesters took as a success. */
-const successes = new Map();
+const runs = new Map();
+const calls = [];
+let callCount = 0;
+/** Outbound addresses by the port of the worker on the same machine. */
+const outboundByPort = new Map();
+
+/** Makes calls one after the other while a request runs. */
+async function makeCalls(parentId, worker, endsAt, record) {
+  const address = outboundByPort.get(worker.options.port);
+  while (performance.now() + CALL_WORK_MS + 200 < endsAt) {
+    const id = `call${callCount++}`;
+    const sentAt = performance.now();
+    const leftMs = Math.floor(endsAt - sentAt);
+    record.add(`send ${id} of ${parentId} to ${address}`);
+    const answer = await sendRequest(address, {
+      id,
+      path: `/lookups/${id}`,
+      waitMs: leftMs,
+    });
+    const {status, end, elapsedMs} = answer;
+    record.add(
+      `answer ${id} ${status} ${end} after ${elapsedMs} ms, runs ${runs.get(id)?.length ?? 0}`,
+    );
+    calls.push({...answer, sentAt, leftMs, address});
+    await waitMs(CALL_PAUSE_MS);
+  }
+}
 
 async function run({id, message, response, worker, record}) {
-  let body;
-  try {
-    body = await readBody(message);
-  } catch {
-    // An incomplete request, which a worker doesn't run.
-    record.add(`incomplete ${id} at ${worker.id}`);
-    return;
+  await readBody(message);
+  record.add(`run ${id} at ${worker.id}`);
+  runs.set(id, [...(runs.get(id) ?? []), worker.id]);
+  const givenMs = Number(message.headers['sequoiaspool-deadline-remaining-ms']);
+  if (id.startsWith('call')) await waitMs(CALL_WORK_MS);
+  else {
+    const endsAt = performance.now() + Math.min(givenMs, PARENT_WORK_MS);
+    await makeCalls(id, worker, endsAt, record);
+    await waitMs(endsAt - performance.now());
   }
-  const framing = message.headers['transfer-encoding'] ?? 'length';
-  record.add(`run ${id} at ${worker.id}: ${body.length} bytes, ${framing}`);
-  runs.push({id, body, worker: worker.id});
-  await waitMs(WORK_MS);
+  if (response.destroyed) return;
   response.setHeader('Sequoiaspool-Response-Signature', `signed-${id}`);
-  response.end(`stored ${body.length} bytes`);
+  response.end('done');
 }
 
-/** Builds the body of a request; each part differs. */
-const buildChunks = id =>
-  Array.from({length: PARTS}, (_, part) =>
-    Buffer.alloc(PART_BYTES, `${id} part ${part} `),
-  );
-
 const options = {
-  hosts: 11,
+  hosts: 6,
+  slots: 6,
   run,
   services: [
     {name: 'desk', health_path: '/healthz', max_connections: 240},
-    {name: 'other', health_path: '/healthz', max_connections: 240},
+    {name: 'media', health_path: '/healthz', max_connections: 240},
   ],
-  workerOptions: index => (index < 6 ? {service: 'other'} : {}),
+  workerOptions: index => ({
+    service: index < DESK_WORKERS ? 'desk' : 'media',
+    slots: index < DESK_WORKERS ? 6 : 30,
+  }),
   routes: [
     {
-      name: 'photos',
-      path_prefix: '/photos/',
+      name: 'exports',
+      path_prefix: '/exports/',
+      kind: 'idempotent',
+      timeout_ms: PARENT_TIME_LIMIT_MS,
+      target_latency_ms: 8000,
+    },
+    {
+      name: 'lookups',
+      path_prefix: '/lookups/',
       kind: 'idempotent',
-      timeout_ms: 8000,
+      service: 'media',
+      timeout_ms: 2000,
+      target_latency_ms: 1000,
     },
   ],
 };
 
 await runCase(import.meta.url, options, async ({hosts}, record) => {
-  const [entry] = hosts;
-  const frozen = hosts.at(-1);
-  const sent = new Map();
-  const send = async (index, pauseMs) => {
-    const id = `q${index}`;
-    const chunks = buildChunks(id);
-    sent.set(id, Buffer.concat(chunks));
-    record.add(
-      `send ${id}, ${sent.get(id).length} bytes, a part each ${pauseMs} ms`,
-    );
+  for (const {worker, outbound} of hosts)
+    outboundByPort.set(worker.options.port, outbound);
+  const [stopped] = hosts;
+  const entry = hosts.at(-1);
+  const send = async (id, delayMs) => {
+    await waitMs(delayMs);
+    record.add(`send ${id}`);
     const answer = await sendRequest(entry.outbound, {
       id,
-      method: 'PUT',
-      path: `/photos/${id}`,
-      chunks,
-      pauseMs,
-      waitMs: TIME_LIMIT_MS,
+      path: `/exports/${id}`,
+      waitMs: PARENT_TIME_LIMIT_MS,
     });
-    const {status, end, body, elapsedMs} = answer;
-    if (status === 200) successes.set(id, String(body));
-    record.add(`answer ${id} ${status} ${end} "${body}" after ${elapsedMs} ms`);
-  };
-  for (const [round, {pauseMs, freezeMs}] of ROUNDS.entries()) {
-    const startedAt = performance.now();
-    if (HAS_TROUBLE) frozen.signal('SIGSTOP');
-    const requests = Array.from({length: REQUESTS}, (_, index) =>
-      send(round * REQUESTS + index, pauseMs),
+    record.add(
+      `answer ${id} ${answer.status} ${answer.end} after ${answer.elapsedMs} ms`,
     );
-    await waitMs(freezeMs - (performance.now() - startedAt));
-    if (HAS_TROUBLE) frozen.signal('SIGCONT');
-    await Promise.all(requests);
-    await waitMs(CALM_MS);
+  };
+  const parents = Array.from({length: PARENTS}, (_, index) =>
+    send(`q${index}`, index * STAGGER_MS),
+  );
+  await waitMs(700);
+  const stoppedAt = performance.now();
+  if (HAS_TROUBLE) {
+    stopped.signal('SIGTERM');
+    stopped.isWanted = false;
   }
-  return runs
-    .filter(({id, body}) => !body.equals(sent.get(id)))
-    .map(
-      ({id, body, worker}) =>
-        `UNASKED ${id}: ${worker} ran it with a body of ${body.length} bytes, sent were ${sent.get(id).length}; the requester was told "${successes.get(id) ?? 'no success'}"`,
-    );
+  await waitMs(GRACE_MS);
+  if (HAS_TROUBLE) stopped.child.kill('SIGKILL');
+  await Promise.all(parents);
+  await waitMs(500);
+  // LOST, planned work: only calls that the stopped machine took. Not counted is
+  // a call that was sent no later than 3 s after the SIGTERM, as its worker may
+  // be at work in the last sixth of the grace.
+  return calls
+    .filter(({address}) => address === stopped.outbound)
+    .filter(
+      ({end, elapsedMs, leftMs}) => end !== 'complete' && elapsedMs < leftMs,
+    )
+    .filter(({id, elapsedMs}) => runs.has(id) || elapsedMs > LOSS_SLACK_MS)
+    .filter(({end}) => !end.includes('ECONNREFUSED'))
+    .filter(({sentAt}) => sentAt > stoppedAt + EARLY_MS)
+    .map(({id, sentAt, end, elapsedMs, leftMs}) => {
+      const after = Math.round(sentAt - stoppedAt);
+      return `LOST ${id}: sent ${after} ms after the SIGTERM with ${leftMs} ms left, ${end} after ${elapsedMs} ms, run by ${runs.get(id) ?? 'none'}`;
+    });
 });
--- a/review/stand-ins-3/deployment.js
+++ b/review/stand-ins-3/deployment.js
@@ -148,18 +148,27 @@
     for (let index = 0; index < hosts; index++) {
       this.hosts.push(await this.createHost(index, workerOptions(index)));
     }
-    for (const host of this.hosts) {
-      if (host.worker) await host.worker.start();
-      host.startNode();
-    }
-    await this.waitUntilReady();
+    const {startsLater = () => false} = this.options;
+    this.later = this.hosts.filter((_, index) => startsLater(index));
+    await this.startHosts(
+      this.hosts.filter(host => !this.later.includes(host)),
+    );
     // Time for the nodes to learn of all workers.
     await waitMs(4000);
   }
 
-  async waitUntilReady() {
+  /** Starts the hosts that the options left out at first. */
+  startLater() {
+    return this.startHosts(this.later);
+  }
+
+  async startHosts(hosts) {
+    for (const host of hosts) {
+      await host.worker.start();
+      host.startNode();
+    }
     await waitFor('all nodes ready', async () => {
-      const states = await Promise.all(this.hosts.map(host => host.isReady()));
+      const states = await Promise.all(hosts.map(host => host.isReady()));
       return states.every(Boolean);
     });
   }
