--- a/review/stand-ins-3/worker.js
+++ b/review/stand-ins-3/worker.js
@@ -1,4 +1,4 @@
-/* global setTimeout, clearTimeout, fetch, AbortSignal */
+/* global setTimeout, clearTimeout, performance, fetch, AbortSignal */
 /**
  * Stand-in for a worker on the platform. It reports to the node on its host and
  * hands each request that it runs to a function of the case, which answers it.
@@ -29,6 +29,12 @@
     this.startCount = 0;
     this.running = 0;
     this.state = 'ready';
+    this.coldUntil = 0;
+  }
+
+  /** Milliseconds for which the worker stays cold; 0 when it is warm. */
+  get coldMs() {
+    return Math.max(0, Math.ceil(this.coldUntil - performance.now()));
   }
 
   async start() {
@@ -82,7 +88,7 @@
       address: `127.0.0.1:${port}`,
       zone,
       state: this.state,
-      cold_remaining_ms: 0,
+      cold_remaining_ms: this.coldMs,
       sequence: this.sequence,
       born: this.born,
     };
@@ -115,6 +121,8 @@
       `${this.running},0,${slots},100`,
     );
     if (message.url === HEALTH_PATH) {
+      if (this.coldMs > 0)
+        response.setHeader('Sequoiaspool-Cold-Ms', String(this.coldMs));
       response.statusCode = this.state === 'ready' ? 200 : 503;
       response.end();
       return;
