--- a/review/15/case.js
+++ b/review/15/case.js
@@ -26,7 +26,7 @@
 }
 
 const options = {
-  hosts: 4,
+  hosts: 6,
   run,
   services: [
     {name: 'desk', health_path: '/healthz', max_connections: 240},
