--- a/review/15/case.js
+++ b/review/15/case.js
@@ -26,7 +26,7 @@
 }
 
 const options = {
-  hosts: 6,
+  hosts: 7,
   run,
   services: [
     {name: 'desk', health_path: '/healthz', max_connections: 240},
