Give the rest of a body to one attempt alone

Callers saw: uploads in chunks to an idempotent route were stored in part. A host stood still for 1.5 s; the entries tried again elsewhere and got an answer; when the host woke, its worker ran the same uploads with 80,000 of 200,000 bytes as whole messages. Where the caller was still sending, such a run could be the one that was answered with success.

Cause: a silent attempt stays open beside its retry, and both read one stream when their gates ask for the rest of the body. isResendable tells whether it was read by then, which either attempt may do at any time after. The second reader finds the end of the stream, or shares its chunks with the first, and ends its body in order; in chunks nobody notices.

Change: an attempt takes the rest of a body when its gate asks for it (protocol/body-rest.ts); one that comes second fails with the new reason body-taken, which breaks off its exchange. No hedge begins once the body was taken. The count of a body's bytes at a gate starts with the connection to the worker and not before. The log line of a request says with a step `body` how many bytes each attempt was given and how many there were.

Why it works: the second reader has nothing to end in order. The first to ask gets the body, so a host that never wakes doesn't hold up the retry.

--- a/src/coordination/admission/request-bytes.ts
+++ b/src/coordination/admission/request-bytes.ts
@@ -2,7 +2,8 @@
  * Bytes of a request, as a worker's memory has to hold them; see
  * `worker-bytes.ts`.
  */
-import {pipeline, Transform} from 'node:stream';
+import {Readable} from 'node:stream';
+import {takeRest} from '../../protocol/body-rest.js';
 import type {ServiceRequest} from '../../protocol/service-request.js';
 import type {AdmissionRequest, Slot} from './worker-admission.js';
 
@@ -31,15 +32,17 @@
 ): ServiceRequest {
   const {held, rest} = request.body;
   if (!rest || findBodyLength(request) !== undefined) return request;
-  const counter = new Transform({
-    transform: (chunk: Buffer, encoding, callback) => {
-      slot.recordBytes?.(chunk.length);
-      callback(null, chunk);
-    },
-  });
-  // An error reaches the reader of the counter, which pipeline destroys.
-  pipeline(rest, counter, () => {});
-  return {...request, body: {held, rest: counter}};
+  const counted = Readable.from(countParts(rest, slot));
+  // Its reader gets the error; an error without a listener ends the process.
+  counted.on('error', () => {});
+  return {...request, body: {held, rest: counted}};
+}
+
+async function* countParts(rest: Readable, slot: Slot): AsyncGenerator<Buffer> {
+  for await (const part of takeRest(rest) as AsyncIterable<Buffer>) {
+    slot.recordBytes?.(part.length);
+    yield part;
+  }
 }
 
 /** Returns the length of a body; undefined if it isn't known yet. */
--- a/src/coordination/call.ts
+++ b/src/coordination/call.ts
@@ -213,6 +213,7 @@
   }
 
   private takeHedge(): WorkerRow | undefined {
+    if (!isResendable(this.request)) return undefined;
     if (!this.serviceState.hedges.has(HEDGE_COST_TOKENS)) return undefined;
     const row = this.chooseRow();
     if (!row) return undefined;
@@ -235,6 +236,8 @@
       target: row.target,
       version: row.version,
       ...(this.hasLostConnection ? {needsNewConnection: true} : {}),
+      handleBodyEnd: sent =>
+        this.explainer.add('body', {node: row.target.nodeId, ...sent}),
     };
     const startedAt = performance.now();
     row.inFlightHere += 1;
--- a/src/coordination/gate.ts
+++ b/src/coordination/gate.ts
@@ -272,6 +272,7 @@
   'worker-shed': SlotOutcome.SHED,
   unreachable: SlotOutcome.UNREACHABLE,
   'connection-lost': SlotOutcome.CONNECTION_LOST,
+  'body-taken': SlotOutcome.CANCELLED,
 };
 
 function toOutcome(error: unknown): SlotOutcome {
--- a/src/coordination/key-entry.ts
+++ b/src/coordination/key-entry.ts
@@ -13,6 +13,7 @@
   RefusalError,
   toRefusal,
 } from '../protocol/reasons.js';
+import {takeRest} from '../protocol/body-rest.js';
 import type {KeyHome as HomeEntry} from '../protocol/records.js';
 import type {ServiceAnswer} from '../protocol/service-request.js';
 import {isResendable} from '../protocol/service-request.js';
@@ -86,7 +87,8 @@
     try {
       const answer = await this.sendWithRetries(request, abort.signal);
       // Unread body bytes would be parsed as the caller's next request.
-      if (isResendable(request)) request.body.rest?.resume();
+      if (request.body.rest && isResendable(request))
+        takeRest(request.body.rest).resume();
       return answer;
     } finally {
       clearTimeout(timer);
--- a/src/protocol/attempt.ts
+++ b/src/protocol/attempt.ts
@@ -3,6 +3,7 @@
  * gate echoes the attempt's id. Every failure is thrown as an AttemptError
  * whose verdict says whether the request may have run.
  */
+import type {SentBody} from './body-rest.js';
 import type {Reason} from './reasons.js';
 import {RefusalError} from './reasons.js';
 import type {ServiceAnswer, ServiceRequest} from './service-request.js';
@@ -27,6 +28,8 @@
   readonly keyHomeEpoch?: number;
   /** Whether kept connections may be dead, since one of this call was silent. */
   readonly needsNewConnection?: boolean;
+  /** Called when no more of a streamed body is sent to the target. */
+  readonly handleBodyEnd?: (sent: SentBody) => void;
 }
 
 /** Answer of an attempt, with the worker's load as the gate reported it. */
--- a/src/protocol/service-request.ts
+++ b/src/protocol/service-request.ts
@@ -4,6 +4,7 @@
  * stream of the rest, so that memory per request is bounded.
  */
 import type {Readable} from 'node:stream';
+import {isRestTaken} from './body-rest.js';
 import {ChunkList} from './chunk-list.js';
 
 /** Number of bytes of a body that are buffered, so that they can be resent. */
@@ -69,10 +70,14 @@
   readonly signature?: string;
 }
 
-/** Returns whether the request can be resent: its stream was not yet read. */
+/**
+ * Returns whether the request can be resent: nothing has read its stream yet.
+ * An attempt that is still open may take the stream at any time after this.
+ */
 export function isResendable(request: ServiceRequest): boolean {
   const {rest} = request.body;
-  return rest === undefined || !rest.readableDidRead;
+  if (rest === undefined) return true;
+  return !isRestTaken(rest) && !rest.readableDidRead;
 }
 
 /**
--- a/src/transport/gate-client.ts
+++ b/src/transport/gate-client.ts
@@ -8,13 +8,10 @@
 import {Client, Pool} from 'undici';
 import type {Attempt, AttemptAnswer} from '../protocol/attempt.js';
 import {AttemptError} from '../protocol/attempt.js';
+import {buildSentBody} from '../protocol/body-rest.js';
 import * as headerNames from '../protocol/headers.js';
 import {readReason, Reason, RefusalError} from '../protocol/reasons.js';
-import type {
-  Body,
-  Headers,
-  ServiceRequest,
-} from '../protocol/service-request.js';
+import type {Body, Headers} from '../protocol/service-request.js';
 import {readHeldBody} from '../protocol/service-request.js';
 import type {NodeSettings} from '../protocol/settings.js';
 import {readVerdict, Verdict} from '../protocol/verdict.js';
@@ -86,7 +83,10 @@
           method: attempt.request.method,
           path: `${ATTEMPT_PATH}${attempt.request.service}${attempt.request.path}`,
           headers: this.buildHeaders(attempt),
-          body: buildBody(attempt.request, admitted),
+          body: buildSentBody(attempt.request.body, {
+            admitted,
+            handleEnd: attempt.handleBodyEnd,
+          }),
           onCancelable: cancel => (cancelExchange = cancel),
           onSent: () => silenceTimer.start(),
           onInformation: status => {
@@ -172,20 +172,6 @@
   }
 }
 
-/** Sends the buffered start at once, the rest after the gate's admission. */
-function buildBody(
-  request: ServiceRequest,
-  admitted: Promise<void>,
-): Buffer | AsyncIterable<Buffer> | null {
-  const {held, rest} = request.body;
-  if (!rest) return held.length > 0 ? held : null;
-  return (async function* sendBody() {
-    yield held;
-    await admitted;
-    yield* rest as AsyncIterable<Buffer>;
-  })();
-}
-
 /** Reads a gate's response; throws if it belongs to another attempt. */
 async function readAttemptAnswer(
   attempt: Attempt,
--- a/src/transport/upstream-client.ts
+++ b/src/transport/upstream-client.ts
@@ -11,6 +11,7 @@
 import {Client, Pool} from 'undici';
 import type {AttemptAnswer} from '../protocol/attempt.js';
 import {AttemptError} from '../protocol/attempt.js';
+import {buildSentBody} from '../protocol/body-rest.js';
 import {Reason, RefusalError} from '../protocol/reasons.js';
 import type {Headers, ServiceRequest} from '../protocol/service-request.js';
 import {readHeldBody} from '../protocol/service-request.js';
@@ -145,7 +146,7 @@
           method: request.method,
           path: request.path,
           headers: this.protocol.buildHeaders(request),
-          body: buildBody(request),
+          body: buildSentBody(request.body),
           ...createInformationLimit(),
         },
         signal,
@@ -159,17 +160,6 @@
   }
 }
 
-function buildBody(
-  request: ServiceRequest,
-): Buffer | AsyncIterable<Buffer> | null {
-  const {held, rest} = request.body;
-  if (!rest) return held.length > 0 ? held : null;
-  return (async function* sendBody() {
-    yield held;
-    yield* rest as AsyncIterable<Buffer>;
-  })();
-}
-
 /**
  * Discards a body. Closes the connection after a wrong answer, whose end can't
  * be trusted, and after a refusal whose body is too long or too slow.
