Take calls during a stop only while they end before it

Callers saw: calls that a worker sent more than 5 s after the SIGTERM of its node (grace time 6 s) were taken, run by other workers, and cut 0.2 s later, before their time limit.

Cause: checkRequest refused what has a deadline beyond the end of the stop, but took the calls of running requests whatever was left, as their request would fail without them. Where that request outlasts the stop, they gained nothing, and a cut call may have run.

Requests of callers that a stop cuts have a log line, and that of attempts says more: by what a request was taken and what was left then. Keyed attempts of other nodes are checked against the end of the stop as well.

--- a/src/caller-log.ts
+++ b/src/caller-log.ts
@@ -3,8 +3,12 @@
  * log line with its steps.
  */
 import type {RefusalError} from './protocol/reasons.js';
-import type {ServiceRequest} from './protocol/service-request.js';
-import type {Verdict} from './protocol/verdict.js';
+import {toRefusal} from './protocol/reasons.js';
+import type {
+  ServiceAnswer,
+  ServiceRequest,
+} from './protocol/service-request.js';
+import {Verdict} from './protocol/verdict.js';
 import type {Explanations} from './state/explanations.js';
 import type {Logger} from './transport/logger.js';
 import type {Metrics} from './transport/metrics.js';
@@ -17,8 +21,26 @@
     private readonly explanations: Explanations,
   ) {}
 
-  /** Records the end of a request that was passed to the entry. */
-  recordEnd(
+  /** Runs a request and records how it ended. */
+  async recordRun(
+    request: ServiceRequest,
+    run: () => Promise<ServiceAnswer>,
+  ): Promise<ServiceAnswer> {
+    const startedAt = performance.now();
+    let verdict: Verdict = Verdict.RAN;
+    try {
+      const answer = await run();
+      this.metrics.count(`verdicts.${verdict}`);
+      return answer;
+    } catch (error) {
+      ({verdict} = toRefusal(error));
+      throw error;
+    } finally {
+      this.recordEnd(request, verdict, performance.now() - startedAt);
+    }
+  }
+
+  private recordEnd(
     request: ServiceRequest,
     verdict: Verdict,
     elapsedMs: number,
--- a/src/directory-node.ts
+++ b/src/directory-node.ts
@@ -27,19 +27,17 @@
 import type {NodeIdentity} from './protocol/node-identity.js';
 import {createIncarnation} from './protocol/node-identity.js';
 import type {CrashPush} from './protocol/peer-messages.js';
-import {toRefusal} from './protocol/reasons.js';
 import type {
   ServiceAnswer,
   ServiceRequest,
 } from './protocol/service-request.js';
-import {Verdict} from './protocol/verdict.js';
 import type {WorkerState} from './protocol/worker-load.js';
 import {AttemptRegistry} from './state/attempt-registry.js';
 import {CrashTable} from './state/crash-table.js';
 import {Explanations} from './state/explanations.js';
 import {StateStore} from './state/state-store.js';
 import {WorkerTable} from './state/worker-table.js';
-import {checkAttempt, checkRequest} from './stop-admission.js';
+import {StopAdmission} from './stop-admission.js';
 import {computeGraceLimits} from './stop-limits.js';
 import {createCallerServer} from './transport/caller-listener.js';
 import {GateClient} from './transport/gate-client.js';
@@ -97,6 +95,7 @@
   private readonly callerServer: Server;
   private readonly peerServer: Server;
   private readonly plannedStop: NodeStop;
+  private readonly stopAdmission: StopAdmission;
 
   constructor(
     private readonly settings: DirectorySettings,
@@ -186,8 +185,13 @@
       closeClients: () => this.closeClients(),
       servesWhileCallersLeave: true,
       handleStep: (name, step) => this.log('stop', {step: name, ...step}),
-      handleCut: attempt => this.log('attempt cut by a stop', {...attempt}),
+      listRunning: () => this.stopAdmission.listRunning(),
+      handleCut: (text, request) => this.log(text, {...request}),
     });
+    this.stopAdmission = new StopAdmission(
+      this.plannedStop,
+      this.gate.nestedCalls,
+    );
   }
 
   /** Starts listening, looks up the other nodes and begins to serve. */
@@ -337,34 +341,25 @@
       handleCrashes: (push: CrashPush) => this.crashes.receive(push),
     };
     return createPeerServer({
-      handleAttempt: async (attempt, signal, handleAdmitted) => {
-        checkAttempt(this.plannedStop, attempt.request);
-        return this.path.runAttempt(attempt, signal, handleAdmitted);
-      },
+      handleAttempt: (attempt, signal, handleAdmitted) =>
+        this.stopAdmission.runAttempt(attempt, () =>
+          this.path.runAttempt(attempt, signal, handleAdmitted),
+        ),
       handleCall: (message, response) =>
         void servePeerCall(handlers, message, response),
       acknowledgeIntervalMs: ACKNOWLEDGE_INTERVAL_MS,
     });
   }
 
-  private async handleRequest(
+  private handleRequest(
     request: ServiceRequest,
     signal: AbortSignal,
   ): Promise<ServiceAnswer> {
-    const startedAt = performance.now();
-    let verdict: Verdict = Verdict.RAN;
-    try {
-      checkRequest(this.plannedStop, this.gate.nestedCalls, request);
-      const answer = await this.entry.handleRequest(request, signal);
-      this.metrics.count(`verdicts.${verdict}`);
-      return answer;
-    } catch (error) {
-      ({verdict} = toRefusal(error));
-      throw error;
-    } finally {
-      const elapsedMs = performance.now() - startedAt;
-      this.callerLog.recordEnd(request, verdict, elapsedMs);
-    }
+    return this.callerLog.recordRun(request, () =>
+      this.stopAdmission.runRequest(request, taken =>
+        this.entry.handleRequest(taken, signal),
+      ),
+    );
   }
 
   private handleApplied({moveOrders}: DesiredState): void {
--- a/src/node-process.ts
+++ b/src/node-process.ts
@@ -42,7 +42,7 @@
 import type {HandleStep} from './state/explanations.js';
 import {Explanations} from './state/explanations.js';
 import {WorkerTable} from './state/worker-table.js';
-import {checkAttempt, checkRequest} from './stop-admission.js';
+import {StopAdmission} from './stop-admission.js';
 import {computeStopLimits} from './stop-limits.js';
 import {createSealHandler} from './transport/attempt-service.js';
 import {createCallerServer} from './transport/caller-listener.js';
@@ -87,6 +87,7 @@
   private readonly callerServer: Server;
   private readonly peerServer: Server;
   private readonly plannedStop: NodeStop;
+  private readonly stopAdmission: StopAdmission;
   private hasJoined = false;
 
   constructor(private readonly settings: NodeSettings) {
@@ -231,11 +232,15 @@
     });
     this.peerServer = createPeerServer({
       handleAttempt: async (attempt, signal, handleAdmitted) => {
-        if (attempt.keyHomeEpoch !== undefined) {
-          return this.keyHomes.handleAttempt(attempt, signal, handleAdmitted);
-        }
-        checkAttempt(this.plannedStop, attempt.request);
-        return this.path.runAttempt(attempt, signal, handleAdmitted);
+        const isKeyed = attempt.keyHomeEpoch !== undefined;
+        return this.stopAdmission.runAttempt(
+          attempt,
+          () =>
+            isKeyed
+              ? this.keyHomes.handleAttempt(attempt, signal, handleAdmitted)
+              : this.path.runAttempt(attempt, signal, handleAdmitted),
+          isKeyed,
+        );
       },
       handleCall: connectNodeAdapter({
         routes: router => this.registerServices(router),
@@ -249,9 +254,14 @@
       peerServer: this.peerServer,
       closeClients: () => this.closeClients(),
       handleStep: (name, step) => this.logger.write('info', name, {...step}),
-      handleCut: attempt =>
-        this.logger.write('info', 'attempt cut by a stop', {...attempt}),
+      listRunning: () => this.stopAdmission.listRunning(),
+      handleCut: (text, request) =>
+        this.logger.write('info', text, {...request}),
     });
+    this.stopAdmission = new StopAdmission(
+      this.plannedStop,
+      this.gate.nestedCalls,
+    );
     this.plannedStop.beforeRefusing.push(() =>
       this.keyHomes.leave(settings.stop),
     );
@@ -308,10 +318,11 @@
     request: ServiceRequest,
     signal: AbortSignal,
   ): Promise<ServiceAnswer> {
-    checkRequest(this.plannedStop, this.gate.nestedCalls, request);
-    const answer = this.keyHomes.hasKey(request)
-      ? await this.handleKeyedRequest(request, signal)
-      : await this.entry.handleRequest(request, signal);
+    const answer = await this.stopAdmission.runRequest(request, taken =>
+      this.keyHomes.hasKey(taken)
+        ? this.handleKeyedRequest(taken, signal)
+        : this.entry.handleRequest(taken, signal),
+    );
     this.metrics.count(`verdicts.${Verdict.RAN}`);
     return answer;
   }
--- a/src/node-stop.ts
+++ b/src/node-stop.ts
@@ -6,8 +6,8 @@
  * with a time of its own would cut running work early whenever the steps before
  * it were short.
  */
-import type {Server, ServerResponse} from 'node:http';
-import {ATTEMPT_ID, ENTRY_NODE, PEER_REQUEST_ID} from './protocol/headers.js';
+import type {Server} from 'node:http';
+import type {RunningRequest} from './stop-admission.js';
 import type {StopLimits} from './stop-limits.js';
 import type {NodeAnswer} from './transport/caller-listener.js';
 import {ConnectionCloser} from './transport/connection-closer.js';
@@ -17,6 +17,10 @@
   waitForNoConnections,
 } from './transport/server-drain.js';
 
+const CUT_TEXTS: Readonly<Record<RunningRequest['sender'], string>> = {
+  caller: 'request cut by a stop',
+  node: 'attempt cut by a stop',
+};
 /** Time for attempts to arrive that peers sent before they knew of the stop. */
 const QUIET_PERIOD_MS = 200;
 
@@ -37,13 +41,6 @@
   readonly attempts: number;
 }
 
-/** An attempt of another node that a stop cuts off. */
-export interface CutAttempt {
-  readonly requestId: string;
-  readonly attemptId: string;
-  readonly entryNode: string;
-}
-
 /** Membership of this node, as a stop uses it. */
 export interface LeavingMember {
   /** Notifies the other nodes that this node accepts no more attempts. */
@@ -68,8 +65,10 @@
   readonly servesWhileCallersLeave?: boolean;
   /** Called after each step. */
   readonly handleStep: (name: string, step: StopStep) => void;
-  /** Called for each attempt of another node that is cut off. */
-  readonly handleCut: (attempt: CutAttempt) => void;
+  /** Lists the requests that have no complete answer yet. */
+  readonly listRunning: () => readonly RunningRequest[];
+  /** Called for each request that is cut off, with the text of a log line. */
+  readonly handleCut: (text: string, request: RunningRequest) => void;
 }
 
 /** Runs the planned stop of a node. */
@@ -111,10 +110,14 @@
    * @param deadline time in milliseconds on the clock of `performance.now()`.
    */
   hasTimeFor(deadline: number): boolean {
-    if (this.beganAt === undefined) return true;
     return deadline <= this.endsAt;
   }
 
+  /** Time in milliseconds that the work has from the beginning of a stop. */
+  get workTime(): number {
+    return this.options.limits.workTime;
+  }
+
   /** Whether other nodes were notified and the gate refuses attempts. */
   get isRefusingAttempts(): boolean {
     return this.isRefusing;
@@ -138,9 +141,13 @@
     await waitWithTimeout(closeClients(), limits.closeTime);
   }
 
-  /** Time at which the stop cuts off what runs, as `performance.now()`. */
-  private get endsAt(): number {
-    return (this.beganAt ?? 0) + this.options.limits.workTime;
+  /**
+   * Time at which the stop cuts off what runs, as `performance.now()`;
+   * `Infinity` before it.
+   */
+  get endsAt(): number {
+    if (this.beganAt === undefined) return Infinity;
+    return this.beganAt + this.options.limits.workTime;
   }
 
   private reportStep(name: string, isComplete: boolean): void {
@@ -195,7 +202,11 @@
 
   private async drainCallers(): Promise<void> {
     const {callerServer} = this.options;
-    const hasAnswered = await drainServer(callerServer, this.findTimeLeft());
+    const hasAnswered = await drainServer(
+      callerServer,
+      this.findTimeLeft(),
+      () => this.reportCut('caller'),
+    );
     this.reportStep('answered', hasAnswered);
   }
 
@@ -211,27 +222,22 @@
   }
 
   private async drainAttempts(): Promise<void> {
-    const {peerServer, handleCut} = this.options;
+    const {peerServer} = this.options;
     const haveEnded = await this.peerConnections.waitUntilQuiet(
       QUIET_PERIOD_MS,
       this.findTimeLeft(),
     );
     this.reportStep('attempts ended', haveEnded);
-    for (const response of this.peerConnections.listActive()) {
-      handleCut(describeAttempt(response));
-    }
+    if (!haveEnded) this.reportCut('node');
     await closeServer(peerServer);
   }
-}
 
-/** Reads what identifies an attempt; empty for other calls of a node. */
-function describeAttempt({req}: ServerResponse): CutAttempt {
-  const find = (name: string): string => String(req.headers[name] ?? '');
-  return {
-    requestId: find(PEER_REQUEST_ID),
-    attemptId: find(ATTEMPT_ID),
-    entryNode: find(ENTRY_NODE),
-  };
+  private reportCut(sender: RunningRequest['sender']): void {
+    const {listRunning, handleCut} = this.options;
+    for (const request of listRunning()) {
+      if (request.sender === sender) handleCut(CUT_TEXTS[sender], request);
+    }
+  }
 }
 
 /** Builds the readiness answer; a node is ready from its join to its stop. */
--- a/src/test/node-stop_test.ts
+++ b/src/test/node-stop_test.ts
@@ -97,6 +97,7 @@
     handleStep: (name, {isComplete}) => {
       steps.push(isComplete ? name : `${name} in vain`);
     },
+    listRunning: () => [],
     handleCut: () => {},
   });
   return {steps, stop, callerServer, peerServer};
--- a/src/transport/server-drain.ts
+++ b/src/transport/server-drain.ts
@@ -25,10 +25,13 @@
  * Stops listening, closes connections as they become idle, and waits for the
  * requests on the others. Returns false if the timeout expired, after which the
  * remaining connections are closed.
+ *
+ * @param handleTimeout called when the timeout has expired, before that.
  */
 export async function drainServer(
   server: Server,
   timeoutMs: number,
+  handleTimeout: () => void = () => {},
 ): Promise<boolean> {
   await stopListening(server);
   const idleTimer = setInterval(
@@ -37,6 +40,7 @@
   );
   const hasEnded = await waitForNoConnections(server, timeoutMs);
   clearInterval(idleTimer);
+  if (!hasEnded) handleTimeout();
   server.closeAllConnections();
   return hasEnded;
 }
