Apply changes of the settings file to a running node

Callers saw: after the address of a worker had passed to another service, and the settings of its host named that, each request that began there reached workers with the old service for its caller, as long as the node ran.

Cause: a node kept the settings of its start. At SIGHUP it read the file, compared and logged; a file that changed without a signal wasn't read.

Change: the parts of a node share one object of settings and read values at each use. Each difference has a log line with both values; those that need a restart are warnings and counted in sequoiaspool_settings_waiting.

--- a/src/coordination/desired-state.ts
+++ b/src/coordination/desired-state.ts
@@ -43,9 +43,18 @@
     ) => void,
   ) {}
 
-  /** Applies a newer configuration and a changed set of data centres. */
-  apply({configuration, dataCentresOut}: DesiredState): void {
-    if (configuration && configuration.number > this.number) {
+  /**
+   * Applies a newer configuration and a changed set of data centres.
+   *
+   * @param isRebuilt whether the configuration in force was built anew from the
+   *     same records, for other settings.
+   */
+  apply(
+    {configuration, dataCentresOut}: DesiredState,
+    isRebuilt = false,
+  ): void {
+    const lowest = isRebuilt ? this.number : this.number + 1;
+    if (configuration && configuration.number >= lowest) {
       this.number = configuration.number;
       this.state.setConfiguration(configuration.content);
       this.report('configuration in force', {number: this.number});
--- a/src/directory-node.ts
+++ b/src/directory-node.ts
@@ -24,6 +24,7 @@
 import {describeReadiness, NodeStop} from './node-stop.js';
 import type {DirectorySettings} from './protocol/directory-settings.js';
 import {DIRECTORY_CONNECTIONS} from './protocol/directory-settings.js';
+import type {LiveSettings} from './protocol/live-settings.js';
 import type {NodeIdentity} from './protocol/node-identity.js';
 import {createIncarnation} from './protocol/node-identity.js';
 import type {CrashPush} from './protocol/peer-messages.js';
@@ -37,6 +38,7 @@
 import {Explanations} from './state/explanations.js';
 import {StateStore} from './state/state-store.js';
 import {WorkerTable} from './state/worker-table.js';
+import {SettingsReload} from './settings-reload.js';
 import {StopAdmission} from './stop-admission.js';
 import {computeGraceLimits} from './stop-limits.js';
 import {createCallerServer} from './transport/caller-listener.js';
@@ -61,6 +63,8 @@
 
 /** A node that finds the others through a directory. */
 export class DirectoryNode {
+  /** Values are read when they are used, as they may change. */
+  private readonly settings: DirectorySettings;
   private readonly identity: NodeIdentity;
   private readonly writer = new LineWriter(process.stdout.fd);
   private readonly logger;
@@ -96,12 +100,15 @@
   private readonly peerServer: Server;
   private readonly plannedStop: NodeStop;
   private readonly stopAdmission: StopAdmission;
+  private readonly settingsReload: SettingsReload;
 
   constructor(
-    private readonly settings: DirectorySettings,
+    liveSettings: LiveSettings,
     private readonly adapter: NodeAdapter,
   ) {
+    const settings = liveSettings.current;
     const {node} = settings;
+    this.settings = settings;
     this.logger = createLogger(node.id, settings.logging, line =>
       this.writer.write(line),
     );
@@ -188,10 +195,10 @@
       listRunning: () => this.stopAdmission.listRunning(),
       handleCut: (text, request) => this.log(text, {...request}),
     });
-    this.stopAdmission = new StopAdmission(
-      this.plannedStop,
-      this.gate.nestedCalls,
-    );
+    const {plannedStop, logger, metrics, records, heldBudget} = this;
+    this.stopAdmission = new StopAdmission(plannedStop, this.gate.nestedCalls);
+    const parts = {plannedStop, logger, metrics, records, heldBudget, adapter};
+    this.settingsReload = new SettingsReload(liveSettings, parts);
   }
 
   /** Starts listening, looks up the other nodes and begins to serve. */
@@ -221,18 +228,9 @@
     this.log('started', {incarnation: this.identity.incarnation});
   }
 
-  /**
-   * Logs whether the settings changed; changes apply at the next start. A file
-   * that can't be read then changes nothing for what runs now.
-   */
+  /** Applies the settings that `readSettings` returns; it may throw. */
   handleSettings(readSettings: () => DirectorySettings): void {
-    try {
-      const changed = JSON.stringify(readSettings());
-      const isSame = changed === JSON.stringify(this.settings);
-      this.log('settings read again', {isSame: Number(isSame)});
-    } catch (error) {
-      this.logger.write('warn', 'settings not read', {error: String(error)});
-    }
+    this.settingsReload.apply(readSettings);
   }
 
   /** Stops after all running requests have ended or the grace time is over. */
@@ -259,9 +257,12 @@
   }
 
   private createRecords(): DirectoryRecords {
+    const {settings} = this;
     return new DirectoryRecords({
       topic: this.adapter.operatorTopic,
-      pollWaitMs: this.settings.store.pollWait,
+      get pollWaitMs() {
+        return settings.store.pollWait;
+      },
       state: this.state,
       nodeId: this.identity.nodeId,
       handleSilentPoll: () => this.directory.announceRecords(),
--- a/src/directory-records.ts
+++ b/src/directory-records.ts
@@ -16,7 +16,7 @@
 export interface DirectoryRecordsOptions {
   readonly nodeId: string;
   readonly topic: KeyedTopic;
-  /** Maximum time that one read waits for a new record, in milliseconds. */
+  /** Maximum time that the next read waits for a record, in milliseconds. */
   readonly pollWaitMs: number;
   readonly state: StateStore;
   readonly readRecords: (records: readonly KeyedRecord[]) => DesiredState;
@@ -41,12 +41,14 @@
   private readonly applier: DesiredStateApplier;
 
   constructor(private readonly options: DirectoryRecordsOptions) {
-    const {topic, pollWaitMs, state, report} = options;
+    const {topic, state, report} = options;
     this.applier = new DesiredStateApplier(state, report);
     this.follower = new KeyedFollower({
       topic,
       records: this.records,
-      pollWaitMs,
+      get pollWaitMs() {
+        return options.pollWaitMs;
+      },
       random: Math.random,
       isPolling: () => this.freshness.isPolling,
       handleAnswer: () => this.freshness.recordAnswer(),
@@ -104,10 +106,15 @@
     this.follower.checkNow();
   }
 
-  private applyRecords(): void {
+  /** Applies the known records again, read with other settings. */
+  refresh(): void {
+    this.applyRecords(true);
+  }
+
+  private applyRecords(isRebuilt = false): void {
     const {readRecords, handleApplied} = this.options;
     const desiredState = readRecords(this.records.list());
-    this.applier.apply(desiredState);
+    this.applier.apply(desiredState, isRebuilt);
     handleApplied(desiredState);
   }
 }
--- a/src/node-adapter.ts
+++ b/src/node-adapter.ts
@@ -61,5 +61,7 @@
   ): DesiredState;
   /** Creates the servers for readiness and for the worker's reports. */
   createServers(port: NodePort): readonly AdapterServer[];
+  /** Applies settings of the store client that have changed. */
+  refreshStore(): void;
   close(): Promise<void>;
 }
--- a/src/node-stop.ts
+++ b/src/node-stop.ts
@@ -86,11 +86,13 @@
   readonly beforeExit: StopTask[] = [];
   private readonly callerConnections: ConnectionCloser;
   private readonly peerConnections: ConnectionCloser;
+  private limits: StopLimits;
   private beganAt: number | undefined;
   private isRefusing = false;
 
   constructor(private readonly options: NodeStopOptions) {
     const {callerServer, peerServer, limits} = options;
+    this.limits = limits;
     this.callerConnections = new ConnectionCloser(
       callerServer,
       limits.lingerTime,
@@ -115,7 +117,7 @@
 
   /** Time in milliseconds that the work has from the beginning of a stop. */
   get workTime(): number {
-    return this.options.limits.workTime;
+    return this.limits.workTime;
   }
 
   /** Whether other nodes were notified and the gate refuses attempts. */
@@ -123,6 +125,13 @@
     return this.isRefusing;
   }
 
+  /** Sets the limits of a stop that has not begun. */
+  setLimits(limits: StopLimits): void {
+    if (this.isStopping) return;
+    this.limits = limits;
+    this.callerConnections.setIdleTime(limits.lingerTime);
+  }
+
   /** Runs all steps of the stop. */
   async run(): Promise<void> {
     this.beganAt = performance.now();
@@ -137,8 +146,8 @@
     await this.runTasks('before exit', this.beforeExit);
     await this.drainAttempts();
     this.options.membership.stop();
-    const {closeClients, limits} = this.options;
-    await waitWithTimeout(closeClients(), limits.closeTime);
+    const {closeClients} = this.options;
+    await waitWithTimeout(closeClients(), this.limits.closeTime);
   }
 
   /**
@@ -147,7 +156,7 @@
    */
   get endsAt(): number {
     if (this.beganAt === undefined) return Infinity;
-    return this.beganAt + this.options.limits.workTime;
+    return this.beganAt + this.limits.workTime;
   }
 
   private reportStep(name: string, isComplete: boolean): void {
@@ -176,8 +185,8 @@
   }
 
   private async waitForCallers(): Promise<void> {
-    const {callerServer, limits} = this.options;
-    const timeoutMs = this.findTimeLeft(limits.lingerTime);
+    const {callerServer} = this.options;
+    const timeoutMs = this.findTimeLeft(this.limits.lingerTime);
     const haveLeft = await waitForNoConnections(callerServer, timeoutMs);
     this.reportStep('callers left', haveLeft);
   }
@@ -214,7 +223,7 @@
     step: string,
     tasks: readonly StopTask[],
   ): Promise<void> {
-    const {taskTime} = this.options.limits;
+    const {taskTime} = this.limits;
     for (const task of tasks) {
       const timeoutMs = this.findTimeLeft(taskTime);
       this.reportStep(step, await waitWithTimeout(task(), timeoutMs));
--- a/src/transport/connection-closer.ts
+++ b/src/transport/connection-closer.ts
@@ -20,7 +20,7 @@
   private readonly active = new Map<Socket, Set<ServerResponse>>();
   /** The latest request of each connection; earlier ones may be unanswered. */
   private readonly lastResponses = new WeakMap<Socket, ServerResponse>();
-  private readonly keepAliveHeader: string | undefined;
+  private keepAliveHeader: string | undefined;
   private isClosing = false;
 
   /**
@@ -30,13 +30,18 @@
    *     announces its own keep-alive timeout.
    */
   constructor(server: Server, idleTimeMs = 0) {
-    const seconds = Math.floor(idleTimeMs / MS_PER_SECOND);
-    if (seconds > 0) this.keepAliveHeader = `timeout=${seconds}`;
+    this.setIdleTime(idleTimeMs);
     server.prependListener('request', (message, response) =>
       this.handleResponse(message.socket, response),
     );
   }
 
+  /** Sets the time that later answers announce. */
+  setIdleTime(idleTimeMs: number): void {
+    const seconds = Math.floor(idleTimeMs / MS_PER_SECOND);
+    this.keepAliveHeader = seconds > 0 ? `timeout=${seconds}` : undefined;
+  }
+
   /** Starts to close each connection after the last answer it waits for. */
   start(): void {
     this.isClosing = true;
--- a/src/transport/limits/held-budget.ts
+++ b/src/transport/limits/held-budget.ts
@@ -63,7 +63,7 @@
 /** Follows the connections of a node's listeners and closes some of them. */
 export class HeldBudget {
   private readonly ledgers = new Map<Socket, ConnectionLedger>();
-  private readonly limits: HeldLimits;
+  private limits: HeldLimits;
   private readonly slots: ConnectionSlots;
   /** Bytes of bodies since the last check. */
   private uncheckedBytes = 0;
@@ -81,7 +81,14 @@
     private readonly report: HeldReport,
   ) {
     this.limits = computeHeldLimits(settings);
-    this.slots = new ConnectionSlots(this.limits.findMaxConnections);
+    this.slots = new ConnectionSlots(listener =>
+      this.limits.findMaxConnections(listener),
+    );
+  }
+
+  /** Computes the limits anew, for what is held or opened from now on. */
+  refreshLimits(settings: ProcessSettings): void {
+    this.limits = computeHeldLimits(settings);
   }
 
   /** Starts a server whose connections are within the limits. */
--- a/src/transport/logger.ts
+++ b/src/transport/logger.ts
@@ -17,6 +17,8 @@
   /** Whether lines of this level are written. */
   has(level: Level): boolean;
   write(level: Level, text: string, context?: LogContext): void;
+  /** Sets the least level that is written. */
+  setLevel(level: Level): void;
 }
 
 /** Maximum lines per second of one text; more are counted and omitted. */
@@ -37,9 +39,12 @@
   ROARR.write = writeLine;
   const rateLimit = new LineRateLimit();
   const log = Roarr.child({node: nodeId});
-  const minLevel = LEVELS[settings.level];
+  let minLevel: number = LEVELS[settings.level];
   return {
     has: level => LEVELS[level] >= minLevel,
+    setLevel: level => {
+      minLevel = LEVELS[level];
+    },
     write: (level, text, context = {}) => {
       if (LEVELS[level] < minLevel) return;
       const omitted = rateLimit.countOmitted(text);
--- a/src/transport/metrics.ts
+++ b/src/transport/metrics.ts
@@ -5,7 +5,7 @@
  * has its own counter.
  */
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
-import {Counter, Histogram, Registry} from 'prom-client';
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import type {NodeAnswer} from './caller-listener.js';
 import {readQuery} from './caller-listener.js';
 import {createOrderedServer} from './limits/ordered-server.js';
@@ -49,6 +49,12 @@
     registers: [this.registry],
   });
 
+  private readonly waitingSettings = new Gauge({
+    name: 'sequoiaspool_settings_waiting',
+    help: 'Changed values of the settings file that need a restart',
+    registers: [this.registry],
+  });
+
   constructor(private readonly sender?: MetricsSender) {}
 
   /** Adds to a counter, such as `refusals.queue-full`. */
@@ -74,6 +80,11 @@
     this.loopDelay.observe(lateMs / MS_PER_SECOND);
   }
 
+  /** Records how many changed settings need a restart. */
+  recordWaitingSettings(count: number): void {
+    this.waitingSettings.set(count);
+  }
+
   /** Returns the counter totals since the start of the process. */
   report(): Record<string, number> {
     return Object.fromEntries([...this.totals].sort());
